--- /dev/null
+++ b/cmd/catkinpoint/main.go
@@ -0,0 +1,4 @@
+// Command catkinpoint is every process of the scheduler.
+package main
+
+func main() {}
