--- /dev/null
+++ b/gang/coordinator.go
@@ -0,0 +1,265 @@
+package gang
+
+import (
+	"slices"
+
+	"catkinpoint/wire"
+)
+
+// Phase is how far the coordinator of an attempt has come.
+type Phase int
+
+// The phases of an attempt.
+const (
+	Preparing Phase = iota
+	Committing
+	Starting // Start was sent; members wait, run or have ended
+	Stopping
+	Ended
+)
+
+// CoordinatedMember is what the coordinator knows of one member.
+type CoordinatedMember struct {
+	State   wire.TaskState
+	BootID  string
+	Started bool
+	// Lost means that the agent died, restarted or was silent beyond the task
+	// lease, so that the task does not run any more but may have run.
+	Lost bool
+}
+
+// Coordinator runs one attempt of a job from the scheduler.
+type Coordinator struct {
+	Phase Phase
+	// Recorded says that the attempt is committed by a job record.
+	Recorded bool
+	Members  []CoordinatedMember
+	// StartSent is set before the first Start leaves this process.
+	StartSent bool
+	// Reason says why the attempt is being stopped.
+	Reason string
+}
+
+// EventKind names an event of a coordinator.
+type EventKind int
+
+// The events of a coordinator.
+const (
+	EventStatus       EventKind = iota // a response or report about one member
+	EventLost                          // one member's agent is gone
+	EventUnreachable                   // a call to one member failed; the member may have it
+	EventCommitted                     // the job record names this attempt
+	EventCommitFailed                  // the job record does not and will not name this attempt
+	EventStop                          // cancel, preemption or a passed deadline
+)
+
+// Event is what a coordinator reacts to.
+type Event struct {
+	Kind   EventKind
+	Rank   int
+	BootID string
+	Status *wire.TaskStatus
+	Reason string
+}
+
+// EffectKind names an effect of a coordinator.
+type EffectKind int
+
+// The effects of a coordinator.
+const (
+	EffectCommit EffectKind = iota // write the job record
+	EffectStart                    // send Start to one member
+	EffectStop                     // send Stop to one member
+	EffectEnd                      // the attempt has ended; see Verdict
+)
+
+// Effect is what the scheduler does after a step.
+type Effect struct {
+	Kind EffectKind
+	Rank int
+}
+
+// NewCoordinator returns the coordinator of a fresh attempt; the scheduler
+// sends Prepare to every member.
+func NewCoordinator(tasks int, recorded bool) *Coordinator {
+	return &Coordinator{Recorded: recorded, Members: make([]CoordinatedMember, tasks)}
+}
+
+// ResumeCoordinator returns the coordinator of an attempt that an earlier
+// scheduler committed, and the effects that continue it. Start is idempotent at
+// the agents, and a member that was never prepared refuses it.
+func ResumeCoordinator(members []*wire.Member) (*Coordinator, []Effect) {
+	c := NewCoordinator(len(members), true)
+	for i, member := range members {
+		c.Members[i].BootID = member.GetBootId()
+	}
+	return c, c.start()
+}
+
+// Step takes an event and returns what the scheduler does now.
+func (c *Coordinator) Step(e Event) []Effect {
+	if c.Phase == Ended {
+		return nil
+	}
+	switch e.Kind {
+	case EventStatus:
+		c.update(e)
+	case EventLost:
+		c.lose(e.Rank)
+	case EventUnreachable:
+		// A lost Prepare is not repeated: the Stop that follows leaves a
+		// tombstone. Later losses are found by report or by EventLost.
+		if c.Phase == Preparing {
+			return c.stop("a worker could not be reached")
+		}
+	case EventCommitted:
+		if c.Phase == Committing {
+			return c.start()
+		}
+	case EventCommitFailed:
+		if c.Phase == Committing {
+			return c.stop(e.Reason)
+		}
+	case EventStop:
+		return c.stop(e.Reason)
+	}
+	return c.advance()
+}
+
+func (c *Coordinator) update(e Event) {
+	member := &c.Members[e.Rank]
+	if member.Lost || Final(member.State) {
+		return // late or duplicate
+	}
+	if member.BootID == "" {
+		member.BootID = e.BootID
+	}
+	if member.BootID != e.BootID {
+		// The agent restarted without memory; its answers prove nothing about
+		// what ran before.
+		c.lose(e.Rank)
+		return
+	}
+	if rankOf(e.Status.GetState()) < rankOf(member.State) {
+		return // reordered
+	}
+	member.State = e.Status.GetState()
+	member.Started = member.Started || e.Status.GetStarted()
+}
+
+// rankOf orders the states as a member passes through them.
+func rankOf(s wire.TaskState) int {
+	order := []wire.TaskState{
+		wire.TaskState_TASK_UNSPECIFIED, wire.TaskState_TASK_ABSENT, wire.TaskState_TASK_PREPARED,
+		wire.TaskState_TASK_WAITING, wire.TaskState_TASK_RUNNING, wire.TaskState_TASK_STOPPING,
+	}
+	if i := slices.Index(order, s); i >= 0 {
+		return i
+	}
+	return len(order)
+}
+
+func (c *Coordinator) lose(rank int) {
+	member := &c.Members[rank]
+	if !Final(member.State) {
+		member.Lost = true
+	}
+}
+
+// advance moves on when all members allow it.
+func (c *Coordinator) advance() []Effect {
+	switch c.Phase {
+	case Preparing:
+		return c.advancePreparing()
+	case Committing:
+		if c.anyBad() {
+			// The commit may still take effect, so it must be answered first;
+			// the scheduler ends the record afterwards.
+			return nil
+		}
+	case Starting:
+		if c.all(func(m CoordinatedMember) bool { return m.State == wire.TaskState_TASK_DONE }) {
+			return c.end()
+		}
+		if c.anyBad() {
+			return c.stop(c.badReason())
+		}
+	case Stopping:
+		if c.all(func(m CoordinatedMember) bool { return m.Lost || Final(m.State) }) {
+			return c.end()
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) advancePreparing() []Effect {
+	if c.anyBad() {
+		return c.stop(c.badReason())
+	}
+	if !c.all(func(m CoordinatedMember) bool { return m.State == wire.TaskState_TASK_PREPARED }) {
+		return nil
+	}
+	if !c.Recorded {
+		return c.start()
+	}
+	c.Phase = Committing
+	return []Effect{{Kind: EffectCommit}}
+}
+
+func (c *Coordinator) start() []Effect {
+	if c.anyBad() {
+		return c.stop(c.badReason())
+	}
+	c.Phase, c.StartSent = Starting, true
+	return c.forEach(EffectStart, func(CoordinatedMember) bool { return true })
+}
+
+func (c *Coordinator) stop(reason string) []Effect {
+	if c.Phase == Stopping {
+		return nil
+	}
+	c.Phase, c.Reason = Stopping, reason
+	effects := c.forEach(EffectStop, func(m CoordinatedMember) bool { return !m.Lost && !Final(m.State) })
+	if len(effects) == 0 {
+		return c.end()
+	}
+	return effects
+}
+
+func (c *Coordinator) end() []Effect {
+	c.Phase = Ended
+	return []Effect{{Kind: EffectEnd}}
+}
+
+func (c *Coordinator) all(ok func(CoordinatedMember) bool) bool {
+	for _, m := range c.Members {
+		if !ok(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func isBad(m CoordinatedMember) bool {
+	return m.Lost || Final(m.State) && m.State != wire.TaskState_TASK_DONE || m.State == wire.TaskState_TASK_STOPPING
+}
+
+func (c *Coordinator) anyBad() bool { return slices.ContainsFunc(c.Members, isBad) }
+
+func (c *Coordinator) badReason() string {
+	i := slices.IndexFunc(c.Members, isBad)
+	if c.Members[i].Lost {
+		return "a worker was lost"
+	}
+	return "a task ended in state " + c.Members[i].State.String()
+}
+
+func (c *Coordinator) forEach(kind EffectKind, want func(CoordinatedMember) bool) []Effect {
+	var effects []Effect
+	for rank, m := range c.Members {
+		if want(m) {
+			effects = append(effects, Effect{Kind: kind, Rank: rank})
+		}
+	}
+	return effects
+}
--- /dev/null
+++ b/gang/monitor.go
@@ -0,0 +1,93 @@
+package gang
+
+import (
+	"fmt"
+	"time"
+
+	"catkinpoint/wire"
+)
+
+// Monitor watches the members of one gang at the agent of its leader.
+type Monitor struct {
+	// Released is set once every member has joined in time.
+	Released bool
+	// Broken says why the gang must stop; empty while it holds.
+	Broken  string
+	created time.Time
+	members []monitored
+}
+
+type monitored struct {
+	joined   bool
+	finished bool
+	seen     time.Time
+	// permitEnd is when the member's permit runs out, by the monitor's clock.
+	permitEnd time.Time
+}
+
+// NewMonitor returns the monitor of a gang with the given number of tasks.
+func NewMonitor(tasks int, now time.Time) Monitor {
+	return Monitor{created: now, members: make([]monitored, tasks)}
+}
+
+// Join takes a member's ping.
+func (m *Monitor) Join(rank int, state wire.TaskState, permitLeft time.Duration, now time.Time, t Timers) {
+	if rank < 0 || rank >= len(m.members) {
+		return
+	}
+	m.Tick(now, t)
+	member := &m.members[rank]
+	member.seen = now
+	switch state {
+	case wire.TaskState_TASK_WAITING:
+		member.joined, member.permitEnd = true, now.Add(permitLeft)
+	case wire.TaskState_TASK_RUNNING:
+		member.joined = true
+	case wire.TaskState_TASK_DONE:
+		member.joined, member.finished = true, true
+	default:
+		m.breakGang(fmt.Sprintf("task %d left in state %s", rank, state))
+	}
+	m.release(now, t)
+}
+
+// Tick declares the gang broken if a member is silent or the barrier is late.
+func (m *Monitor) Tick(now time.Time, t Timers) {
+	if !m.Released && now.Sub(m.created) >= t.BarrierTimeout {
+		m.breakGang("not all tasks reached the start barrier in time")
+	}
+	for rank, member := range m.members {
+		silent := member.joined && !member.finished && now.Sub(member.seen) >= t.Silence
+		if silent {
+			m.breakGang(fmt.Sprintf("task %d is silent", rank))
+		}
+	}
+}
+
+// Finished says whether every member has finished.
+func (m *Monitor) Finished() bool {
+	for _, member := range m.members {
+		if !member.finished {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Monitor) breakGang(reason string) {
+	if m.Broken == "" {
+		m.Broken = reason
+	}
+}
+
+func (m *Monitor) release(now time.Time, t Timers) {
+	if m.Released || m.Broken != "" {
+		return
+	}
+	for _, member := range m.members {
+		if !member.joined || member.permitEnd.Sub(now) < t.PermitMargin {
+			return
+		}
+	}
+	m.Released = true
+}
--- /dev/null
+++ b/link/codec.go
@@ -0,0 +1,103 @@
+package link
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/rpc"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"catkinpoint/wire"
+)
+
+// MaxMessageBytes is the largest message that a link carries, in bytes.
+const MaxMessageBytes = 80 << 20
+
+// codec frames a header and a body for each call; it serves both ends.
+type codec struct {
+	conn   io.Closer
+	reader *bufio.Reader
+	writer *bufio.Writer
+	header wire.CallHeader
+}
+
+func newCodec(conn io.ReadWriteCloser) *codec {
+	return &codec{conn: conn, reader: bufio.NewReader(conn), writer: bufio.NewWriter(conn)}
+}
+
+func (c *codec) write(header *wire.CallHeader, body any) error {
+	message, ok := body.(proto.Message)
+	if !ok {
+		// net/rpc sends a placeholder instead of a body with an error.
+		message = &wire.Ping{}
+	}
+	if _, err := protodelim.MarshalTo(c.writer, header); err != nil {
+		return fmt.Errorf("writing header of %s: %w", header.GetMethod(), err)
+	}
+	if _, err := protodelim.MarshalTo(c.writer, message); err != nil {
+		return fmt.Errorf("writing body of %s: %w", header.GetMethod(), err)
+	}
+	if err := c.writer.Flush(); err != nil {
+		return fmt.Errorf("flushing %s: %w", header.GetMethod(), err)
+	}
+	return nil
+}
+
+func (c *codec) read(message proto.Message) error {
+	// The error stays unwrapped: net/rpc compares it with io.EOF.
+	return protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}.UnmarshalFrom(c.reader, message)
+}
+
+func (c *codec) readBody(body any) error {
+	message, ok := body.(proto.Message)
+	if !ok {
+		// net/rpc passes nil to discard a body; any message type skips unknown fields.
+		message = &wire.Ping{}
+	}
+	return c.read(message)
+}
+
+// Close closes the connection.
+func (c *codec) Close() error { return c.conn.Close() }
+
+type clientCodec struct{ *codec }
+
+// WriteRequest sends one request.
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(&wire.CallHeader{Sequence: r.Seq, Method: r.ServiceMethod}, body)
+}
+
+// ReadResponseHeader reads the header of the next response.
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	c.header.Reset()
+	if err := c.read(&c.header); err != nil {
+		return err
+	}
+	r.Seq, r.ServiceMethod, r.Error = c.header.GetSequence(), c.header.GetMethod(), c.header.GetError()
+	return nil
+}
+
+// ReadResponseBody reads the body that follows the header.
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
+
+type serverCodec struct{ *codec }
+
+// ReadRequestHeader reads the header of the next request.
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.header.Reset()
+	if err := c.read(&c.header); err != nil {
+		return err
+	}
+	r.Seq, r.ServiceMethod = c.header.GetSequence(), c.header.GetMethod()
+	return nil
+}
+
+// ReadRequestBody reads the body that follows the header.
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+// WriteResponse sends one response.
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	return c.write(&wire.CallHeader{Sequence: r.Seq, Method: r.ServiceMethod, Error: r.Error}, body)
+}
