--- /dev/null
+++ b/agent/launch.go
@@ -0,0 +1,167 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/gang"
+	"catkinpoint/permit"
+	"catkinpoint/wire"
+)
+
+const (
+	// renewsPerLease leaves room for two lost renewals of a task lease.
+	renewsPerLease = 3
+	// fetchRetry is the time between two attempts to fetch a result.
+	fetchRetry = 200 * time.Millisecond
+)
+
+// launch checks the permit and starts the task. It runs on the control goroutine.
+func (a *Agent) launch(s *state, t *task, now time.Time) {
+	current := s.permit
+	if err := current.Check(a.opts.Worker, now, a.opts.PermitAge); err != nil {
+		a.step(s, t, gang.MemberNoPermit, err.Error())
+		return
+	}
+	t.launchedAt = now
+	ctx, cancel := context.WithCancel(a.life)
+	t.cancel = cancel
+	attempt, job, body, resume := t.attempt, t.job, t.body, t.resume
+	single := t.member.Single
+	a.traffic.Go(func() {
+		defer cancel()
+		a.runTask(ctx, attempt, job, body, resume, current)
+	})
+	a.traffic.Go(func() { a.renewLoop(ctx, attempt, single) })
+}
+
+// runTask carries the task to the endpoint and its result back. It is a traffic
+// goroutine.
+func (a *Agent) runTask(ctx context.Context, attempt string, job *wire.Job, body []byte, resume time.Duration, p permit.Permit) {
+	guard := func() error { return p.Check(a.opts.Worker, time.Now(), a.opts.PermitAge) }
+	result, err := a.endpoint.run(ctx, attempt, job, body, resume, guard)
+	if err != nil && !isVerdict(err) && ctx.Err() == nil {
+		// The connection broke after the request was written; the endpoint
+		// still knows the task.
+		klog.Warningf("agent: The connection of task %s broke: %v.", attempt, err)
+		result, err = a.fetchResult(ctx, attempt)
+	}
+	a.control.Post(func(s *state) { a.exit(s, attempt, result, err) })
+}
+
+// isVerdict says whether the error tells what became of the task.
+func isVerdict(err error) bool {
+	return errors.Is(err, errNotStarted) || errors.Is(err, errTaskFailed) || errors.Is(err, errTaskStopped)
+}
+
+// fetchResult asks on fresh connections until the endpoint answers.
+func (a *Agent) fetchResult(ctx context.Context, attempt string) ([]byte, error) {
+	for {
+		result, err := a.endpoint.result(ctx, attempt)
+		if err == nil || isVerdict(err) || errors.Is(err, errNoTask) {
+			return result, err
+		}
+		if !sleep(ctx, fetchRetry) {
+			return nil, fmt.Errorf("fetching result: %w", ctx.Err())
+		}
+	}
+}
+
+// exit takes the end of a task. It runs on the control goroutine.
+func (a *Agent) exit(s *state, attempt string, result []byte, err error) {
+	t, ok := s.tasks[attempt]
+	if !ok || gang.Final(t.member.State) {
+		return
+	}
+	switch {
+	case err == nil:
+		t.result = result
+		a.step(s, t, gang.MemberExitOK, "")
+	case errors.Is(err, errNotStarted):
+		a.step(s, t, gang.MemberNoPermit, err.Error())
+	case errors.Is(err, errTaskFailed):
+		a.step(s, t, gang.MemberExitFailed, err.Error())
+	default:
+		// The endpoint may still run the task, so it is stopped for certain.
+		a.step(s, t, gang.MemberStop, err.Error())
+	}
+}
+
+// renewLoop renews the task lease until the task has ended. A member of a gang
+// renews only while its leader answers, so that the endpoint stops the task
+// even if this process can do nothing more.
+func (a *Agent) renewLoop(ctx context.Context, attempt string, single bool) {
+	period := a.opts.TaskLease / renewsPerLease
+	for sleep(ctx, period) {
+		if !single && !a.leaderAnswers(ctx, attempt) {
+			continue
+		}
+		err := a.endpoint.renew(ctx, attempt)
+		if errors.Is(err, errNoTask) || errors.Is(err, errTaskStopped) {
+			a.fetchEnded(ctx, attempt)
+			return
+		}
+	}
+}
+
+// fetchEnded handles a task that the endpoint does not run any more although
+// its request is still open: that connection went silent.
+func (a *Agent) fetchEnded(ctx context.Context, attempt string) {
+	if !sleep(ctx, fetchRetry) {
+		return // the open request was answered meanwhile
+	}
+	result, err := a.fetchResult(ctx, attempt)
+	a.control.Post(func(s *state) { a.exit(s, attempt, result, err) })
+}
+
+func (a *Agent) leaderAnswers(ctx context.Context, attempt string) bool {
+	answers := false
+	_ = a.control.Do(ctx, func(s *state) {
+		t, ok := s.tasks[attempt]
+		answers = ok && time.Since(t.member.LeaderSeen) < a.opts.Timers.Silence
+	}) // an ended agent renews nothing
+	return answers
+}
+
+// kill stops the task at the endpoint and reports once that is certain. It runs
+// on the control goroutine.
+func (a *Agent) kill(t *task) {
+	attempt := t.attempt
+	a.traffic.Go(func() { a.killTask(attempt) })
+}
+
+func (a *Agent) killTask(attempt string) {
+	asked := time.Now()
+	for {
+		err := a.endpoint.stop(a.life, attempt)
+		// Nothing renews the task any more, so its lease ends it in any case.
+		if err == nil || time.Since(asked) > 2*a.opts.TaskLease {
+			break
+		}
+		if !sleep(a.life, fetchRetry) {
+			return
+		}
+	}
+	a.event(attempt, gang.MemberKilled, "")
+}
+
+// checkpoint saves the work of a running task before it is stopped.
+func (a *Agent) checkpoint(attempt string) error {
+	saved, err := a.endpoint.checkpoint(a.life, attempt)
+	if errors.Is(err, errNoTask) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	a.control.Post(func(s *state) {
+		if t, ok := s.tasks[attempt]; ok {
+			t.checkpoint = saved
+		}
+	})
+	return nil
+}
--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -23,8 +23,9 @@
 	State   wire.TaskState
 	BootID  string
 	Started bool
-	// Lost means that the agent died, restarted or was silent beyond the task
-	// lease, so that the task does not run any more but may have run.
+	// Lost means that the agent restarted or is silent for long, so that
+	// nothing is known of the task: it may have run, and after a silence it may
+	// still run.
 	Lost bool
 }
 
