--- /dev/null
+++ b/conf/read.go
@@ -0,0 +1,112 @@
+package conf
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Key is one key of a section as it was written.
+type Key struct {
+	Name  string
+	Value string
+	Line  int
+}
+
+// Section is one section as it was written.
+type Section struct {
+	File string
+	Line int
+	// Name is the text between the brackets.
+	Name string
+	Keys []Key
+}
+
+// lineOptions read one line: values end with the line, and a comment after a
+// value needs a space before it.
+var lineOptions = ini.LoadOptions{
+	IgnoreContinuation:       true,
+	SpaceBeforeInlineComment: true,
+	KeyValueDelimiters:       "=",
+}
+
+// Read splits INI text into its sections and reports each line that is not INI.
+func Read(file string, text []byte) ([]Section, Faults) {
+	var sections []Section
+	var faults Faults
+	text = bytes.TrimPrefix(text, []byte("\ufeff"))
+	for i, line := range bytes.Split(text, []byte("\n")) {
+		line = bytes.TrimSpace(line)
+		if len(line) == 0 || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+		fault := Fault{File: file, Line: i + 1}
+		doc, err := ini.LoadSources(lineOptions, line)
+		if err != nil {
+			fault.Text = syntaxFault(err)
+			faults = append(faults, fault)
+			continue
+		}
+		if line[0] == '[' {
+			names := doc.SectionStrings()
+			sections = append(sections, Section{File: file, Line: i + 1, Name: normalSpace(names[len(names)-1])})
+			continue
+		}
+		key := doc.Section(ini.DefaultSection).Keys()[0]
+		if len(sections) == 0 {
+			fault.Key = key.Name()
+			fault.Text = "key before the first section"
+			faults = append(faults, fault)
+			continue
+		}
+		s := &sections[len(sections)-1]
+		s.Keys = append(s.Keys, Key{Name: key.Name(), Value: key.Value(), Line: i + 1})
+	}
+	return sections, faults
+}
+
+func syntaxFault(err error) string {
+	switch {
+	case ini.IsErrDelimiterNotFound(err):
+		return "expected [section] or key = value"
+	case ini.IsErrEmptyKeyName(err):
+		return "key name is missing"
+	default:
+		return strings.TrimSpace(err.Error())
+	}
+}
+
+func normalSpace(s string) string {
+	return strings.Join(strings.Fields(s), " ")
+}
+
+// faultAt returns a fault at the line of the named key, or at the header if the key is absent.
+func (s Section) faultAt(key, text string) Fault {
+	line := s.Line
+	for _, k := range s.Keys {
+		if k.Name == key {
+			line = k.Line
+			break
+		}
+	}
+	return Fault{File: s.File, Line: line, Section: s.Name, Key: key, Text: text}
+}
+
+// repeatedKeys reports keys that are given more than once.
+func (s Section) repeatedKeys() Faults {
+	var faults Faults
+	first := map[string]int{}
+	for _, k := range s.Keys {
+		if line, ok := first[k.Name]; ok {
+			faults = append(faults, Fault{
+				File: s.File, Line: k.Line, Section: s.Name, Key: k.Name,
+				Text: fmt.Sprintf("given twice, first on line %d", line),
+			})
+			continue
+		}
+		first[k.Name] = k.Line
+	}
+	return faults
+}
