--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,7 @@
 
 build:
 	go build -o bin/ ./cmd/...
+
+# Writes the reference page of settings and declarations.
+settings:
+	go test ./conf -run TestReference -update
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -2,15 +2,23 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"catkinpoint/wire"
 )
 
+var update = flag.Bool("update", false, "write docs/settings.md")
+
 // TestSettings guards against a fault that is dropped, or reported without its place.
 func TestSettings(t *testing.T) {
 	datadriven.RunTest(t, "testdata/settings", func(t *testing.T, d *datadriven.TestData) string {
@@ -36,3 +44,48 @@
 		return b.String()
 	})
 }
+
+// TestReference guards against a reference page that no longer matches the schema.
+func TestReference(t *testing.T) {
+	const page = "../docs/settings.md"
+	if *update {
+		if err := os.WriteFile(page, []byte(Reference()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	have, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Reference(), string(have)); diff != "" {
+		t.Errorf("docs/settings.md differs from the schema; run make settings:\n%s", diff)
+	}
+}
+
+// TestEncode guards against a value that changes on its way through INI text.
+func TestEncode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching("[ -~]{0,12}|[a-z`'\"#;=%()\\\\,\\[\\] ]{1,6}")
+		want := &wire.Entry{}
+		SetDefaults(want)
+		want.PermitPolicy = text.Draw(t, "policy")
+		want.QueueLimit = rapid.Int64().Draw(t, "limit")
+		encoded, err := Encode("entry", want)
+		if err != nil {
+			return // refused, so nothing was changed silently
+		}
+		sections, faults := Read("", encoded)
+		if len(faults) > 0 || len(sections) != 1 {
+			t.Fatalf("%d sections, %v in %s", len(sections), faults, encoded)
+		}
+		have := &wire.Entry{}
+		sections[0].Decode(have)
+		if !proto.Equal(want, have) {
+			t.Fatalf("want %v, have %v", want, have)
+		}
+	})
+	plain := &wire.Agent{EntryAddresses: []string{"10.0.0.1:1", "10.0.0.2:1"}, Rack: "r 1; b", Worker: `a"b`}
+	if _, err := Encode("agent", plain); err != nil {
+		t.Error(err)
+	}
+}
