--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/stand/fakeep"
+	"catkinpoint/stand/fakekv"
+)
+
+type cli struct {
+	KV       kvVerb       `cmd:"" name:"kv" help:"Run the stand-in of the key-value service."`
+	Endpoint endpointVerb `cmd:"" help:"Run the stand-in of an endpoint."`
+}
+
+type ports struct {
+	Listen      netip.AddrPort `required:"" placeholder:"IP:PORT" help:"Address of the service."`
+	FaultListen netip.AddrPort `placeholder:"IP:PORT" help:"Address of the fault port; none if not given."`
+}
+
+type kvVerb struct {
+	ports
+}
+
+type endpointVerb struct {
+	ports
+	Slots        int           `default:"8" help:"Tasks that run at once."`
+	Connections  int           `default:"64" help:"Connections that are accepted."`
+	Accelerators int           `default:"8" help:"Accelerators of the worker."`
+	UsageLag     time.Duration `default:"2s" help:"Age of the reported usage."`
+	Drain        time.Duration `default:"5s" help:"Time that running tasks get on a stop."`
+}
+
+// serveFunc serves one listener until the context ends.
+type serveFunc func(ctx context.Context, l net.Listener) error
+
+func main() {
+	var verbs cli
+	parsed := kong.Parse(&verbs, kong.Name("standin"))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err := parsed.Run()
+	klog.Flush()
+	parsed.FatalIfErrorf(err)
+}
+
+// Run implements the verb kv.
+func (v *kvVerb) Run(ctx context.Context) error {
+	server := fakekv.New()
+	return v.run(ctx, server.Serve, server.ServeFaults)
+}
+
+// Run implements the verb endpoint.
+func (v *endpointVerb) Run(ctx context.Context) error {
+	endpoint := fakeep.New(fakeep.Options{
+		Slots:        v.Slots,
+		Connections:  v.Connections,
+		Accelerators: v.Accelerators,
+		UsageLag:     v.UsageLag,
+		Drain:        v.Drain,
+	})
+	return v.run(ctx, endpoint.Serve, endpoint.ServeFaults)
+}
+
+func (p ports) run(ctx context.Context, service, faults serveFunc) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return listen(ctx, "service", p.Listen, service) })
+	if p.FaultListen.IsValid() {
+		group.Go(func() error { return listen(ctx, "faults", p.FaultListen, faults) })
+	}
+	return group.Wait()
+}
+
+func listen(ctx context.Context, name string, addr netip.AddrPort, serve serveFunc) error {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", name, err)
+	}
+	klog.Infof("standin: %s listens on %s", name, l.Addr())
+	if err := serve(ctx, l); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	klog.Infof("standin: %s stopped", name)
+	return nil
+}
--- /dev/null
+++ b/stand/fakeep/http.go
@@ -0,0 +1,241 @@
+package fakeep
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers of an answer that carries a result.
+const (
+	AttemptHeader = "X-Attempt"
+	// HashHeader holds the result's xxhash in 16 hexadecimal digits.
+	HashHeader = "X-Result-Hash"
+)
+
+// maxBodyBytes bounds the input of one task.
+const maxBodyBytes = 64 << 20
+
+// failures maps errors to the status and the code of an answer.
+var failures = []struct {
+	err    error
+	status int
+	code   string
+}{
+	{ErrNoSlot, http.StatusServiceUnavailable, "no_slot"},
+	{ErrNoAccelerators, http.StatusServiceUnavailable, "no_accelerators"},
+	{errConnections, http.StatusServiceUnavailable, "too_many_connections"},
+	{ErrNoTask, http.StatusNotFound, "no_task"},
+	{ErrFailed, http.StatusInternalServerError, "task_failed"},
+	{ErrStopped, http.StatusConflict, "task_stopped"},
+	{ErrInvalid, http.StatusBadRequest, "invalid"},
+}
+
+var errConnections = Error.New("too many connections")
+
+// ServeHTTP serves the endpoint's protocol.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.refused {
+		w.Header().Set("Connection", "close")
+		writeError(w, errConnections)
+		return
+	}
+	if err := e.pass(r); err != nil {
+		return
+	}
+	e.routes().ServeHTTP(w, r)
+}
+
+// pass holds a request back for as long as the faults demand.
+func (e *Endpoint) pass(r *http.Request) error {
+	delay, thawed := e.gate()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		return r.Context().Err()
+	}
+	select {
+	case <-thawed:
+		return nil
+	case <-r.Context().Done():
+		return r.Context().Err()
+	}
+}
+
+func (e *Endpoint) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /tasks/{attempt}", e.postTask)
+	mux.HandleFunc("GET /tasks/{attempt}", e.getTask)
+	mux.HandleFunc("POST /tasks/{attempt}/renew", control(e.renew))
+	mux.HandleFunc("POST /tasks/{attempt}/checkpoint", control(e.checkpoint))
+	mux.HandleFunc("POST /tasks/{attempt}/throttle", control(e.throttle))
+	mux.HandleFunc("POST /tasks/{attempt}/stop", control(e.stop))
+	mux.HandleFunc("GET /tasks", get(e.Tasks))
+	mux.HandleFunc("GET /usage", get(e.Usage))
+	mux.HandleFunc("GET /record", get(e.Record))
+	mux.HandleFunc("GET /violations", get(e.Violations))
+	return mux
+}
+
+// postTask starts a task and holds the answer back until its end.
+func (e *Endpoint) postTask(w http.ResponseWriter, r *http.Request) {
+	spec, err := readSpec(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	t, err := e.Start(spec)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	answer(w, r, t)
+}
+
+// getTask waits for the end of a started task, as postTask does.
+func (e *Endpoint) getTask(w http.ResponseWriter, r *http.Request) {
+	t, err := e.Find(r.PathValue("attempt"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	answer(w, r, t)
+}
+
+func answer(w http.ResponseWriter, r *http.Request, t *Task) {
+	w.Header().Set(AttemptHeader, t.spec.Attempt)
+	result, err := t.Wait(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set(HashHeader, Hash(result))
+	_, _ = w.Write(result)
+}
+
+// Hash returns the hash of a result as HashHeader holds it.
+func Hash(result []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(result))
+}
+
+func readSpec(w http.ResponseWriter, r *http.Request) (Spec, error) {
+	query := r.URL.Query()
+	run, err := readMS(query, "run_ms")
+	if err != nil {
+		return Spec{}, err
+	}
+	lease, err := readMS(query, "lease_ms")
+	if err != nil {
+		return Spec{}, err
+	}
+	accelerators, err := readInt(query, "accelerators")
+	if err != nil {
+		return Spec{}, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return Spec{}, fmt.Errorf("%w: read body: %w", ErrInvalid, err)
+	}
+	return Spec{
+		Attempt:      r.PathValue("attempt"),
+		Run:          run,
+		Accelerators: int(accelerators),
+		Lease:        lease,
+		Body:         body,
+	}, nil
+}
+
+func readInt(query url.Values, name string) (int64, error) {
+	text := query.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s: %w", ErrInvalid, name, err)
+	}
+	return n, nil
+}
+
+func readMS(query url.Values, name string) (time.Duration, error) {
+	n, err := readInt(query, name)
+	return time.Duration(n) * time.Millisecond, err
+}
+
+// controlReply answers a call that controls a task.
+type controlReply struct {
+	WorkedMS int64 `json:"worked_ms"`
+}
+
+func control(f func(attempt string, query url.Values) (time.Duration, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		worked, err := f(r.PathValue("attempt"), r.URL.Query())
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, controlReply{worked.Milliseconds()})
+	}
+}
+
+func (e *Endpoint) renew(attempt string, query url.Values) (time.Duration, error) {
+	lease, err := readMS(query, "lease_ms")
+	if err != nil {
+		return 0, err
+	}
+	return 0, e.Renew(attempt, lease)
+}
+
+func (e *Endpoint) checkpoint(attempt string, _ url.Values) (time.Duration, error) {
+	return e.Checkpoint(attempt)
+}
+
+func (e *Endpoint) throttle(attempt string, query url.Values) (time.Duration, error) {
+	speed, err := strconv.ParseFloat(query.Get("speed"), 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: speed: %w", ErrInvalid, err)
+	}
+	return 0, e.Throttle(attempt, speed)
+}
+
+func (e *Endpoint) stop(attempt string, _ url.Values) (time.Duration, error) {
+	return e.Stop(attempt)
+}
+
+func get[T any](f func() T) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, f())
+	}
+}
+
+// errorReply is the body of an answer without a result.
+type errorReply struct {
+	Error   string `json:"error"`
+	Message string `json:"message"`
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	for _, f := range failures {
+		if errors.Is(err, f.err) {
+			writeJSON(w, f.status, errorReply{f.code, err.Error()})
+			return
+		}
+	}
+	writeJSON(w, http.StatusInternalServerError, errorReply{"internal", err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A client that has gone away needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
