--- a/conf/nearest.go
+++ b/conf/nearest.go
@@ -3,9 +3,9 @@
 import "fmt"
 
 // Nearest returns the known name with the smallest edit distance to name, or
-// "" if none shares more than half of its letters.
+// "" if each differs in more than half of the letters.
 func Nearest(name string, known []string) string {
-	best, bestDistance := "", max(len(name)/2, 1)+1
+	best, bestDistance := "", len(name)/2+1
 	for _, candidate := range known {
 		if d := editDistance(name, candidate); d < bestDistance {
 			best, bestDistance = candidate, d
