decl: parse, compare, merge and check declared objects

A set is immutable and shares the kinds that a change leaves alone. Guarantees are judged with every data centre present and with each one out that may leave. Shapes wider than a worker are whole workers and one rest, as package place maps them, so that an accepted set can be placed.

in_service has no part in the check: taking a data centre out must work at short notice even where the plan does not cover its loss. Warnings then names the guarantees that cannot be met.

--- /dev/null
+++ b/decl/capacity_test.go
@@ -0,0 +1,164 @@
+package decl
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"catkinpoint/wire"
+)
+
+// worker is one worker of the plain search, which shares no code with the solver.
+type worker struct{ dc, rack, free, slots int }
+
+// canMeet tries every worker for every part of every shape.
+func canMeet(workers []worker, shapes []demand, largest []int) bool {
+	if len(shapes) == 0 {
+		return true
+	}
+	d := shapes[0]
+	for _, dc := range d.sites {
+		chunk := d.size
+		if d.adjacency != AdjacentWorker {
+			chunk = min(chunk, largest[dc])
+		}
+		if chunk > 0 && putParts(workers, shapes, largest, dc, -1, d.size, chunk) {
+			return true
+		}
+	}
+	return false
+}
+
+func putParts(workers []worker, shapes []demand, largest []int, dc, rack, left, chunk int) bool {
+	if left == 0 {
+		return canMeet(workers, shapes[1:], largest)
+	}
+	part := min(left, chunk)
+	for i := range workers {
+		w := &workers[i]
+		if w.dc != dc || w.free < part || w.slots < 1 || shapes[0].adjacency == AdjacentRack && rack >= 0 && w.rack != rack {
+			continue
+		}
+		w.free -= part
+		w.slots--
+		ok := putParts(workers, shapes, largest, dc, w.rack, left-part, chunk)
+		w.free += part
+		w.slots++
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// TestGuaranteesAgainstPlainSearch guards against accepting guarantees that
+// cannot be met, and within the exact limits against refusing ones that can.
+func TestGuaranteesAgainstPlainSearch(t *testing.T) {
+	met, unmet := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		inventory := Inventory{}
+		objects := []*wire.Object{{Kind: "customer", Name: "c", Body: &wire.Object_Customer{Customer: &wire.Customer{QueueLimit: 1, Weight: 1}}}}
+		slots := rapid.SampledFrom([]int{1, 2, 8}).Draw(t, "slots")
+		service := &wire.Service{Slots: int64(slots), Connections: 1}
+		objects = append(objects, &wire.Object{Kind: "service", Name: "s", Body: &wire.Object_Service{Service: service}})
+		var workers []worker
+		names := []string{"d0", "d1"}[:rapid.IntRange(1, 2).Draw(t, "sites")]
+		largest, leaves := make([]int, len(names)), make([]bool, len(names))
+		for dc, name := range names {
+			size := rapid.IntRange(2, 5).Draw(t, "size")
+			leaves[dc] = rapid.IntRange(0, 3).Draw(t, "leaves") == 0
+			body := &wire.DataCentre{Region: "r", AcceleratorsPerWorker: 1, WorkersPerRack: 1, MayLeave: leaves[dc]}
+			objects = append(objects, &wire.Object{Kind: "data_centre", Name: name, Body: &wire.Object_DataCentre{DataCentre: body}})
+			for i := range rapid.IntRange(2, 5).Draw(t, "workers") {
+				free := size
+				if rapid.IntRange(0, 4).Draw(t, "smaller") == 0 {
+					free = rapid.IntRange(0, size).Draw(t, "free")
+				}
+				inventory[name] = append(inventory[name], Worker{Rack: fmt.Sprint(i / 2), Accelerators: free})
+				workers = append(workers, worker{dc, 10*dc + i/2, free, slots})
+				largest[dc] = max(largest[dc], free)
+			}
+		}
+		var shapes []demand
+		for i := range rapid.IntRange(1, 4).Draw(t, "guarantees") {
+			dcs := rapid.Permutation(names).Draw(t, "dcs")[:rapid.IntRange(1, len(names)).Draw(t, "n")]
+			g := &wire.Guarantee{
+				Customer: "c", Accelerators: int64(rapid.SampledFrom([]int{1, 2, 2, 3, 3, 4, 5, 7}).Draw(t, "shape")), Count: int64(rapid.IntRange(1, 2).Draw(t, "count")),
+				Adjacency: rapid.SampledFrom(adjacencies).Draw(t, "adjacency"), DataCentres: dcs, ReclaimWithin: "1s",
+			}
+			objects = append(objects, &wire.Object{Kind: "guarantee", Name: fmt.Sprint("g", i), Body: &wire.Object_Guarantee{Guarantee: g}})
+			for range g.Count {
+				d := demand{size: int(g.Accelerators), adjacency: g.Adjacency}
+				for _, dc := range dcs {
+					d.sites = append(d.sites, int(dc[1]-'0'))
+				}
+				shapes = append(shapes, d)
+			}
+		}
+		want := canMeet(workers, shapes, largest)
+		for dc := range names {
+			if leaves[dc] {
+				var rest []worker
+				for _, w := range workers {
+					if w.dc != dc {
+						rest = append(rest, w)
+					}
+				}
+				want = want && canMeet(rest, shapes, largest)
+			}
+		}
+		faults := Check(NewSet(1, objects), inventory)
+		if (len(faults) == 0) != want {
+			t.Fatalf("plain search says %v, check says %v", want, faults)
+		}
+		if want {
+			met++
+		} else {
+			unmet++
+		}
+	})
+	t.Logf("met %d, unmet %d", met, unmet)
+}
+
+// targetSet is a set of the target size: 9 data centres, 5,600 workers, 300 customers.
+func targetSet(share float64) *Set {
+	var objects []*wire.Object
+	const sites, workers, teams = 9, 622, 300
+	var names []string
+	for i := range sites {
+		names = append(names, fmt.Sprint("dc-", i))
+		dc := &wire.DataCentre{Region: "r", InService: true, MayLeave: true, Workers: workers, AcceleratorsPerWorker: 8, WorkersPerRack: 3}
+		objects = append(objects, &wire.Object{Kind: "data_centre", Name: names[i], Body: &wire.Object_DataCentre{DataCentre: dc}})
+	}
+	budget := int(share * 8 * workers * (sites - 1))
+	sizes := []struct {
+		n         int64
+		adjacency string
+	}{{24, AdjacentRack}, {8, AdjacentWorker}, {4, AdjacentWorker}, {256, AdjacentDataCentre}, {3, AdjacentWorker}, {12, AdjacentRack}}
+	for i := range teams {
+		name := fmt.Sprint("team-", i)
+		objects = append(objects, &wire.Object{Kind: "customer", Name: name, Body: &wire.Object_Customer{Customer: &wire.Customer{QueueLimit: 1, Weight: 1}}})
+		shape := sizes[i%len(sizes)]
+		g := &wire.Guarantee{
+			Customer: name, Accelerators: shape.n, Adjacency: shape.adjacency, Count: max(1, int64(budget/teams)/shape.n),
+			DataCentres: []string{names[i%sites], names[(i+1)%sites], names[(i+4)%sites]}, ReclaimWithin: "30s",
+		}
+		objects = append(objects, &wire.Object{Kind: "guarantee", Name: name, Body: &wire.Object_Guarantee{Guarantee: g}})
+	}
+	return NewSet(1, objects)
+}
+
+func BenchmarkCheck(b *testing.B) {
+	for _, share := range []float64{0.3, 0.7, 1.1} {
+		set := targetSet(share)
+		b.Run(fmt.Sprintf("target_size/guaranteed_%.0f%%", share*100), func(b *testing.B) {
+			b.ReportAllocs()
+			faults := 0
+			for b.Loop() {
+				faults = len(Check(set, nil))
+			}
+			b.ReportMetric(float64(faults), "faults")
+		})
+	}
+}
--- /dev/null
+++ b/decl/diff.go
@@ -0,0 +1,105 @@
+package decl
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"catkinpoint/wire"
+)
+
+// Diff returns the operations that turn the objects of base into the wanted
+// ones, each based on the revision in base. Objects that are not wanted are
+// deleted only if prune is set.
+func Diff(base *Set, want []*wire.Object, prune bool) []*wire.Operation {
+	var operations []*wire.Operation
+	wanted := map[Key]bool{}
+	for _, o := range want {
+		key := KeyOf(o)
+		wanted[key] = true
+		have := base.Get(key)
+		if have != nil && proto.Equal(Body(have), Body(o)) {
+			continue
+		}
+		put := proto.CloneOf(o)
+		put.Revision = 0
+		operations = append(operations, &wire.Operation{Object: put, BaseRevision: have.GetRevision()})
+	}
+	if prune {
+		for have := range base.Objects() {
+			if !wanted[KeyOf(have)] {
+				operations = append(operations, &wire.Operation{
+					Delete:       true,
+					Object:       &wire.Object{Kind: have.GetKind(), Name: have.GetName()},
+					BaseRevision: have.GetRevision(),
+				})
+			}
+		}
+	}
+	slices.SortFunc(operations, func(a, b *wire.Operation) int {
+		return KeyOf(a.GetObject()).Compare(KeyOf(b.GetObject()))
+	})
+	return operations
+}
+
+// Render writes operations as text: + for a new object, - for a deleted one,
+// ~ for a changed one, with each key that changes.
+func Render(base *Set, operations []*wire.Operation) string {
+	var b strings.Builder
+	for _, op := range operations {
+		key := KeyOf(op.GetObject())
+		have := base.Get(key)
+		switch {
+		case op.GetDelete():
+			fmt.Fprintf(&b, "- [%s]\n", key)
+		case have == nil:
+			fmt.Fprintf(&b, "+ [%s]\n", key)
+			renderFields(&b, nil, op.GetObject())
+		default:
+			fmt.Fprintf(&b, "~ [%s]\n", key)
+			renderFields(&b, have, op.GetObject())
+		}
+	}
+	return b.String()
+}
+
+// renderFields writes the keys that differ; a new object has no from.
+func renderFields(b *strings.Builder, from, to *wire.Object) {
+	now := Body(to)
+	if now == nil {
+		return
+	}
+	old := now.ProtoReflect().Type().Zero()
+	if body := Body(from); body != nil && body.ProtoReflect().Descriptor() == old.Descriptor() {
+		old = body.ProtoReflect()
+	}
+	fields := old.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		x, y := old.Get(fd), now.ProtoReflect().Get(fd)
+		switch {
+		case x.Equal(y):
+		case from == nil:
+			fmt.Fprintf(b, "    %s: %s\n", fd.Name(), renderValue(fd, y))
+		default:
+			fmt.Fprintf(b, "    %s: %s -> %s\n", fd.Name(), renderValue(fd, x), renderValue(fd, y))
+		}
+	}
+}
+
+func renderValue(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	if fd.IsList() {
+		elements := make([]string, v.List().Len())
+		for i := range elements {
+			elements[i] = v.List().Get(i).String()
+		}
+		return "[" + strings.Join(elements, ", ") + "]"
+	}
+	if fd.Kind() == protoreflect.StringKind {
+		return fmt.Sprintf("%q", v.String())
+	}
+	return v.String()
+}
--- /dev/null
+++ b/decl/set.go
@@ -0,0 +1,161 @@
+package decl
+
+import (
+	"iter"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkinpoint/wire"
+)
+
+// Set is an immutable set of objects with its version; callers must not change
+// the messages it returns. The zero value is the empty set of version 0.
+type Set struct {
+	version int64
+	kinds   map[string]*index
+}
+
+// index holds the objects of one kind; sets share the indexes that a change leaves alone.
+type index struct {
+	names   []string
+	entries map[string]entry
+}
+
+type entry struct {
+	object *wire.Object
+	body   proto.Message
+}
+
+// NewSet returns the set of the given objects, which it keeps; of two objects
+// with one key the later one counts.
+func NewSet(version int64, objects []*wire.Object) *Set {
+	s := &Set{version: version, kinds: map[string]*index{}}
+	for _, o := range objects {
+		x := s.kinds[o.GetKind()]
+		if x == nil {
+			x = &index{entries: map[string]entry{}}
+			s.kinds[o.GetKind()] = x
+		}
+		x.entries[o.GetName()] = entry{o, Body(o)}
+	}
+	for _, x := range s.kinds {
+		x.sort()
+	}
+	return s
+}
+
+func (x *index) sort() {
+	x.names = slices.Sorted(maps.Keys(x.entries))
+}
+
+// Version returns the version of the set; 0 means that nothing was published.
+func (s *Set) Version() int64 {
+	return s.version
+}
+
+// Len returns the number of objects.
+func (s *Set) Len() int {
+	n := 0
+	for _, x := range s.kinds {
+		n += len(x.names)
+	}
+	return n
+}
+
+// Get returns an object with its revision, or nil if there is none.
+func (s *Set) Get(key Key) *wire.Object {
+	x := s.kinds[key.Kind]
+	if x == nil {
+		return nil
+	}
+	return x.entries[key.Name].object
+}
+
+// Revision returns the version at which an object last changed, or 0 if there is none.
+func (s *Set) Revision(key Key) int64 {
+	return s.Get(key).GetRevision()
+}
+
+// Names returns the names of a kind in order; callers must not change the slice.
+func (s *Set) Names(kind string) []string {
+	x := s.kinds[kind]
+	if x == nil {
+		return nil
+	}
+	return x.names
+}
+
+// Objects yields all objects in the order of their keys.
+func (s *Set) Objects() iter.Seq[*wire.Object] {
+	return func(yield func(*wire.Object) bool) {
+		for _, kind := range slices.Sorted(maps.Keys(s.kinds)) {
+			x := s.kinds[kind]
+			for _, name := range x.names {
+				if !yield(x.entries[name].object) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Lookup returns the object of M's kind with the name.
+func Lookup[M proto.Message](s *Set, name string) (M, bool) {
+	var none M
+	x := s.kinds[kindOf[none.ProtoReflect().Descriptor().FullName()]]
+	if x == nil {
+		return none, false
+	}
+	m, ok := x.entries[name].body.(M)
+	return m, ok
+}
+
+// All yields name and object of M's kind in the order of the names.
+func All[M proto.Message](s *Set) iter.Seq2[string, M] {
+	return func(yield func(string, M) bool) {
+		var none M
+		x := s.kinds[kindOf[none.ProtoReflect().Descriptor().FullName()]]
+		if x == nil {
+			return
+		}
+		for _, name := range x.names {
+			if m, ok := x.entries[name].body.(M); ok && !yield(name, m) {
+				return
+			}
+		}
+	}
+}
+
+// with returns a copy of version with the operations applied.
+func (s *Set) with(version int64, operations []*wire.Operation) *Set {
+	next := &Set{version: version, kinds: maps.Clone(s.kinds)}
+	if next.kinds == nil {
+		next.kinds = map[string]*index{}
+	}
+	touched := map[string]*index{}
+	for _, op := range operations {
+		key := KeyOf(op.GetObject())
+		x := touched[key.Kind]
+		if x == nil {
+			x = &index{entries: map[string]entry{}}
+			if old := s.kinds[key.Kind]; old != nil {
+				x.entries = maps.Clone(old.entries)
+			}
+			touched[key.Kind] = x
+			next.kinds[key.Kind] = x
+		}
+		if op.GetDelete() {
+			delete(x.entries, key.Name)
+			continue
+		}
+		object := proto.CloneOf(op.GetObject())
+		object.Revision = version
+		x.entries[key.Name] = entry{object, Body(object)}
+	}
+	for _, x := range touched {
+		x.sort()
+	}
+	return next
+}
