--- a/agent/gangping.go
+++ b/agent/gangping.go
@@ -47,7 +47,7 @@
 		return
 	}
 	for {
-		request := a.joinRequest(a.life, attempt, rank)
+		request := a.joinRequest(a.life, attempt, members[0].GetAttempt(), rank)
 		if request == nil {
 			return
 		}
@@ -69,7 +69,7 @@
 	}
 }
 
-func (a *Agent) joinRequest(ctx context.Context, attempt string, rank int) *wire.JoinRequest {
+func (a *Agent) joinRequest(ctx context.Context, attempt, leader string, rank int) *wire.JoinRequest {
 	var request *wire.JoinRequest
 	err := a.control.Do(ctx, func(s *state) {
 		t, ok := s.tasks[attempt]
@@ -78,7 +78,7 @@
 		}
 		left := s.permit.Left(time.Now(), a.opts.PermitAge)
 		request = &wire.JoinRequest{
-			Attempt:      attempt,
+			Attempt:      leader,
 			Rank:         int32(rank),
 			State:        t.member.State,
 			BootId:       s.bootID,
--- /dev/null
+++ b/entry/adopt.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/sched"
+	"catkinpoint/store"
+	"catkinpoint/wire"
+)
+
+// sweepPeriod is the time between two removals of old records.
+const sweepPeriod = time.Minute
+
+// adoption remembers which entries were there at the last refresh.
+type adoption struct {
+	known map[string]bool // by boot id
+}
+
+// adoptJobs takes over the accepted jobs of entries that have gone. It reads
+// the records only when an entry has gone, and once after the start.
+func (e *Entry) adoptJobs(ctx context.Context, v *view) {
+	present := map[string]bool{e.bootID: true}
+	for _, registration := range v.entries {
+		present[registration.GetBootId()] = true
+	}
+	gone := e.adopted.known == nil
+	for boot := range e.adopted.known {
+		gone = gone || !present[boot]
+	}
+	if !gone || e.leaving.Load() {
+		e.adopted.known = present
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, 5*storeTimeout)
+	defer cancel()
+	items, err := e.opts.Store.List(callCtx, sched.RecordKey(""))
+	if err != nil {
+		return // the next refresh tries again
+	}
+	e.adopted.known = present
+	for _, item := range items {
+		record := new(wire.JobRecord)
+		if err := proto.Unmarshal(item.Value, record); err != nil {
+			klog.Errorf("entry: Record %s cannot be read: %v.", item.Key, err)
+			continue
+		}
+		if record.GetPhase() == wire.JobRecord_ACCEPTED && !present[record.GetAcceptedBy()] {
+			e.adoptJob(ctx, record, item.Revision)
+		}
+	}
+}
+
+// adoptJob makes this entry carry the job, or ends it if its body went with
+// the entry that accepted it; its caller's connection is gone, too.
+func (e *Entry) adoptJob(ctx context.Context, record *wire.JobRecord, revision int64) {
+	id := record.GetJob().GetId()
+	if !record.GetJob().GetDetached() {
+		e.endNotRun(ctx, id, notRun("the entry that accepted the job has gone"))
+		return
+	}
+	body, err := e.readBlobs(ctx, id, "body", record.GetBodyParts())
+	if err != nil {
+		klog.Warningf("entry: Job %s cannot be adopted: %v.", id, err)
+		e.adopted.known = nil // try again
+		return
+	}
+	record.AcceptedBy = e.bootID
+	data, err := proto.Marshal(record)
+	if err != nil {
+		klog.Errorf("entry: Record of %s cannot be encoded: %v.", id, err)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	next, err := e.opts.Store.Put(callCtx, sched.RecordKey(id), data, revision, 0)
+	if err != nil {
+		e.adopted.known = nil // after a lost answer the record names this entry
+		return
+	}
+	klog.Infof("entry: Adopts job %s of an entry that has gone.", id)
+	e.admission.enterAlways(record.GetJob().GetCustomer())
+	e.carryDetached(&jobRequest{job: record.GetJob(), body: body, recorded: true}, &claim{record: record, revision: next})
+}
+
+// sweep removes records that ended longer ago than the retention. Each entry
+// sweeps the records of the duties it holds, or those without a data centre.
+func (e *Entry) sweep(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, 5*storeTimeout)
+	defer cancel()
+	if len(e.host.All()) == 0 {
+		return
+	}
+	items, err := e.opts.Store.List(callCtx, sched.RecordKey(""))
+	if err != nil {
+		return // the next period tries again
+	}
+	oldest := time.Now().Add(-e.opts.Retention).UnixMilli()
+	for _, item := range items {
+		record := new(wire.JobRecord)
+		if err := proto.Unmarshal(item.Value, record); err != nil {
+			continue // adoptJobs reports it
+		}
+		if record.GetPhase() == wire.JobRecord_ENDED && record.GetUpdatedUnixMs() < oldest {
+			e.removeRecord(ctx, record, item)
+		}
+	}
+}
+
+func (e *Entry) removeRecord(ctx context.Context, record *wire.JobRecord, item store.Item) {
+	id := record.GetJob().GetId()
+	if err := e.remove(ctx, item.Key, item.Revision); err != nil {
+		return // the next sweep finds it again
+	}
+	for part := range record.GetResultParts() {
+		_ = e.remove(ctx, sched.BlobKey(id, "result", int(part)), store.AnyRevision)
+	}
+	for part := range record.GetBodyParts() {
+		_ = e.remove(ctx, sched.BlobKey(id, "body", int(part)), store.AnyRevision)
+	}
+}
+
+func (e *Entry) remove(ctx context.Context, key string, revision int64) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return e.opts.Store.Delete(ctx, key, revision)
+}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/wire"
+)
+
+// Headers of an answer to a caller.
+const (
+	// JobHeader carries the job's id, by which its fate can be asked for.
+	JobHeader = "Catkinpoint-Job"
+	// FateHeader carries done, failed, not_run or unknown.
+	FateHeader = "Catkinpoint-Fate"
+)
+
+// defaultTimeout bounds a request whose caller and class name no deadline.
+const defaultTimeout = 10 * time.Minute
+
+// postJob takes a job and answers with its outcome.
+func (e *Entry) postJob(c echo.Context) error {
+	r, err := e.readJob(c)
+	if err != nil {
+		return writeProblem(c, http.StatusBadRequest, err.Error())
+	}
+	began := time.Now()
+	outcome := e.run(c, r)
+	e.metrics.answered(outcome.GetFate(), time.Since(began))
+	return writeOutcome(c, r.job.GetId(), outcome)
+}
+
+// run carries one request from its admission to its outcome.
+func (e *Entry) run(c echo.Context, r *jobRequest) *wire.Outcome {
+	if e.leaving.Load() {
+		return notRun("this process is leaving")
+	}
+	if !e.admission.enter(r.job.GetCustomer()) {
+		return notRun("too many requests of the customer are waiting")
+	}
+	// A caller that goes away does not stop a job that has a record.
+	ctx := c.Request().Context()
+	if r.recorded {
+		ctx = context.WithoutCancel(ctx)
+	}
+	timeout := r.timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	if r.job.GetDetached() {
+		return e.runDetached(ctx, r)
+	}
+	defer e.admission.leave(r.job.GetCustomer())
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if !r.recorded {
+		return e.runUnrecorded(ctx, r)
+	}
+	return e.runRecorded(ctx, r)
+}
+
+// runUnrecorded runs an idempotent single task; when the caller leaves, the
+// scheduler is told.
+func (e *Entry) runUnrecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
+	outcome := e.dispatch(ctx, r, 0)
+	if ctx.Err() != nil {
+		e.cancelAt(r.sentTo, r.job.GetId(), "the caller left or its deadline passed")
+	}
+	return outcome
+}
+
+func (e *Entry) runRecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
+	found, err := e.accept(ctx, r)
+	if err != nil {
+		return acceptOutcome(err)
+	}
+	return e.carry(ctx, r, found)
+}
+
+// acceptOutcome is the outcome of a job whose record was not written for certain.
+func acceptOutcome(err error) *wire.Outcome {
+	klog.V(1).Infof("entry: A job was not accepted: %v.", err)
+	switch {
+	case errors.Is(err, errKeyReused):
+		return &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: errKeyReused.Error()}
+	case errors.Is(err, errUndecided):
+		return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: err.Error(), RetryAfterMs: retryAfter.Milliseconds()}
+	}
+	return notRun("the store cannot be reached: " + err.Error())
+}
+
+// carry takes an accepted job to its outcome.
+func (e *Entry) carry(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
+	id := r.job.GetId()
+	if found.existing {
+		return e.followRecord(ctx, id)
+	}
+	outcome := e.dispatch(ctx, r, found.revision)
+	switch outcome.GetFate() {
+	case wire.Fate_NOT_RUN:
+		return e.endNotRun(context.WithoutCancel(ctx), id, outcome)
+	case wire.Fate_UNKNOWN:
+		if ctx.Err() == nil {
+			return e.followRecord(ctx, id)
+		}
+	}
+	return outcome
+}
+
+// runDetached accepts the job and answers before it has run.
+func (e *Entry) runDetached(ctx context.Context, r *jobRequest) *wire.Outcome {
+	acceptCtx, cancel := context.WithTimeout(ctx, acceptTries*storeTimeout+time.Second)
+	defer cancel()
+	found, err := e.accept(acceptCtx, r)
+	if err != nil {
+		e.admission.leave(r.job.GetCustomer())
+		return acceptOutcome(err)
+	}
+	if found.existing {
+		e.admission.leave(r.job.GetCustomer())
+		return accepted()
+	}
+	e.carryDetached(r, found)
+	return accepted()
+}
+
+// carryDetached carries a job without a caller. When this process ends first,
+// another entry adopts the job.
+func (e *Entry) carryDetached(r *jobRequest, found *claim) {
+	e.traffic.Go(func() {
+		defer e.admission.leave(r.job.GetCustomer())
+		ctx, cancel := context.WithCancel(e.life)
+		defer cancel()
+		if r.timeout > 0 {
+			ctx, cancel = context.WithTimeout(ctx, r.timeout)
+			defer cancel()
+		}
+		outcome := e.dispatchDetached(ctx, r, found.revision)
+		if e.life.Err() == nil && outcome.GetFate() == wire.Fate_NOT_RUN {
+			e.endNotRun(e.life, r.job.GetId(), outcome)
+		}
+	})
+}
+
+// dispatchDetached dispatches until the job was taken: an accepted job that was
+// refused for lack of room waits here.
+func (e *Entry) dispatchDetached(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
+	for {
+		outcome := e.dispatch(ctx, r, revision)
+		noRoom := outcome.GetFate() == wire.Fate_NOT_RUN && outcome.GetRetryAfterMs() > 0
+		if !noRoom || !sleep(ctx, refusedPause) {
+			return outcome
+		}
+	}
+}
+
+// accepted is the answer to a caller that does not wait.
+func accepted() *wire.Outcome {
+	return &wire.Outcome{Fate: wire.Fate_FATE_UNSPECIFIED, Reason: "accepted"}
+}
+
+// fateName is the fate as callers read it.
+func fateName(fate wire.Fate) string {
+	if fate == wire.Fate_FATE_UNSPECIFIED {
+		return "accepted"
+	}
+	return strings.ToLower(fate.String())
+}
+
+// statusOf is the HTTP status of an outcome.
+func statusOf(outcome *wire.Outcome) int {
+	switch outcome.GetFate() {
+	case wire.Fate_FATE_UNSPECIFIED:
+		return http.StatusAccepted
+	case wire.Fate_DONE:
+		return http.StatusOK
+	case wire.Fate_FAILED:
+		return http.StatusBadGateway
+	case wire.Fate_UNKNOWN:
+		return http.StatusGatewayTimeout
+	}
+	if outcome.GetRetryAfterMs() > 0 {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusUnprocessableEntity
+}
+
+// writeOutcome answers a caller: the whole result of a job that is done, and
+// else a JSON body that says why.
+func writeOutcome(c echo.Context, id string, outcome *wire.Outcome) error {
+	header := c.Response().Header()
+	header.Set(JobHeader, id)
+	header.Set(FateHeader, fateName(outcome.GetFate()))
+	if ms := outcome.GetRetryAfterMs(); ms > 0 {
+		header.Set("Retry-After", strconv.FormatInt((ms+999)/1000, 10))
+	}
+	if outcome.GetFate() == wire.Fate_DONE {
+		return c.Blob(http.StatusOK, echo.MIMEOctetStream, outcome.GetResult())
+	}
+	return c.JSON(statusOf(outcome), struct {
+		JobID        string `json:"job_id"`
+		Fate         string `json:"fate"`
+		Reason       string `json:"reason"`
+		RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+		Worker       string `json:"worker,omitempty"`
+	}{id, fateName(outcome.GetFate()), outcome.GetReason(), outcome.GetRetryAfterMs(), outcome.GetWorker()})
+}
+
+// writeProblem answers a request that was not taken.
+func writeProblem(c echo.Context, status int, reason string) error {
+	c.Response().Header().Set(FateHeader, fateName(wire.Fate_NOT_RUN))
+	return c.JSON(status, struct {
+		Fate   string `json:"fate"`
+		Reason string `json:"reason"`
+	}{fateName(wire.Fate_NOT_RUN), reason})
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"catkinpoint/meter"
+	"catkinpoint/wire"
+)
+
+// metrics are the instruments of an entry.
+type metrics struct {
+	answers metric.Int64Counter
+	latency metric.Float64Histogram
+
+	mu          sync.Mutex
+	regionBytes map[string]int64 // by destination region
+}
+
+func (m *metrics) register(e *Entry, page *meter.Meter) error {
+	m.regionBytes = make(map[string]int64)
+	var err error
+	if m.answers, err = page.Counter("entry_answers", "Answers to callers, by fate."); err != nil {
+		return fmt.Errorf("registering answers: %w", err)
+	}
+	if m.latency, err = page.Latency("entry_answer_seconds", "Time from a request to its answer."); err != nil {
+		return fmt.Errorf("registering latency: %w", err)
+	}
+	gauges := []struct {
+		name, help string
+		observe    func(meter.Observe)
+	}{
+		{"entry_waiting_requests", "Requests in this process.", func(o meter.Observe) { o(float64(e.admission.waiting())) }},
+		{"config_version", "Version of the configuration in force here.", func(o meter.Observe) { o(float64(e.follower.Current().Set.Version())) }},
+		{"config_read_age_seconds", "Time since the last read of the configuration head.", func(o meter.Observe) {
+			o((time.Since(e.start) - time.Duration(e.storeRead.Load())).Seconds())
+		}},
+		{"region_bytes_sent", "Bytes of job bodies sent to other regions.", m.observeRegions},
+		{"sched_decisions", "Decisions of the placement policy, by data centre.", e.observeDecisions},
+		{"sched_jobs_ended", "Jobs that ended, by data centre and fate.", e.observeFates},
+	}
+	for _, g := range gauges {
+		if err := page.Gauge(g.name, g.help, g.observe); err != nil {
+			return fmt.Errorf("registering %s: %w", g.name, err)
+		}
+	}
+	return nil
+}
+
+func (m *metrics) answered(fate wire.Fate, took time.Duration) {
+	set := metric.WithAttributes(attribute.String("fate", fateName(fate)))
+	m.answers.Add(context.Background(), 1, set)
+	m.latency.Record(context.Background(), took.Seconds(), set)
+}
+
+// countRegion counts what crosses the paid link between regions.
+func (m *metrics) countRegion(e *Entry, dc string, bytes int) {
+	region := e.regionOf(dc)
+	if region == e.opts.Region {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.regionBytes[region] += int64(bytes)
+}
+
+func (m *metrics) observeRegions(observe meter.Observe) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for region, bytes := range m.regionBytes {
+		observe(float64(bytes), attribute.String("region", region))
+	}
+}
+
+func (e *Entry) observeDecisions(observe meter.Observe) {
+	for _, s := range e.host.All() {
+		observe(float64(s.Stats().Decisions), attribute.String("data_centre", s.DataCentre()))
+	}
+}
+
+func (e *Entry) observeFates(observe meter.Observe) {
+	for _, s := range e.host.All() {
+		for fate, n := range s.Stats().Fates {
+			observe(float64(n), attribute.String("data_centre", s.DataCentre()), attribute.String("fate", fateName(fate)))
+		}
+	}
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"catkinpoint/place"
+	"catkinpoint/store"
+	"catkinpoint/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("entry")
+
+// PermitPolicy says when permits are issued while the store cannot be read.
+type PermitPolicy string
+
+// The permit policies.
+const (
+	// Strict lets permits run out, so starts pause during an outage.
+	Strict PermitPolicy = "strict"
+	// Witness goes on while live entries of every region cannot reach the store
+	// either; a change that took effect just before the outage is not seen then.
+	Witness PermitPolicy = "witness"
+)
+
+// Options are the settings of an entry.
+type Options struct {
+	ID               string
+	DataCentre       string
+	Region           string
+	RPCAddress       netip.AddrPort
+	HTTPAddress      netip.AddrPort
+	Store            store.KV
+	HeadPeriod       time.Duration
+	LeaseTTL         time.Duration
+	MembershipPeriod time.Duration
+	PermitPolicy     PermitPolicy
+	QueueLimit       int
+	MaxBodyBytes     int64
+	RegionBytes      float64 // budget for traffic to other regions, bytes a second
+	Retention        time.Duration
+	// NewPolicy makes the placement policy of a scheduler.
+	NewPolicy func() place.Policy
+}
+
+// FromSettings returns the options that the settings describe, without the store.
+func FromSettings(node *wire.Node, settings *wire.Entry) (Options, error) {
+	o := Options{
+		ID:           node.GetId(),
+		DataCentre:   node.GetDataCentre(),
+		Region:       node.GetRegion(),
+		PermitPolicy: PermitPolicy(settings.GetPermitPolicy()),
+		QueueLimit:   int(settings.GetQueueLimit()),
+		MaxBodyBytes: settings.GetMaxBodyBytes(),
+		RegionBytes:  float64(settings.GetRegionLinkBytesPerSecond()),
+	}
+	var group errs.Group
+	parseAddr := func(text string) netip.AddrPort {
+		addr, err := netip.ParseAddrPort(text)
+		group.Add(err)
+		return addr
+	}
+	parseDuration := func(text string) time.Duration {
+		d, err := time.ParseDuration(text)
+		group.Add(err)
+		return d
+	}
+	o.RPCAddress = parseAddr(node.GetRpcAddress())
+	o.HTTPAddress = parseAddr(node.GetHttpAddress())
+	o.HeadPeriod = parseDuration(settings.GetHeadPeriod())
+	o.LeaseTTL = parseDuration(settings.GetLeaseTtl())
+	o.MembershipPeriod = parseDuration(settings.GetMembershipPeriod())
+	o.Retention = parseDuration(settings.GetRetention())
+	if o.PermitPolicy != Strict && o.PermitPolicy != Witness {
+		group.Add(Error.New("permit_policy %q is neither strict nor witness", settings.GetPermitPolicy()))
+	}
+	if err := group.Err(); err != nil {
+		return Options{}, fmt.Errorf("reading entry settings: %w", Error.Wrap(err))
+	}
+	return o, nil
+}
--- /dev/null
+++ b/entry/record.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/sched"
+	"catkinpoint/store"
+	"catkinpoint/wire"
+)
+
+const (
+	// acceptTries bounds the writes of one record whose answers are lost.
+	acceptTries = 3
+	// followPeriod is the time between two reads of a record that is waited for.
+	followPeriod = 300 * time.Millisecond
+)
+
+var (
+	// errUndecided means that a record may or may not be in the store.
+	errUndecided = Error.New("the job record may have been written")
+	// errKeyReused means that the key belongs to another request.
+	errKeyReused = Error.New("the key was used for another request")
+)
+
+// claim is a job's record as this entry wrote or found it.
+type claim struct {
+	record   *wire.JobRecord
+	revision int64
+	// existing says that the job was accepted by an earlier request.
+	existing bool
+}
+
+// accept claims the job in the store. A record that exists already belongs to
+// an earlier request with the same key.
+func (e *Entry) accept(ctx context.Context, r *jobRequest) (*claim, error) {
+	record := &wire.JobRecord{
+		Job:           r.job,
+		Phase:         wire.JobRecord_ACCEPTED,
+		AcceptedBy:    e.bootID,
+		UpdatedUnixMs: time.Now().UnixMilli(),
+	}
+	if r.job.GetDetached() {
+		parts, err := e.writeBody(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		record.BodyParts = parts
+	}
+	data, err := proto.Marshal(record)
+	if err != nil {
+		return nil, fmt.Errorf("encoding record: %w", err)
+	}
+	key := sched.RecordKey(r.job.GetId())
+	unknown := false
+	for range acceptTries {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		revision, err := e.opts.Store.Put(callCtx, key, data, 0, 0)
+		cancel()
+		switch {
+		case err == nil:
+			return &claim{record: record, revision: revision}, nil
+		case errors.Is(err, store.ErrConflict):
+			return e.findClaim(ctx, r, unknown)
+		case errors.Is(err, store.ErrUnknown):
+			// Creating the same record again is safe: it succeeds once.
+			unknown = true
+		case !unknown:
+			return nil, fmt.Errorf("writing record: %w", err)
+		}
+		if !sleep(ctx, storeRetry) {
+			break
+		}
+	}
+	return nil, fmt.Errorf("writing record: %w", errUndecided)
+}
+
+// findClaim reads the record that exists already. After a lost answer it can
+// be the one that this request wrote.
+func (e *Entry) findClaim(ctx context.Context, r *jobRequest, unknown bool) (*claim, error) {
+	found, err := e.readRecord(ctx, r.job.GetId())
+	if err != nil {
+		return nil, fmt.Errorf("reading record: %w: %w", errUndecided, err)
+	}
+	job := found.record.GetJob()
+	if job.GetBodyDigest() != r.job.GetBodyDigest() || job.GetJobClass() != r.job.GetJobClass() || job.GetCustomer() != r.job.GetCustomer() {
+		return nil, errKeyReused
+	}
+	own := unknown && found.record.GetAcceptedBy() == e.bootID && job.GetSubmittedUnixMs() == r.job.GetSubmittedUnixMs()
+	found.existing = !own
+	return found, nil
+}
+
+func (e *Entry) readRecord(ctx context.Context, id string) (*claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := e.opts.Store.Get(ctx, sched.RecordKey(id))
+	if err != nil {
+		return nil, fmt.Errorf("reading record of %s: %w", id, err)
+	}
+	record := new(wire.JobRecord)
+	if err := proto.Unmarshal(item.Value, record); err != nil {
+		return nil, fmt.Errorf("decoding record of %s: %w", id, err)
+	}
+	return &claim{record: record, revision: item.Revision}, nil
+}
+
+// writeBody stores the body of a job that outlives its call, before the record
+// that refers to it.
+func (e *Entry) writeBody(ctx context.Context, r *jobRequest) (int32, error) {
+	parts := int32(0)
+	for rest := r.body; len(rest) > 0; parts++ {
+		n := min(len(rest), sched.BlobBytes)
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := e.opts.Store.Put(callCtx, sched.BlobKey(r.job.GetId(), "body", int(parts)), rest[:n], store.AnyRevision, 0)
+		cancel()
+		if err != nil && !errors.Is(err, store.ErrUnknown) {
+			return 0, fmt.Errorf("writing body: %w", err)
+		}
+		if err != nil {
+			// The body of an id never changes, so it is written again.
+			parts--
+			if !sleep(ctx, storeRetry) {
+				return 0, fmt.Errorf("writing body: %w", ctx.Err())
+			}
+			continue
+		}
+		rest = rest[n:]
+	}
+	return parts, nil
+}
+
+func (e *Entry) readBlobs(ctx context.Context, id, what string, parts int32) ([]byte, error) {
+	var data []byte
+	for part := range parts {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		item, err := e.opts.Store.Get(callCtx, sched.BlobKey(id, what, int(part)))
+		cancel()
+		if err != nil {
+			return nil, fmt.Errorf("reading %s of %s: %w", what, id, err)
+		}
+		data = append(data, item.Value...)
+	}
+	return data, nil
+}
+
+// outcomeOf returns the outcome of an ended record with its whole result.
+func (e *Entry) outcomeOf(ctx context.Context, record *wire.JobRecord) (*wire.Outcome, error) {
+	outcome := proto.CloneOf(record.GetOutcome())
+	if record.GetResultParts() == 0 {
+		return outcome, nil
+	}
+	result, err := e.readBlobs(ctx, record.GetJob().GetId(), "result", record.GetResultParts())
+	if err != nil {
+		return nil, err
+	}
+	outcome.Result = result
+	return outcome, nil
+}
+
+// followRecord waits until the job's record has ended.
+func (e *Entry) followRecord(ctx context.Context, id string) *wire.Outcome {
+	for {
+		found, err := e.readRecord(ctx, id)
+		if errors.Is(err, store.ErrNotFound) {
+			return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the job has no record any more"}
+		}
+		if err == nil && found.record.GetPhase() == wire.JobRecord_ENDED {
+			outcome, readErr := e.outcomeOf(ctx, found.record)
+			if readErr == nil {
+				return outcome
+			}
+			err = readErr
+		}
+		if err != nil {
+			klog.V(1).Infof("entry: Waiting for job %s: %v.", id, err)
+		}
+		if !sleep(ctx, followPeriod) {
+			return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the job has not ended yet; ask again by its id"}
+		}
+	}
+}
+
+// endNotRun ends the record of a job that no scheduler has taken, so that none
+// takes it later, and returns what is then true.
+func (e *Entry) endNotRun(ctx context.Context, id string, outcome *wire.Outcome) *wire.Outcome {
+	undecided := &wire.Outcome{
+		Fate:         wire.Fate_UNKNOWN,
+		Reason:       "the record could not be ended: " + outcome.GetReason(),
+		RetryAfterMs: retryAfter.Milliseconds(),
+	}
+	found, err := e.readRecord(ctx, id)
+	if err != nil {
+		return undecided
+	}
+	switch found.record.GetPhase() {
+	case wire.JobRecord_ENDED:
+		if ended, err := e.outcomeOf(ctx, found.record); err == nil {
+			return ended
+		}
+		return undecided
+	case wire.JobRecord_COMMITTED:
+		return undecided
+	}
+	record := proto.CloneOf(found.record)
+	record.Phase, record.Outcome, record.UpdatedUnixMs = wire.JobRecord_ENDED, outcome, time.Now().UnixMilli()
+	data, err := proto.Marshal(record)
+	if err != nil {
+		return undecided
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := e.opts.Store.Put(callCtx, sched.RecordKey(id), data, found.revision, 0); err == nil {
+		return outcome
+	}
+	return e.readEnded(ctx, id, undecided)
+}
+
+// readEnded reads the record once more after a write with unknown outcome.
+func (e *Entry) readEnded(ctx context.Context, id string, undecided *wire.Outcome) *wire.Outcome {
+	found, err := e.readRecord(ctx, id)
+	if err != nil || found.record.GetPhase() != wire.JobRecord_ENDED {
+		return undecided
+	}
+	outcome, err := e.outcomeOf(ctx, found.record)
+	if err != nil {
+		return undecided
+	}
+	return outcome
+}
--- /dev/null
+++ b/entry/route.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/decl"
+	"catkinpoint/link"
+	"catkinpoint/wire"
+)
+
+const (
+	// routeRetry is the pause before a scheduler is asked again.
+	routeRetry = 150 * time.Millisecond
+	// longRun is the run time from which a wait costs more than a remote run.
+	longRun = time.Minute
+	// retryAfter is told to callers whose request was refused for lack of room.
+	retryAfter = time.Second
+	// refusedPause is how long a data centre that gave a job back is not asked
+	// again for it.
+	refusedPause = 2 * time.Second
+	// noDutyPatience is how long a job waits for some scheduler to be there.
+	noDutyPatience = 15 * time.Second
+)
+
+// dispatch sends the job to schedulers, nearest first, until one gives a final
+// outcome or ctx ends.
+func (e *Entry) dispatch(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
+	refused := make(map[string]string) // reason by data centre
+	sent := ""                         // data centre that may have the job
+	giveUp := time.Now().Add(noDutyPatience)
+	for {
+		dc := sent
+		if dc == "" {
+			dc = e.choose(r.job, refused)
+		}
+		if dc == "" {
+			return notRun(firstReason(refused))
+		}
+		response, err := e.submit(ctx, dc, r, revision)
+		switch {
+		case err == nil && response.GetReroute():
+			refused[dc], sent = response.GetOutcome().GetReason(), ""
+		case err == nil:
+			return response.GetOutcome()
+		case ctx.Err() != nil:
+			return e.outOfTime(ctx, r, sent, err)
+		case !errors.Is(err, link.ErrNotSent):
+			// The scheduler may have taken the job. Its successor is asked with
+			// the same id: it knows a started job by its record or by its task.
+			sent = dc
+		case sent == "" && time.Now().After(giveUp):
+			return notRun("no scheduler could be reached")
+		case sent == "" && e.hasOther(r.job, refused, dc):
+			refused[dc] = "no scheduler could be reached"
+		}
+		if err != nil {
+			klog.V(1).Infof("entry: Job %s was not answered by %s: %v.", r.job.GetId(), dc, err)
+			e.refreshSoon()
+			if !sleep(ctx, routeRetry) {
+				return e.outOfTime(ctx, r, sent, err)
+			}
+		}
+	}
+}
+
+func notRun(reason string) *wire.Outcome {
+	return &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: reason, RetryAfterMs: retryAfter.Milliseconds()}
+}
+
+// outOfTime is the outcome when the caller's time is over. Nothing was run if
+// the job was never sent.
+func (e *Entry) outOfTime(_ context.Context, _ *jobRequest, sent string, err error) *wire.Outcome {
+	if sent == "" && (err == nil || errors.Is(err, link.ErrNotSent)) {
+		return notRun("the deadline has passed")
+	}
+	return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the deadline has passed; ask again by the job's id"}
+}
+
+func firstReason(refused map[string]string) string {
+	names := make([]string, 0, len(refused))
+	for dc := range refused {
+		names = append(names, dc)
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return "no data centre in service offers the service"
+	}
+	return names[0] + ": " + refused[names[0]]
+}
+
+// submit sends the job to the scheduler of the data centre and waits.
+func (e *Entry) submit(ctx context.Context, dc string, r *jobRequest, revision int64) (*wire.SubmitResponse, error) {
+	addr, ok := e.view.Load().address(dc)
+	if e.host.Get(dc) != nil {
+		addr, ok = e.opts.RPCAddress, true
+	}
+	if !ok {
+		return nil, link.ErrNotSent
+	}
+	request := &wire.SubmitRequest{Job: r.job, Body: r.body, DataCentre: dc, RecordRevision: revision}
+	if deadline, ok := ctx.Deadline(); ok {
+		// The scheduler answers before this process gives up.
+		left := time.Until(deadline) - answerMargin
+		request.RemainingMs = max(1, left.Milliseconds())
+	}
+	e.metrics.countRegion(e, dc, len(r.body))
+	r.sentTo = dc
+	response := new(wire.SubmitResponse)
+	if err := e.pool.Call(ctx, addr, "Sched.Submit", request, response); err != nil {
+		return nil, err
+	}
+	if response.GetNotHolder() {
+		return nil, fmt.Errorf("%s does not schedule %s: %w", addr, dc, link.ErrNotSent)
+	}
+	return response, nil
+}
+
+// answerMargin is the time that the scheduler's answer needs on its way, also
+// between regions.
+const answerMargin = 150 * time.Millisecond
+
+// choose returns the best data centre that has not refused the job, or "".
+func (e *Entry) choose(job *wire.Job, refused map[string]string) string {
+	v := e.view.Load()
+	best, bestCost := "", 0.0
+	for _, dc := range e.offering(job) {
+		if _, no := refused[dc]; no {
+			continue
+		}
+		cost := e.cost(v, dc, job)
+		if best == "" || cost < bestCost {
+			best, bestCost = dc, cost
+		}
+	}
+	return best
+}
+
+func (e *Entry) hasOther(job *wire.Job, refused map[string]string, dc string) bool {
+	for _, other := range e.offering(job) {
+		if _, no := refused[other]; !no && other != dc {
+			return true
+		}
+	}
+	return false
+}
+
+// offering lists the data centres in service that offer the job's service.
+func (e *Entry) offering(job *wire.Job) []string {
+	set := e.follower.Current().Set
+	service, ok := decl.Lookup[*wire.Service](set, job.GetService())
+	if !ok {
+		return nil
+	}
+	var list []string
+	for name, dc := range decl.All[*wire.DataCentre](set) {
+		offered := len(service.GetDataCentres()) == 0 || slices.Contains(service.GetDataCentres(), name)
+		if dc.GetInService() && offered {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// Costs of a data centre that is not the nearest, or that makes a job wait. A
+// short job rather waits than crosses the paid link between regions; a long one
+// rather crosses it.
+const (
+	costRegion    = 1.0
+	costFar       = 2.0
+	costBusyShort = 1.5
+	costBusyLong  = 3.0
+	costNoDuty    = 10.0
+)
+
+func (e *Entry) cost(v *view, dc string, job *wire.Job) float64 {
+	cost := 0.0
+	switch {
+	case dc == e.opts.DataCentre:
+	case e.regionOf(dc) == e.opts.Region:
+		cost = costRegion
+	default:
+		cost = costFar
+	}
+	if _, ok := v.address(dc); !ok {
+		cost += costNoDuty
+	}
+	load, ok := v.load[dc]
+	needed := job.GetTasks() * max(1, job.GetAccelerators())
+	if !ok || load.GetQueued() == 0 && load.GetFreeAccelerators() >= needed {
+		return cost
+	}
+	if time.Duration(job.GetExpectedRunMs())*time.Millisecond >= longRun {
+		return cost + costBusyLong
+	}
+	return cost + costBusyShort
+}
--- /dev/null
+++ b/sched/attempt.go
@@ -0,0 +1,167 @@
+package sched
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/gang"
+	"catkinpoint/wire"
+)
+
+// begin starts an attempt of a queued job on the given workers.
+func (s *Scheduler) begin(c *control, j *job, workers []string, now time.Time) {
+	j.number++
+	a := &attempt{
+		id:      fmt.Sprintf("%s.%d.%d", j.spec.GetId(), s.opts.Epoch, j.number),
+		job:     j,
+		coord:   gang.NewCoordinator(len(workers), j.recorded()),
+		results: make([][]byte, len(workers)),
+		saved:   make([]time.Duration, len(workers)),
+		placed:  now,
+	}
+	for rank, name := range workers {
+		report := c.workers[name].report
+		a.coord.Members[rank].BootID = report.GetBootId()
+		a.members = append(a.members, &wire.Member{
+			Rank:         int32(rank),
+			Worker:       name,
+			AgentAddress: report.GetAddress(),
+			BootId:       report.GetBootId(),
+			Accelerators: j.spec.GetAccelerators(),
+			Attempt:      fmt.Sprintf("%s-%d", a.id, rank),
+		})
+	}
+	j.phase, j.current = running, a
+	c.addAttempt(a)
+	for rank := range a.members {
+		s.sendPrepare(a, rank)
+	}
+}
+
+// step passes an event to the attempt's coordinator and carries out the effects.
+func (s *Scheduler) step(c *control, a *attempt, e gang.Event) {
+	if c.attempts[a.id] != a {
+		return // the attempt has ended
+	}
+	s.apply(c, a, a.coord.Step(e))
+}
+
+func (s *Scheduler) apply(c *control, a *attempt, effects []gang.Effect) {
+	for _, effect := range effects {
+		switch effect.Kind {
+		case gang.EffectCommit:
+			s.commit(a)
+		case gang.EffectStart:
+			if a.started.IsZero() {
+				a.started = time.Now()
+			}
+			s.sendStart(a, effect.Rank)
+		case gang.EffectStop:
+			s.sendStop(a, effect.Rank)
+		case gang.EffectEnd:
+			s.end(c, a)
+		}
+	}
+}
+
+// status passes what an agent said about one task to the coordinator.
+func (s *Scheduler) status(c *control, a *attempt, rank int, bootID string, status *wire.TaskStatus) {
+	if status.GetState() == wire.TaskState_TASK_DONE && len(status.GetResult()) > 0 {
+		a.results[rank] = status.GetResult()
+	}
+	a.saved[rank] = max(a.saved[rank], time.Duration(status.GetCheckpointMs())*time.Millisecond)
+	s.step(c, a, gang.Event{Kind: gang.EventStatus, Rank: rank, BootID: bootID, Status: status})
+}
+
+// end decides what follows an attempt.
+func (s *Scheduler) end(c *control, a *attempt) {
+	j := a.job
+	v := a.coord.Verdict()
+	c.removeAttempt(a)
+	j.current = nil
+	c.dirty = true
+	klog.V(1).Infof("sched: Attempt %s ended: %+v.", a.id, v)
+	s.judgeWorkers(c, a, v)
+	switch {
+	case v.AllDone:
+		s.finish(c, j, s.doneOutcome(a))
+	case j.stopReason != "":
+		s.finish(c, j, &wire.Outcome{Fate: v.Fate(), Reason: j.stopReason})
+	case a.preempted && a.stoppedForCertain():
+		s.requeuePreempted(c, a)
+	case s.mayRepeat(j, v):
+		j.notUntil = time.Now().Add(callRetry)
+		s.enqueue(c, j)
+	default:
+		s.finish(c, j, &wire.Outcome{Fate: v.Fate(), Reason: v.Reason, Worker: a.workerOf(v)})
+	}
+}
+
+// mayRepeat says whether the job is tried again after the verdict.
+func (s *Scheduler) mayRepeat(j *job, v gang.Verdict) bool {
+	l := s.opts.Limits
+	return v.Repeatable(j.spec.GetIdempotent()) && j.number < l.Attempts && len(j.avoid) < l.FailedWorkers
+}
+
+// judgeWorkers notes the workers on which the job failed.
+func (s *Scheduler) judgeWorkers(_ *control, a *attempt, v gang.Verdict) {
+	for _, rank := range v.FailedRanks {
+		a.job.avoid = append(a.job.avoid, a.members[rank].GetWorker())
+	}
+}
+
+// stoppedForCertain says whether no member runs any more, with proof.
+func (a *attempt) stoppedForCertain() bool {
+	for _, m := range a.coord.Members {
+		if m.Lost || !gang.Final(m.State) {
+			return false
+		}
+	}
+	return true
+}
+
+// requeuePreempted lets a preempted job go on later from its checkpoint.
+func (s *Scheduler) requeuePreempted(c *control, a *attempt) {
+	j := a.job
+	saved := a.saved[0]
+	for _, d := range a.saved {
+		saved = min(saved, d)
+	}
+	j.resume = max(j.resume, saved)
+	if !j.recorded() {
+		s.enqueue(c, j)
+		return
+	}
+	j.phase = ending
+	s.release(j, nil)
+}
+
+// workerOf names the worker that failed the attempt, if there is one.
+func (a *attempt) workerOf(v gang.Verdict) string {
+	if len(v.FailedRanks) == 0 {
+		return ""
+	}
+	return a.members[v.FailedRanks[0]].GetWorker()
+}
+
+func (c *control) addAttempt(a *attempt) {
+	c.attempts[a.id] = a
+	for rank, m := range a.members {
+		c.tasks[m.GetAttempt()] = taskRef{a, rank}
+	}
+}
+
+func (c *control) removeAttempt(a *attempt) {
+	delete(c.attempts, a.id)
+	for _, m := range a.members {
+		delete(c.tasks, m.GetAttempt())
+	}
+}
+
+func (a *attempt) address(rank int) netip.AddrPort {
+	addr, _ := netip.ParseAddrPort(a.members[rank].GetAgentAddress()) // checked when the worker reported
+	return addr
+}
--- /dev/null
+++ b/sched/control.go
@@ -0,0 +1,120 @@
+package sched
+
+import (
+	"net/netip"
+	"time"
+
+	"catkinpoint/gang"
+	"catkinpoint/place"
+	"catkinpoint/wire"
+)
+
+// control is the state that the scheduler's goroutine owns.
+type control struct {
+	taken   time.Time // when the duty was taken
+	loaded  bool      // the job records were read
+	stopped bool
+
+	workers  map[string]*worker
+	jobs     map[string]*job
+	queue    []*job // in order of submission; ended ones are skipped and swept
+	attempts map[string]*attempt
+	tasks    map[string]taskRef // by the id that agents know
+	orphans  map[string]*orphan // by attempt
+
+	reservation *place.Reservation
+
+	dirty      bool
+	lastDecide time.Time
+	scheduled  bool // a delayed decision is on its way
+	returned   time.Time
+	inService  bool
+	seenState  bool // a permit was seen, so inService is known
+}
+
+// worker is a worker as its agent last reported it.
+type worker struct {
+	report   *wire.Report
+	address  netip.AddrPort
+	lastSeen time.Time
+	// acked says that the agent obeys this scheduler's epoch.
+	acked bool
+	lost  bool
+}
+
+// phase is how far a job has come.
+type phase int
+
+const (
+	queued phase = iota
+	running
+	ending // the outcome is known and is being recorded
+	ended
+)
+
+func (p phase) String() string {
+	return [...]string{"queued", "running", "ending", "ended"}[p]
+}
+
+// job is one job at this scheduler.
+type job struct {
+	spec     *wire.Job
+	body     []byte
+	phase    phase
+	record   *wire.JobRecord // nil for a job without a record
+	revision int64
+	deadline time.Time // zero means none
+
+	number   int // of the last attempt
+	current  *attempt
+	avoid    []string
+	resume   time.Duration
+	notUntil time.Time // pause before the next attempt
+
+	stopReason string // set once the job was cancelled or given up
+	outcome    *wire.Outcome
+	reroute    bool
+	endedAt    time.Time
+	waiters    []chan struct{}
+}
+
+// recorded says whether the job has a record in the store.
+func (j *job) recorded() bool { return j.record != nil }
+
+// attempt is one attempt of a job.
+type attempt struct {
+	id        string
+	job       *job
+	coord     *gang.Coordinator
+	members   []*wire.Member
+	results   [][]byte
+	saved     []time.Duration // checkpoint of each member
+	placed    time.Time
+	started   time.Time
+	preempted bool
+}
+
+// taskRef is one member of an attempt.
+type taskRef struct {
+	attempt *attempt
+	rank    int
+}
+
+// orphan is a task of an earlier scheduler that no known job accounts for.
+type orphan struct {
+	status  *wire.TaskStatus
+	worker  string
+	seen    time.Time
+	checked bool // its job record was looked up
+}
+
+func newControl(now time.Time) *control {
+	return &control{
+		taken:    now,
+		workers:  make(map[string]*worker),
+		jobs:     make(map[string]*job),
+		attempts: make(map[string]*attempt),
+		tasks:    make(map[string]taskRef),
+		orphans:  make(map[string]*orphan),
+	}
+}
--- /dev/null
+++ b/sched/orphan.go
@@ -0,0 +1,189 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/gang"
+	"catkinpoint/store"
+	"catkinpoint/wire"
+)
+
+// load reads the job records of this data centre and continues what an earlier
+// scheduler has committed.
+func (s *Scheduler) load(ctx context.Context) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, 5*storeTimeout)
+		items, err := s.opts.Store.List(callCtx, RecordKey(""))
+		cancel()
+		if err == nil {
+			s.post(func(c *control) { s.loadRecords(c, items) })
+			return
+		}
+		klog.Warningf("sched: The job records of %s could not be read: %v.", s.opts.DataCentre, err)
+		if !sleep(ctx, storeRetry) {
+			return
+		}
+	}
+}
+
+func (s *Scheduler) loadRecords(c *control, items []store.Item) {
+	c.loaded, c.dirty = true, true
+	for _, item := range items {
+		s.loadRecord(c, item)
+	}
+}
+
+// loadRecord continues a committed job that is not known yet.
+func (s *Scheduler) loadRecord(c *control, item store.Item) {
+	record := new(wire.JobRecord)
+	if err := proto.Unmarshal(item.Value, record); err != nil {
+		klog.Errorf("sched: Record %s cannot be read: %v.", item.Key, err)
+		return
+	}
+	mine := record.GetDataCentre() == s.opts.DataCentre && record.GetPhase() == wire.JobRecord_COMMITTED
+	if _, known := c.jobs[record.GetJob().GetId()]; known || !mine {
+		return
+	}
+	j := &job{
+		spec:     record.GetJob(),
+		record:   record,
+		revision: item.Revision,
+		number:   int(record.GetAttempt()),
+		resume:   time.Duration(record.GetResumeMs()) * time.Millisecond,
+	}
+	s.resume(c, j, record.GetMembers())
+}
+
+// resume continues the attempt with the given members.
+func (s *Scheduler) resume(c *control, j *job, members []*wire.Member) {
+	now := time.Now()
+	coord, effects := gang.ResumeCoordinator(members)
+	coord.Recorded = j.recorded()
+	a := &attempt{
+		id:      attemptOf(members[0].GetAttempt()),
+		job:     j,
+		coord:   coord,
+		members: members,
+		results: make([][]byte, len(members)),
+		saved:   make([]time.Duration, len(members)),
+		placed:  now,
+	}
+	j.phase, j.current = running, a
+	c.jobs[j.spec.GetId()] = j
+	c.addAttempt(a)
+	klog.Infof("sched: Continues attempt %s of an earlier scheduler.", a.id)
+	s.apply(c, a, effects)
+	for _, m := range members {
+		s.adoptTask(c, m.GetAttempt())
+	}
+}
+
+// attemptOf cuts the rank off a task id.
+func attemptOf(task string) string {
+	for i := len(task) - 1; i >= 0; i-- {
+		if task[i] == '-' {
+			return task[:i]
+		}
+	}
+	return task
+}
+
+// takeOrphan keeps a task that no known job accounts for: its accelerators are
+// in use, and an entry may submit its job again.
+func (s *Scheduler) takeOrphan(c *control, report *wire.Report, status *wire.TaskStatus, now time.Time) {
+	if j, ok := c.jobs[status.GetJobId()]; ok && j.phase >= ending {
+		return // the outcome is known; the task is only to be settled
+	}
+	o, ok := c.orphans[status.GetAttempt()]
+	if !ok {
+		if gang.Final(status.GetState()) && !status.GetStarted() {
+			return
+		}
+		o = &orphan{worker: report.GetWorker(), seen: now}
+		c.orphans[status.GetAttempt()] = o
+	}
+	result := status.GetResult()
+	if o.status != nil && len(result) == 0 {
+		result = o.status.GetResult() // agents send a result once
+	}
+	o.status = proto.CloneOf(status)
+	o.status.Result = result
+	if !gang.Final(status.GetState()) {
+		o.seen = now
+	}
+	if j, ok := c.jobs[status.GetJobId()]; ok && j.phase == queued {
+		s.adoptOrphan(c, j)
+		return
+	}
+	if c.loaded && !o.checked {
+		o.checked = true
+		s.lookUp(status.GetJobId())
+	}
+}
+
+// lookUp reads the record of an orphan's job: an earlier scheduler may have
+// committed it after this one has read the records.
+func (s *Scheduler) lookUp(id string) {
+	s.traffic.Go(func() {
+		for {
+			ctx, cancel := context.WithTimeout(s.life, storeTimeout)
+			item, err := s.opts.Store.Get(ctx, RecordKey(id))
+			cancel()
+			if errors.Is(err, store.ErrNotFound) {
+				return
+			}
+			if err == nil {
+				s.post(func(c *control) { s.loadRecord(c, item) })
+				return
+			}
+			if !sleep(s.life, storeRetry) {
+				return
+			}
+		}
+	})
+}
+
+// adoptOrphan attaches a job without a record to its task that an earlier
+// scheduler has started, so that it is not run twice.
+func (s *Scheduler) adoptOrphan(c *control, j *job) {
+	if j.recorded() || j.spec.GetTasks() > 1 {
+		return
+	}
+	for id, o := range c.orphans {
+		w, ok := c.workers[o.worker]
+		if o.status.GetJobId() != j.spec.GetId() || !ok {
+			continue
+		}
+		if gang.Final(o.status.GetState()) && o.status.GetState() != wire.TaskState_TASK_DONE {
+			continue
+		}
+		member := &wire.Member{
+			Worker:       o.worker,
+			AgentAddress: w.report.GetAddress(),
+			BootId:       w.report.GetBootId(),
+			Accelerators: j.spec.GetAccelerators(),
+			Attempt:      id,
+		}
+		s.resume(c, j, []*wire.Member{member})
+		return
+	}
+}
+
+// adoptTask passes what an orphan's agent has reported to its attempt.
+func (s *Scheduler) adoptTask(c *control, task string) {
+	o, ok := c.orphans[task]
+	ref, known := c.tasks[task]
+	if !ok || !known {
+		return
+	}
+	delete(c.orphans, task)
+	w := c.workers[o.worker]
+	if w != nil {
+		s.status(c, ref.attempt, ref.rank, w.report.GetBootId(), o.status)
+	}
+}
--- /dev/null
+++ b/sched/state.go
@@ -0,0 +1,176 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"catkinpoint/decl"
+	"catkinpoint/gang"
+	"catkinpoint/place"
+	"catkinpoint/wire"
+)
+
+// permitReserve is the least validity of the permit for a placement; a task
+// placed on less would be refused by its agent.
+const permitReserve = time.Second
+
+// maxPermitAge is the age up to which agents accept a permit.
+const maxPermitAge = 3 * time.Second
+
+// state builds what the policy decides on.
+func (s *Scheduler) state(c *control, now time.Time) *place.State {
+	set := s.opts.Config()
+	p := s.opts.Permit()
+	state := &place.State{
+		DataCentre:    s.opts.DataCentre,
+		InService:     p.InService && p.Left(now, maxPermitAge) >= permitReserve,
+		CapacityShare: s.capacityShare(c, now),
+		Workers:       s.placeWorkers(c, p.Draining, now),
+		Running:       c.placeRunning(),
+		Guarantees:    guaranteesOf(set, s.opts.DataCentre),
+		Customers:     customersOf(set),
+		Reservation:   c.reservation,
+	}
+	for _, j := range c.queue {
+		if j.phase == queued && !now.Before(j.notUntil) {
+			state.Queue = append(state.Queue, placeJob(j))
+		}
+	}
+	return state
+}
+
+func (s *Scheduler) placeWorkers(c *control, draining []string, now time.Time) []place.Worker {
+	workers := make([]place.Worker, 0, len(c.workers))
+	for name, w := range c.workers {
+		leaving := w.report.GetDraining() || slices.Contains(draining, name)
+		workers = append(workers, place.Worker{
+			Name:         name,
+			Rack:         w.report.GetRack(),
+			Service:      w.report.GetService(),
+			Accelerators: int(w.report.GetAccelerators()),
+			Slots:        int(w.report.GetSlots()),
+			Ready:        w.acked && !leaving && now.Sub(w.lastSeen) < s.opts.Limits.WorkerSilence,
+		})
+	}
+	// A fixed order makes decisions repeatable.
+	slices.SortFunc(workers, func(a, b place.Worker) int { return strings.Compare(a.Name, b.Name) })
+	return workers
+}
+
+// placeRunning lists what holds accelerators, orphans included.
+func (c *control) placeRunning() []place.Running {
+	list := make([]place.Running, 0, len(c.attempts)+len(c.orphans))
+	for _, a := range c.attempts {
+		r := place.Running{
+			Job:          placeJob(a.job),
+			Started:      a.placed,
+			Stopping:     a.coord.Phase == gang.Stopping,
+			Checkpointed: a.job.resume,
+		}
+		for _, m := range a.members {
+			r.Workers = append(r.Workers, m.GetWorker())
+		}
+		list = append(list, r)
+	}
+	for _, o := range c.orphans {
+		if gang.Final(o.status.GetState()) {
+			continue
+		}
+		list = append(list, place.Running{
+			Job: place.Job{
+				ID:           o.status.GetAttempt(),
+				Tasks:        1,
+				Accelerators: int(o.status.GetAccelerators()),
+			},
+			Workers: []string{o.worker},
+			Started: o.seen,
+		})
+	}
+	slices.SortFunc(list, func(a, b place.Running) int { return strings.Compare(a.Job.ID, b.Job.ID) })
+	return list
+}
+
+func placeJob(j *job) place.Job {
+	return place.Job{
+		ID:             j.spec.GetId(),
+		Customer:       j.spec.GetCustomer(),
+		Class:          j.spec.GetJobClass(),
+		Service:        j.spec.GetService(),
+		Tasks:          int(j.spec.GetTasks()),
+		Accelerators:   int(j.spec.GetAccelerators()),
+		Adjacency:      ParseAdjacency(j.spec.GetAdjacency()),
+		Idempotent:     j.spec.GetIdempotent(),
+		Checkpointable: j.spec.GetCheckpointable(),
+		Urgent:         j.spec.GetUrgent(),
+		StopTime:       time.Duration(j.spec.GetStopMs()) * time.Millisecond,
+		Expected:       time.Duration(j.spec.GetExpectedRunMs()) * time.Millisecond,
+		Submitted:      time.UnixMilli(j.spec.GetSubmittedUnixMs()),
+		Deadline:       j.deadline,
+		Avoid:          j.avoid,
+	}
+}
+
+// ParseAdjacency returns the domain that a declaration names.
+func ParseAdjacency(text string) place.Adjacency {
+	switch text {
+	case "worker":
+		return place.SameWorker
+	case "rack":
+		return place.SameRack
+	}
+	return place.SameDataCentre
+}
+
+// guaranteesOf lists the guarantees that the data centre holds: each is held by
+// the first of its data centres that is in service.
+func guaranteesOf(set *decl.Set, dc string) []place.Guarantee {
+	var list []place.Guarantee
+	for name, g := range decl.All[*wire.Guarantee](set) {
+		if holderOf(set, g) != dc {
+			continue
+		}
+		within, _ := time.ParseDuration(g.GetReclaimWithin()) // checked before it was published
+		list = append(list, place.Guarantee{
+			Name:          name,
+			Customer:      g.GetCustomer(),
+			Accelerators:  int(g.GetAccelerators()),
+			Adjacency:     ParseAdjacency(g.GetAdjacency()),
+			Count:         int(g.GetCount()),
+			ReclaimWithin: within,
+		})
+	}
+	return list
+}
+
+func holderOf(set *decl.Set, g *wire.Guarantee) string {
+	for _, name := range g.GetDataCentres() {
+		if dc, ok := decl.Lookup[*wire.DataCentre](set, name); ok && dc.GetInService() {
+			return name
+		}
+	}
+	return ""
+}
+
+func customersOf(set *decl.Set) []place.Customer {
+	var list []place.Customer
+	for name, customer := range decl.All[*wire.Customer](set) {
+		list = append(list, place.Customer{
+			Name:   name,
+			Quota:  int(customer.GetAcceleratorQuota()),
+			Weight: customer.GetWeight(),
+		})
+	}
+	return list
+}
+
+// defaultQueueLimit applies to customers that are not declared any more.
+const defaultQueueLimit = 200
+
+func (s *Scheduler) queueLimit(customer string) int {
+	declared, ok := decl.Lookup[*wire.Customer](s.opts.Config(), customer)
+	if !ok || declared.GetQueueLimit() == 0 {
+		return defaultQueueLimit
+	}
+	return int(declared.GetQueueLimit())
+}
