--- a/place/state.go
+++ b/place/state.go
@@ -88,10 +88,20 @@
 	Queue         []Job // in order of submission
 	Guarantees    []Guarantee
 	Customers     []Customer
+	// Planned describes workers that have not announced themselves yet.
+	Planned Planned
 	// Reservation carries the policy's own reservation from one call to the next.
 	Reservation *Reservation
 }
 
+// Planned is the declared size of the data centre; zero workers means unknown.
+type Planned struct {
+	Workers        int
+	Accelerators   int // of one worker
+	Slots          int // of one worker
+	WorkersPerRack int
+}
+
 // Reservation holds workers for a large job that waits.
 type Reservation struct {
 	JobID   string
