--- a/stand/fakekv/kv.go
+++ b/stand/fakekv/kv.go
@@ -55,20 +55,21 @@
 	defer limit.Stop()
 	var first view
 	err := s.read(ctx, store.OpWatch, prefix, func() {
-		first = s.look(prefix, after)
+		first = s.look(prefix, after, false)
 		s.eachCount(func(c *Counts) { c.Waiting++ })
 	})
 	if err != nil {
 		return nil, 0, err
 	}
 	defer s.leave()
-	for v, expired := first, false; ; {
+	for v := first; ; {
 		if v.down {
 			return nil, 0, fail(store.OpWatch, prefix, store.ErrUnavailable)
 		}
-		if v.changed || expired {
+		if v.complete {
 			return v.items, v.revision, nil
 		}
+		expired := false
 		select {
 		case <-ctx.Done():
 			return nil, 0, fail(store.OpWatch, prefix, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err()))
@@ -77,7 +78,7 @@
 		case <-v.next:
 		}
 		s.mu.Lock()
-		v = s.look(prefix, after)
+		v = s.look(prefix, after, expired)
 		s.mu.Unlock()
 	}
 }
@@ -86,19 +87,22 @@
 type view struct {
 	items    []store.Item
 	revision int64
-	changed  bool
+	complete bool // the watch returns with this view
 	down     bool
 	next     <-chan struct{} // closed at the next change
 }
 
-func (s *Server) look(prefix string, after int64) view {
-	return view{
-		items:    s.state.list(prefix),
+func (s *Server) look(prefix string, after int64, expired bool) view {
+	v := view{
 		revision: s.state.revision,
-		changed:  s.state.changedSince(prefix, after),
+		complete: expired || s.state.changedSince(prefix, after),
 		down:     s.down(),
 		next:     s.state.changed,
 	}
+	if v.complete {
+		v.items = s.state.list(prefix)
+	}
+	return v
 }
 
 func (s *Server) leave() {
--- a/stand/fakekv/state.go
+++ b/stand/fakekv/state.go
@@ -156,11 +156,16 @@
 	}
 	l.timer.Stop()
 	delete(s.leases, id)
-	for _, item := range s.list("") {
+	keys := []string{}
+	for key, item := range s.items {
 		if item.Lease == id {
-			s.remove(item.Key)
+			keys = append(keys, key)
 		}
 	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		s.remove(key)
+	}
 	s.wake()
 	return nil
 }
