Run the whole path from a caller to an endpoint and back

The scheduler owns the state of one data centre on one goroutine and drives the gang protocol; the entry claims jobs in the store, routes them nearest first and holds duties.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -201,10 +201,10 @@
 // checkpoint saves the task's work and returns how much is saved.
 func (e *endpoint) checkpoint(ctx context.Context, attempt string) (time.Duration, error) {
 	var saved struct {
-		CheckpointMS int64 `json:"checkpoint_ms"`
+		WorkedMS int64 `json:"worked_ms"`
 	}
 	err := e.call(ctx, http.MethodPost, e.url(attempt, "checkpoint", nil), &saved)
-	return time.Duration(saved.CheckpointMS) * time.Millisecond, err
+	return time.Duration(saved.WorkedMS) * time.Millisecond, err
 }
 
 // result waits for the end of a started task and fetches its result; errNoTask
@@ -236,13 +236,11 @@
 
 // stopAll stops every task that the endpoint runs.
 func (e *endpoint) stopAll(ctx context.Context) error {
-	var list struct {
-		Tasks []endpointTask `json:"tasks"`
-	}
+	var list []endpointTask
 	if err := e.call(ctx, http.MethodGet, e.base, &list); err != nil {
 		return fmt.Errorf("listing tasks: %w", err)
 	}
-	for _, t := range list.Tasks {
+	for _, t := range list {
 		if t.State != "running" {
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,18 +55,19 @@
 		return nil, fmt.Errorf("creating entry: %w", err)
 	}
 	e := &Entry{
-		opts:      opts,
-		pool:      link.NewPool(),
-		server:    server,
-		host:      sched.NewHost(),
-		follower:  head.NewFollower(opts.Store),
-		publisher: head.NewPublisher(opts.Store),
+		opts:     opts,
+		pool:     link.NewPool(),
+		server:   server,
+		host:     sched.NewHost(),
+		follower: head.NewFollower(opts.Store),
+
 		meter:     m,
 		admission: newAdmission(opts),
 		start:     time.Now(),
 		poked:     make(chan struct{}, 1),
 		bootID:    uuid.NewString(),
 	}
+	e.publisher = head.NewPublisher(e.follower, head.Options{})
 	e.view.Store(new(view))
 	e.permits = newIssuer(e)
 	e.duties = newDuties(e)
--- a/entry/request.go
+++ b/entry/request.go
@@ -88,7 +88,7 @@
 
 // newJob builds the job from its class and the request's parameters.
 func newJob(c echo.Context, customer, className string, class *wire.JobClass) (*wire.Job, error) {
-	stop, _ := time.ParseDuration(class.GetStopTime())           // checked before it was published
+	stop, _ := time.ParseDuration(class.GetStopTime())            // checked before it was published
 	expected, _ := time.ParseDuration(class.GetExpectedRunTime()) // likewise
 	j := &wire.Job{
 		Customer:        customer,
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -7,7 +7,6 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
-	"catkinpoint/oper"
 	"catkinpoint/wire"
 )
 
@@ -22,7 +21,6 @@
 	server.GET("/v1/status", e.getStatus)
 	server.GET("/metrics", echo.WrapHandler(e.meter.Handler()))
 	server.GET("/healthz", e.getHealth)
-	oper.Mount(server.Group("/v1"), oper.Options{Publisher: e.publisher, Follower: e.follower, Confirmer: e, Store: e.opts.Store})
 	return server
 }
 
--- /dev/null
+++ b/local/system.go
@@ -0,0 +1,230 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"catkinpoint/agent"
+	"catkinpoint/conf"
+	"catkinpoint/decl"
+	"catkinpoint/entry"
+	"catkinpoint/gang"
+	"catkinpoint/head"
+	"catkinpoint/meter"
+	"catkinpoint/place"
+	"catkinpoint/stand/fakeep"
+	"catkinpoint/stand/fakekv"
+	"catkinpoint/store"
+	"catkinpoint/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("local")
+
+// System is a running system in this process.
+type System struct {
+	Store     *fakekv.Server
+	Entries   []netip.AddrPort // HTTP addresses
+	Endpoints []*fakeep.Endpoint
+
+	group  *errgroup.Group
+	cancel context.CancelFunc
+}
+
+// Shape says how large a system is.
+type Shape struct {
+	Entries int
+	// Workers is the number of workers in each data centre.
+	Workers int
+	// Declarations are the text of the INI file that is published first.
+	Declarations []byte
+	// PermitPolicy is strict if it is empty.
+	PermitPolicy entry.PermitPolicy
+}
+
+const (
+	workersPerRack = 3
+	accelerators   = 8
+	slots          = 8
+	connections    = 64
+)
+
+// Start starts a system and returns once its schedulers are ready.
+func Start(ctx context.Context, shape Shape) (*System, error) {
+	source, err := decl.Parse("local.ini", shape.Declarations)
+	if err != nil {
+		return nil, fmt.Errorf("reading declarations: %w", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	s := &System{Store: fakekv.New(), group: group, cancel: cancel}
+	set := source.Set(0)
+	if err := s.publish(ctx, set); err != nil {
+		cancel()
+		return nil, err
+	}
+	if err := s.startAll(ctx, shape, set); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// publish puts the declarations into the store.
+func (s *System) publish(ctx context.Context, set *decl.Set) error {
+	publisher := head.NewPublisher(head.NewFollower(s.Store), head.Options{})
+	change := &wire.Change{
+		Id:         "first",
+		Author:     "local",
+		Reason:     "first declarations",
+		Operations: decl.Diff(&decl.Set{}, collect(set), false),
+	}
+	if _, err := publisher.Publish(ctx, change, false); err != nil {
+		return fmt.Errorf("publishing declarations: %w", err)
+	}
+	return nil
+}
+
+func collect(set *decl.Set) []*wire.Object {
+	var objects []*wire.Object
+	for o := range set.Objects() {
+		objects = append(objects, o)
+	}
+	return objects
+}
+
+func (s *System) startAll(ctx context.Context, shape Shape, set *decl.Set) error {
+	names := set.Names("data_centre")
+	if len(names) == 0 {
+		return Error.New("no data centre is declared")
+	}
+	var rpc []netip.AddrPort
+	for i := range shape.Entries {
+		name := names[i%len(names)]
+		dc, _ := decl.Lookup[*wire.DataCentre](set, name)
+		node := &wire.Node{Id: fmt.Sprintf("entry-%d", i), DataCentre: name, Region: dc.GetRegion()}
+		addr, err := s.startEntry(ctx, node, shape.PermitPolicy)
+		if err != nil {
+			return err
+		}
+		rpc = append(rpc, addr)
+	}
+	for _, name := range names {
+		for i := range shape.Workers {
+			if err := s.startWorker(ctx, set, name, i, rpc); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// listen opens a loopback socket and returns its address.
+func listen() (net.Listener, netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, fmt.Errorf("listening: %w", err)
+	}
+	return listener, listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (s *System) startEntry(ctx context.Context, node *wire.Node, policy entry.PermitPolicy) (netip.AddrPort, error) {
+	rpc, rpcAddr, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	web, webAddr, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	node.RpcAddress, node.HttpAddress = rpcAddr.String(), webAddr.String()
+	settings := new(wire.Entry)
+	conf.SetDefaults(settings)
+	settings.StoreAddress = webAddr.String() // not used: the store is in this process
+	opts, err := entry.FromSettings(node, settings)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("starting entry: %w", err)
+	}
+	if policy != "" {
+		opts.PermitPolicy = policy
+	}
+	opts.Store = store.KV(s.Store.WithCaller(node.GetId()))
+	opts.NewPolicy = func() place.Policy { return place.New(place.Options{}) }
+	page, err := meter.New("entry", node.GetId())
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("starting entry: %w", err)
+	}
+	e, err := entry.New(opts, page)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("starting entry: %w", err)
+	}
+	s.Entries = append(s.Entries, webAddr)
+	s.group.Go(func() error { return e.Run(ctx, entry.Listeners{RPC: rpc, HTTP: web}) })
+	return rpcAddr, nil
+}
+
+func (s *System) startWorker(ctx context.Context, set *decl.Set, dc string, number int, entries []netip.AddrPort) error {
+	service := firstService(set, dc)
+	endpointListener, endpointAddr, err := listen()
+	if err != nil {
+		return err
+	}
+	endpoint := fakeep.New(fakeep.Options{Slots: slots, Connections: connections, Accelerators: accelerators})
+	s.Endpoints = append(s.Endpoints, endpoint)
+	s.group.Go(func() error { return endpoint.Serve(ctx, endpointListener) })
+	listener, addr, err := listen()
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(agent.Options{
+		Worker:       fmt.Sprintf("%s-%02d", dc, number),
+		Rack:         fmt.Sprintf("%s-rack-%d", dc, number/workersPerRack),
+		DataCentre:   dc,
+		Service:      service,
+		Address:      addr,
+		Entries:      entries,
+		Endpoint:     endpointAddr,
+		Accelerators: accelerators,
+		Slots:        slots,
+		Connections:  connections,
+		ReportPeriod: time.Second,
+		TaskLease:    3 * time.Second,
+		PermitAge:    3 * time.Second,
+		Timers:       gang.DefaultTimers(),
+	})
+	if err != nil {
+		return fmt.Errorf("starting agent: %w", err)
+	}
+	s.group.Go(func() error { return a.Run(ctx, listener) })
+	return nil
+}
+
+// firstService names a service that the data centre runs.
+func firstService(set *decl.Set, dc string) string {
+	for name, service := range decl.All[*wire.Service](set) {
+		if len(service.GetDataCentres()) == 0 {
+			return name
+		}
+		for _, offered := range service.GetDataCentres() {
+			if offered == dc {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// Stop ends all parts and returns the first error of one of them.
+func (s *System) Stop() error {
+	s.cancel()
+	if err := s.group.Wait(); err != nil {
+		return fmt.Errorf("stopping: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/local/system_test.go
@@ -0,0 +1,15 @@
+package local
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a break anywhere on the path from a caller to an endpoint.
+func TestDemo(t *testing.T) {
+	var out strings.Builder
+	if err := Demo(t.Context(), &out); err != nil {
+		t.Fatalf("demo: %v\n%s", err, out.String())
+	}
+	t.Log(out.String())
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -137,3 +137,6 @@
 	}
 	return nil
 }
+
+// Provider returns the provider, for libraries that make their own instruments.
+func (m *Meter) Provider() metric.MeterProvider { return m.provider }
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -103,13 +103,26 @@
 // mayRepeat says whether the job is tried again after the verdict.
 func (s *Scheduler) mayRepeat(j *job, v gang.Verdict) bool {
 	l := s.opts.Limits
-	return v.Repeatable(j.spec.GetIdempotent()) && j.number < l.Attempts && len(j.avoid) < l.FailedWorkers
+	return v.Repeatable(j.spec.GetIdempotent()) && j.number < l.Attempts && !j.atFault
 }
 
-// judgeWorkers notes the workers on which the job failed.
-func (s *Scheduler) judgeWorkers(_ *control, a *attempt, v gang.Verdict) {
+// judgeWorkers learns from the attempt which workers and which jobs fail, and
+// how long jobs of the class run.
+func (s *Scheduler) judgeWorkers(c *control, a *attempt, v gang.Verdict) {
+	now := time.Now()
+	id := a.job.spec.GetId()
 	for _, rank := range v.FailedRanks {
-		a.job.avoid = append(a.job.avoid, a.members[rank].GetWorker())
+		atFault := c.health.Failed(id, a.members[rank].GetWorker(), now)
+		a.job.atFault = a.job.atFault || atFault
+	}
+	if !v.AllDone {
+		return
+	}
+	for _, m := range a.members {
+		c.health.Succeeded(id, m.GetWorker(), now)
+	}
+	if !a.started.IsZero() {
+		c.learner.Ended(a.job.spec.GetJobClass(), a.job.resume+now.Sub(a.started))
 	}
 }
 
--- a/sched/control.go
+++ b/sched/control.go
@@ -11,9 +11,8 @@
 
 // control is the state that the scheduler's goroutine owns.
 type control struct {
-	taken   time.Time // when the duty was taken
-	loaded  bool      // the job records were read
-	stopped bool
+	taken  time.Time // when the duty was taken
+	loaded bool      // the job records were read
 
 	workers  map[string]*worker
 	jobs     map[string]*job
@@ -22,6 +21,8 @@
 	tasks    map[string]taskRef // by the id that agents know
 	orphans  map[string]*orphan // by attempt
 
+	learner     *place.Learner
+	health      *place.Health
 	reservation *place.Reservation
 
 	dirty      bool
@@ -67,7 +68,7 @@
 
 	number   int // of the last attempt
 	current  *attempt
-	avoid    []string
+	atFault  bool // the job failed on several workers that serve others well
 	resume   time.Duration
 	notUntil time.Time // pause before the next attempt
 
@@ -116,5 +117,7 @@
 		attempts: make(map[string]*attempt),
 		tasks:    make(map[string]taskRef),
 		orphans:  make(map[string]*orphan),
+		learner:  place.NewLearner(),
+		health:   place.NewHealth(place.HealthOptions{}),
 	}
 }
--- a/sched/options.go
+++ b/sched/options.go
@@ -38,7 +38,6 @@
 	WorkerLost    time.Duration // its tasks are given up
 	Settle        time.Duration // wait for agents' reports after taking the duty
 	Attempts      int           // most attempts of one job
-	FailedWorkers int           // a job that failed on so many workers is at fault itself
 	QueueTotal    int           // most jobs that wait
 	ReturnStep    time.Duration // time of each step of a returning data centre
 	ReturnShare   float64       // share of capacity added by each step
@@ -51,7 +50,6 @@
 		WorkerLost:    10 * time.Second,
 		Settle:        1200 * time.Millisecond,
 		Attempts:      10,
-		FailedWorkers: 3,
 		QueueTotal:    20_000,
 		ReturnStep:    5 * time.Second,
 		ReturnShare:   0.25,
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -84,6 +84,7 @@
 	switch {
 	case j.phase == ended && now.Sub(j.endedAt) > endedRetention:
 		delete(c.jobs, j.spec.GetId())
+		c.health.Forget(j.spec.GetId())
 	case j.phase != ended && !j.deadline.IsZero() && now.After(j.deadline):
 		j.deadline = time.Time{}
 		s.expire(c, j)
--- a/sched/state.go
+++ b/sched/state.go
@@ -34,7 +34,7 @@
 	}
 	for _, j := range c.queue {
 		if j.phase == queued && !now.Before(j.notUntil) {
-			state.Queue = append(state.Queue, placeJob(j))
+			state.Queue = append(state.Queue, c.placeJob(j))
 		}
 	}
 	return state
@@ -43,6 +43,7 @@
 func (s *Scheduler) placeWorkers(c *control, draining []string, now time.Time) []place.Worker {
 	workers := make([]place.Worker, 0, len(c.workers))
 	for name, w := range c.workers {
+		setAside, probing := c.health.Status(name, now)
 		leaving := w.report.GetDraining() || slices.Contains(draining, name)
 		workers = append(workers, place.Worker{
 			Name:         name,
@@ -50,6 +51,8 @@
 			Service:      w.report.GetService(),
 			Accelerators: int(w.report.GetAccelerators()),
 			Slots:        int(w.report.GetSlots()),
+			SetAside:     setAside,
+			Probing:      probing,
 			Ready:        w.acked && !leaving && now.Sub(w.lastSeen) < s.opts.Limits.WorkerSilence,
 		})
 	}
@@ -63,7 +66,7 @@
 	list := make([]place.Running, 0, len(c.attempts)+len(c.orphans))
 	for _, a := range c.attempts {
 		r := place.Running{
-			Job:          placeJob(a.job),
+			Job:          c.placeJob(a.job),
 			Started:      a.placed,
 			Stopping:     a.coord.Phase == gang.Stopping,
 			Checkpointed: a.job.resume,
@@ -91,7 +94,8 @@
 	return list
 }
 
-func placeJob(j *job) place.Job {
+func (c *control) placeJob(j *job) place.Job {
+	declared := time.Duration(j.spec.GetExpectedRunMs()) * time.Millisecond
 	return place.Job{
 		ID:             j.spec.GetId(),
 		Customer:       j.spec.GetCustomer(),
@@ -104,10 +108,10 @@
 		Checkpointable: j.spec.GetCheckpointable(),
 		Urgent:         j.spec.GetUrgent(),
 		StopTime:       time.Duration(j.spec.GetStopMs()) * time.Millisecond,
-		Expected:       time.Duration(j.spec.GetExpectedRunMs()) * time.Millisecond,
+		Expected:       c.learner.Expected(j.spec.GetJobClass(), declared),
 		Submitted:      time.UnixMilli(j.spec.GetSubmittedUnixMs()),
 		Deadline:       j.deadline,
-		Avoid:          j.avoid,
+		Avoid:          c.health.Avoid(j.spec.GetId()),
 	}
 }
 
