gang: repeat a Stop whose member is still not stopping

A member that had never seen the attempt (its Prepare was lost) stayed absent when its Stop was lost too; the coordinator waited in the stopping phase for good. A status of a member that is neither final nor stopping now sends Stop again. Found by the state explorer with two faults (lose Prepare, lose Stop).

--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -104,6 +104,10 @@
 	switch e.Kind {
 	case EventStatus:
 		c.update(e)
+		if c.Phase == Stopping && c.needsStop(e.Rank) {
+			// The Stop was lost, or crossed this status; it is idempotent.
+			return []Effect{{Kind: EffectStop, Rank: e.Rank}}
+		}
 	case EventLost:
 		c.lose(e.Rank)
 	case EventUnreachable:
@@ -147,6 +151,11 @@
 	member.Started = member.Started || e.Status.GetStarted()
 }
 
+func (c *Coordinator) needsStop(rank int) bool {
+	m := c.Members[rank]
+	return !m.Lost && !Final(m.State) && m.State != wire.TaskState_TASK_STOPPING
+}
+
 // rankOf orders the states as a member passes through them.
 func rankOf(s wire.TaskState) int {
 	order := []wire.TaskState{
--- /dev/null
+++ b/gang/coordinator_test.go
@@ -0,0 +1,77 @@
+package gang
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"catkinpoint/wire"
+)
+
+func taskEvent(rank int, boot string, state wire.TaskState) Event {
+	return Event{Kind: EventStatus, Rank: rank, BootID: boot, Status: &wire.TaskStatus{
+		State: state, Started: state >= wire.TaskState_TASK_RUNNING && state != wire.TaskState_TASK_REFUSED,
+	}}
+}
+
+func effectsText(effects []Effect) string {
+	names := [...]string{"commit", "start", "stop", "end"}
+	var parts []string
+	for _, e := range effects {
+		parts = append(parts, fmt.Sprintf("%s %d", names[e.Kind], e.Rank))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Each case is a trace that the model found; the comment names the failure.
+func TestCoordinatorTraces(t *testing.T) {
+	prepared := taskEvent(0, "b1", wire.TaskState_TASK_PREPARED)
+	tests := []struct {
+		name   string
+		events []Event
+		want   []string
+		fate   wire.Fate
+	}{
+		{
+			// A lost Stop left a member that had never seen the attempt in the
+			// stopping phase for good.
+			name: "lost stop is repeated",
+			events: []Event{
+				{Kind: EventUnreachable},
+				taskEvent(0, "b1", wire.TaskState_TASK_ABSENT),
+				taskEvent(0, "b1", wire.TaskState_TASK_REFUSED),
+			},
+			want: []string{"stop 0", "stop 0", "end 0"},
+			fate: wire.Fate_NOT_RUN,
+		},
+		{
+			name: "a task that is being stopped is not told again",
+			events: []Event{
+				prepared,
+				{Kind: EventCommitted},
+				{Kind: EventStop},
+				taskEvent(0, "b1", wire.TaskState_TASK_STOPPING),
+				taskEvent(0, "b1", wire.TaskState_TASK_STOPPED),
+			},
+			want: []string{"commit 0", "start 0", "stop 0", "", "end 0"},
+			fate: wire.Fate_FAILED,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := NewCoordinator(1, true)
+			var got []string
+			for _, e := range test.events {
+				got = append(got, effectsText(c.Step(e)))
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("effects (-want +got):\n%s", diff)
+			}
+			if fate := c.Verdict().Fate(); c.Phase != Ended || fate != test.fate {
+				t.Errorf("phase %d, fate %s; want the end with %s", c.Phase, fate, test.fate)
+			}
+		})
+	}
+}
