gang: end a running member whose endpoint stopped it by itself

When an agent is frozen beyond the task lease, its endpoint stops the task. The member ignored MemberKilled while running, so it stayed running and held its accelerators for good. It now becomes stopped, which does not count against the job as a failure would. Found by the state explorer with one fault (freeze).

--- a/gang/member.go
+++ b/gang/member.go
@@ -53,7 +53,7 @@
 	MemberStop                          // the scheduler stops the attempt
 	MemberExitOK                        // the endpoint finished the task
 	MemberExitFailed                    // the endpoint failed the task
-	MemberKilled                        // the endpoint confirmed the stop
+	MemberKilled                        // the endpoint stopped the task: on request, or as its lease ran out
 	MemberTick                          // time has passed
 )
 
@@ -155,6 +155,9 @@
 		m.State = wire.TaskState_TASK_DONE
 	case MemberExitFailed:
 		m.State = wire.TaskState_TASK_FAILED
+	case MemberKilled:
+		// The endpoint stopped the task by itself when its lease ran out.
+		m.State = wire.TaskState_TASK_STOPPED
 	case MemberLeaderSeen, MemberGo:
 		m.LeaderSeen = now
 	case MemberStop, MemberBroken:
