gang: judge a member lost after the commit was sent as possibly started

A scheduler that is stopped between the commit and the first Start, and then loses sight of the member, claimed NOT_RUN. A successor that read the committed record may have started the member. The coordinator now keeps CommitSent until the commit is proved to have failed. Found by the state explorer with one fault (depose the scheduler) and one cancel. Coordinator gains the field CommitSent.

--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -36,6 +36,9 @@
 	Members  []CoordinatedMember
 	// StartSent is set before the first Start leaves this process.
 	StartSent bool
+	// CommitSent is set while the job record may name this attempt, so that a
+	// successor may have started it.
+	CommitSent bool
 	// Reason says why the attempt is being stopped.
 	Reason string
 }
@@ -121,6 +124,7 @@
 			return c.start()
 		}
 	case EventCommitFailed:
+		c.CommitSent = false
 		if c.Phase == Committing {
 			return c.stop(e.Reason)
 		}
@@ -211,7 +215,7 @@
 	if !c.Recorded {
 		return c.start()
 	}
-	c.Phase = Committing
+	c.Phase, c.CommitSent = Committing, true
 	return []Effect{{Kind: EffectCommit}}
 }
 
--- a/gang/coordinator_test.go
+++ b/gang/coordinator_test.go
@@ -58,6 +58,20 @@
 			want: []string{"commit 0", "start 0", "stop 0", "", "end 0"},
 			fate: wire.Fate_FAILED,
 		},
+		{
+			// The commit took effect, a successor started the member, and the
+			// cancelled predecessor lost sight of it: NOT_RUN would be false.
+			name:   "lost after the commit was sent",
+			events: []Event{prepared, {Kind: EventStop}, {Kind: EventLost}},
+			want:   []string{"commit 0", "stop 0", "end 0"},
+			fate:   wire.Fate_UNKNOWN,
+		},
+		{
+			name:   "lost after the commit was sent and proved to have failed",
+			events: []Event{prepared, {Kind: EventCommitFailed}, {Kind: EventLost}},
+			want:   []string{"commit 0", "stop 0", "end 0"},
+			fate:   wire.Fate_NOT_RUN,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/gang/verdict.go
+++ b/gang/verdict.go
@@ -23,9 +23,9 @@
 		if m.State == wire.TaskState_TASK_FAILED {
 			v.FailedRanks = append(v.FailedRanks, rank)
 		}
-		// Without a Start from here no member ran, because only the holder of
-		// the highest epoch starts, and only what it has prepared or recorded.
-		v.MayHaveStarted = v.MayHaveStarted || c.StartSent && m.Lost
+		// Without a Start from here and without a record that names the attempt
+		// no member ran: a successor starts only what the record names.
+		v.MayHaveStarted = v.MayHaveStarted || (c.StartSent || c.CommitSent) && m.Lost
 	}
 	return v
 }
