--- /dev/null
+++ b/admit/limits_test.go
@@ -0,0 +1,166 @@
+package admit
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against limits that are passed, places that leak, and a flood that takes all places.
+func TestLimiterInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total, customerLimit = 40, 38
+		l := NewLimiter(LimiterOptions{Total: total, CustomerLimit: customerLimit})
+		l.SetCustomers([]Customer{{Name: "small", Limit: 2}})
+		held, sum := map[string]int{}, 0
+		names := []string{"a", "a", "a", "b", "small"}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			if rapid.IntRange(0, 3).Draw(t, "release") == 0 {
+				if err := l.Release(name); (err == nil) != (held[name] > 0) {
+					t.Fatalf("release of %d: %v", held[name], err)
+				} else if err == nil {
+					held[name]--
+					sum--
+				}
+			} else if l.Acquire(name) == nil {
+				held[name]++
+				sum++
+			}
+			if l.Used() != sum || sum > total || held["small"] > 2 || held["a"] > customerLimit {
+				t.Fatalf("used %d, held %v", l.Used(), held)
+			}
+		}
+		for l.Acquire("a") == nil {
+		}
+		var refusal *Refusal
+		if err := l.Acquire("new"); sum < total-total/reservedPart && err != nil {
+			t.Fatal("a flood leaves no place", err)
+		}
+		if err := l.Acquire("a"); !errors.As(err, &refusal) || refusal.RetryAfter <= 0 {
+			t.Fatal("refusal says no time to retry", err)
+		}
+	})
+}
+
+// Guards against more retries than the ratio and the floor allow: at each
+// granted retry over the window that ends there, and thus in any window over
+// the calls of two windows.
+func TestBudgetBoundsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		const counted = window + window/budgetSlots
+		b := NewBudget(BudgetOptions{Window: window})
+		var calls, retries []time.Time
+		now := epoch
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 20).Draw(t, "calls") {
+				b.Call(now)
+				calls = append(calls, now)
+			}
+			bound := window + counted
+			if b.Retry(now) {
+				retries = append(retries, now)
+				bound = counted
+			}
+			allowed := 0.1*float64(since(calls, now, bound)) + DefaultRetryFloor
+			if got := since(retries, now, window); float64(got) > allowed {
+				t.Fatalf("%d retries, %.1f allowed", got, allowed)
+			}
+		}
+	})
+}
+
+// since counts the times within age of now.
+func since(times []time.Time, now time.Time, age time.Duration) (n int) {
+	for _, at := range times {
+		if now.Sub(at) < age {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a budget that stays used up after the calls or retries left the window.
+func TestBudgetRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(BudgetOptions{})
+		retry := func() (n int) {
+			for b.Retry(time.Now()) {
+				n++
+			}
+			return n
+		}
+		for range 100 {
+			b.Call(time.Now())
+		}
+		if n := retry(); n != 13 {
+			t.Fatalf("%d retries for 100 calls, want 10 and the floor of 3", n)
+		}
+		time.Sleep(5 * time.Second)
+		if n := retry(); n != 0 {
+			t.Fatalf("%d more retries within the window", n)
+		}
+		time.Sleep(6 * time.Second)
+		if n := retry(); n != 3 {
+			t.Fatalf("%d retries after the window, want the floor of 3", n)
+		}
+	})
+}
+
+// Guards against more bytes on the paid link than rate and burst allow, by a
+// sender that waits as it is told, and against refusals that cost budget.
+func TestEgressKeepsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond, message = 1000, 2500
+		e := NewEgress(EgressOptions{Local: "harju", Rate: bytesPerSecond})
+		start := time.Now()
+		for sent := message; sent <= 20*message; sent += message {
+			delay, err := e.Reserve(time.Now(), "tartu", message, 3*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(delay)
+			limit := bytesPerSecond * (time.Since(start).Seconds() + DefaultEgressBurst.Seconds())
+			if float64(sent) > limit+1 {
+				t.Fatalf("%d bytes sent after %v", sent, time.Since(start))
+			}
+		}
+		// The last message leaves no budget, and control traffic makes a debt of 2 s.
+		e.Count(time.Now(), "tartu", 2000)
+		for range 100 {
+			_, err := e.Reserve(time.Now(), "tartu", 3000, 0)
+			var refusal *Refusal
+			if !errors.As(err, &refusal) || refusal.Reason != RateExceeded || refusal.RetryAfter != 5*time.Second {
+				t.Fatalf("refusal %+v", err)
+			}
+		}
+		if _, err := e.Reserve(time.Now(), "harju", 1<<30, 0); err != nil {
+			t.Fatal("local traffic refused", err)
+		}
+		time.Sleep(2 * time.Second)
+		if delay, err := e.Reserve(time.Now(), "tartu", 1000, 1001*time.Millisecond); err != nil {
+			t.Fatal("refusals used budget", delay, err)
+		}
+		if sent := e.Sent()["tartu"]; sent != 20*message+2000+1000 {
+			t.Fatalf("%d bytes counted", sent)
+		}
+	})
+}
+
+func BenchmarkLimiter(b *testing.B) {
+	l := NewLimiter(LimiterOptions{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := l.Acquire("a"); err != nil {
+			b.Fatal(err)
+		}
+		if err := l.Release("a"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
