--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -37,6 +37,9 @@
 	Members  []CoordinatedMember
 	// StartSent is set before the first Start leaves this process.
 	StartSent bool
+	// CommitSent is set while the job record may name this attempt, so that a
+	// successor may have started it.
+	CommitSent bool
 	// Reason says why the attempt is being stopped.
 	Reason string
 }
@@ -105,6 +108,10 @@
 	switch e.Kind {
 	case EventStatus:
 		c.update(e)
+		if c.Phase == Stopping && c.needsStop(e.Rank) {
+			// The Stop was lost, or crossed this status; it is idempotent.
+			return []Effect{{Kind: EffectStop, Rank: e.Rank}}
+		}
 	case EventLost:
 		c.lose(e.Rank)
 	case EventUnreachable:
@@ -118,6 +125,7 @@
 			return c.start()
 		}
 	case EventCommitFailed:
+		c.CommitSent = false
 		if c.Phase == Committing {
 			return c.stop(e.Reason)
 		}
@@ -148,6 +156,11 @@
 	member.Started = member.Started || e.Status.GetStarted()
 }
 
+func (c *Coordinator) needsStop(rank int) bool {
+	m := c.Members[rank]
+	return !m.Lost && !Final(m.State) && m.State != wire.TaskState_TASK_STOPPING
+}
+
 // rankOf orders the states as a member passes through them.
 func rankOf(s wire.TaskState) int {
 	order := []wire.TaskState{
@@ -203,7 +216,7 @@
 	if !c.Recorded {
 		return c.start()
 	}
-	c.Phase = Committing
+	c.Phase, c.CommitSent = Committing, true
 	return []Effect{{Kind: EffectCommit}}
 }
 
