--- a/agent/agent.go
+++ b/agent/agent.go
@@ -46,7 +46,7 @@
 	a := &Agent{
 		opts:     opts,
 		control:  owner.New(s),
-		pool:     link.NewPool(),
+		pool:     link.NewPool(opts.Dial),
 		server:   server,
 		endpoint: newEndpoint(opts),
 		wake:     make(chan struct{}, 1),
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -43,8 +43,12 @@
 }
 
 func newEndpoint(o Options) *endpoint {
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: endpointTimeout}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: endpointTimeout}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     o.Connections,
 		MaxIdleConnsPerHost: o.Connections,
 		IdleConnTimeout:     10 * time.Second,
--- a/agent/options.go
+++ b/agent/options.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs"
 
 	"catkinpoint/gang"
+	"catkinpoint/link"
 	"catkinpoint/wire"
 )
 
@@ -30,6 +31,8 @@
 	TaskLease    time.Duration
 	PermitAge    time.Duration
 	Timers       gang.Timers
+	// Dial opens connections to processes and to the endpoint; nil means TCP.
+	Dial link.Dialer
 }
 
 // FromSettings returns the options that the settings describe.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,7 +56,7 @@
 	}
 	e := &Entry{
 		opts:     opts,
-		pool:     link.NewPool(),
+		pool:     link.NewPool(opts.Dial),
 		server:   server,
 		host:     sched.NewHost(),
 		follower: head.NewFollower(opts.Store),
--- a/entry/options.go
+++ b/entry/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/zeebo/errs"
 
+	"catkinpoint/link"
 	"catkinpoint/place"
 	"catkinpoint/store"
 	"catkinpoint/wire"
@@ -45,6 +46,8 @@
 	Retention        time.Duration
 	// NewPolicy makes the placement policy of a scheduler.
 	NewPolicy func() place.Policy
+	// Dial opens connections to other processes; nil means TCP.
+	Dial link.Dialer
 }
 
 // FromSettings returns the options that the settings describe, without the store.
--- a/link/conn.go
+++ b/link/conn.go
@@ -73,10 +73,17 @@
 	return n, err
 }
 
+// Dialer opens connections; nil means TCP.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Dial opens a link, or returns ErrNotSent.
-func Dial(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+func Dial(ctx context.Context, dial Dialer, addr netip.AddrPort) (*Conn, error) {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("dialling %s: %w: %w", addr, ErrNotSent, err)
 	}
--- a/link/pool.go
+++ b/link/pool.go
@@ -12,12 +12,13 @@
 
 // Pool keeps one link for each peer and opens fresh ones as links end.
 type Pool struct {
+	dial  Dialer
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*Conn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{conns: make(map[netip.AddrPort]*Conn)} }
+// NewPool returns an empty pool that opens connections with dial.
+func NewPool(dial Dialer) *Pool { return &Pool{dial: dial, conns: make(map[netip.AddrPort]*Conn)} }
 
 // Call sends a request to the peer at addr over the pooled link.
 func (p *Pool) Call(ctx context.Context, addr netip.AddrPort, method string, request, response proto.Message) error {
@@ -36,7 +37,7 @@
 	if conn := p.live(addr); conn != nil {
 		return conn, nil
 	}
-	fresh, err := Dial(ctx, addr)
+	fresh, err := Dial(ctx, p.dial, addr)
 	if err != nil {
 		return nil, fmt.Errorf("opening link: %w", err)
 	}
--- a/local/system.go
+++ b/local/system.go
@@ -33,6 +33,7 @@
 	Entries   []netip.AddrPort // HTTP addresses
 	Endpoints []*fakeep.Endpoint
 
+	net    Network
 	group  *errgroup.Group
 	cancel context.CancelFunc
 }
@@ -46,6 +47,31 @@
 	Declarations []byte
 	// PermitPolicy is strict if it is empty.
 	PermitPolicy entry.PermitPolicy
+	// Net joins the parts; nil means loopback TCP.
+	Net Network
+}
+
+// Network opens listeners and connections.
+type Network interface {
+	Listen() (net.Listener, netip.AddrPort, error)
+	Dial(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// loopback is the Network of real sockets.
+type loopback struct{}
+
+// Listen opens a loopback socket.
+func (loopback) Listen() (net.Listener, netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, fmt.Errorf("listening: %w", err)
+	}
+	return listener, listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Dial opens a TCP connection.
+func (loopback) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, network, addr)
 }
 
 const (
@@ -63,7 +89,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	s := &System{Store: fakekv.New(), group: group, cancel: cancel}
+	if shape.Net == nil {
+		shape.Net = loopback{}
+	}
+	s := &System{Store: fakekv.New(), net: shape.Net, group: group, cancel: cancel}
 	set := source.Set(0)
 	if err := s.publish(ctx, set); err != nil {
 		cancel()
@@ -125,21 +154,12 @@
 	return nil
 }
 
-// listen opens a loopback socket and returns its address.
-func listen() (net.Listener, netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, netip.AddrPort{}, fmt.Errorf("listening: %w", err)
-	}
-	return listener, listener.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 func (s *System) startEntry(ctx context.Context, node *wire.Node, policy entry.PermitPolicy) (netip.AddrPort, error) {
-	rpc, rpcAddr, err := listen()
+	rpc, rpcAddr, err := s.net.Listen()
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	web, webAddr, err := listen()
+	web, webAddr, err := s.net.Listen()
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -155,6 +175,7 @@
 		opts.PermitPolicy = policy
 	}
 	opts.Store = store.KV(s.Store.WithCaller(node.GetId()))
+	opts.Dial = s.net.Dial
 	opts.NewPolicy = func() place.Policy { return place.New(place.Options{}) }
 	page, err := meter.New("entry", node.GetId())
 	if err != nil {
@@ -171,14 +192,14 @@
 
 func (s *System) startWorker(ctx context.Context, set *decl.Set, dc string, number int, entries []netip.AddrPort) error {
 	service := firstService(set, dc)
-	endpointListener, endpointAddr, err := listen()
+	endpointListener, endpointAddr, err := s.net.Listen()
 	if err != nil {
 		return err
 	}
 	endpoint := fakeep.New(fakeep.Options{Slots: slots, Connections: connections, Accelerators: accelerators})
 	s.Endpoints = append(s.Endpoints, endpoint)
 	s.group.Go(func() error { return endpoint.Serve(ctx, endpointListener) })
-	listener, addr, err := listen()
+	listener, addr, err := s.net.Listen()
 	if err != nil {
 		return err
 	}
@@ -197,6 +218,7 @@
 		TaskLease:    3 * time.Second,
 		PermitAge:    3 * time.Second,
 		Timers:       gang.DefaultTimers(),
+		Dial:         s.net.Dial,
 	})
 	if err != nil {
 		return fmt.Errorf("starting agent: %w", err)
