Bound what waits at entries and schedulers with the admission structures

The scheduler's queue gives a weighted fair order between customers and removes a cancelled job in constant time; before, each submission and each decision scanned the queue.

--- a/agent/options.go
+++ b/agent/options.go
@@ -1,12 +1,12 @@
 package agent
 
 import (
-	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"catkinpoint/conf"
 	"catkinpoint/gang"
 	"catkinpoint/link"
 	"catkinpoint/wire"
@@ -35,8 +35,8 @@
 	Dial link.Dialer
 }
 
-// FromSettings returns the options that the settings describe.
-func FromSettings(node *wire.Node, settings *wire.Agent) (Options, error) {
+// FromSettings returns the options that checked settings describe.
+func FromSettings(node *wire.Node, settings *wire.Agent) Options {
 	o := Options{
 		Worker:       settings.GetWorker(),
 		Rack:         settings.GetRack(),
@@ -47,29 +47,15 @@
 		Connections:  int(settings.GetConnections()),
 		Timers:       gang.DefaultTimers(),
 	}
-	var group errs.Group
-	parseAddr := func(text string) netip.AddrPort {
-		addr, err := netip.ParseAddrPort(text)
-		group.Add(err)
-		return addr
-	}
-	parseDuration := func(text string) time.Duration {
-		d, err := time.ParseDuration(text)
-		group.Add(err)
-		return d
-	}
-	o.Address = parseAddr(node.GetRpcAddress())
-	o.Endpoint = parseAddr(settings.GetEndpointAddress())
+	o.Address = conf.Address(node.GetRpcAddress())
+	o.Endpoint = conf.Address(settings.GetEndpointAddress())
 	for _, text := range settings.GetEntryAddresses() {
-		o.Entries = append(o.Entries, parseAddr(text))
-	}
-	o.ReportPeriod = parseDuration(settings.GetReportPeriod())
-	o.TaskLease = parseDuration(settings.GetTaskLease())
-	o.PermitAge = parseDuration(settings.GetPermitAge())
-	o.Timers.PrepareTTL = parseDuration(settings.GetPrepareTtl())
-	o.Timers.BarrierTimeout = parseDuration(settings.GetBarrierTimeout())
-	if err := group.Err(); err != nil {
-		return Options{}, fmt.Errorf("reading agent settings: %w", Error.Wrap(err))
+		o.Entries = append(o.Entries, conf.Address(text))
 	}
-	return o, nil
+	o.ReportPeriod = conf.Duration(settings.GetReportPeriod())
+	o.TaskLease = conf.Duration(settings.GetTaskLease())
+	o.PermitAge = conf.Duration(settings.GetPermitAge())
+	o.Timers.PrepareTTL = conf.Duration(settings.GetPrepareTtl())
+	o.Timers.BarrierTimeout = conf.Duration(settings.GetBarrierTimeout())
+	return o
 }
--- a/entry/adopt.go
+++ b/entry/adopt.go
@@ -82,7 +82,6 @@
 		return
 	}
 	klog.Infof("entry: Adopts job %s of an entry that has gone.", id)
-	e.admission.enterAlways(record.GetJob().GetCustomer())
 	e.carryDetached(&jobRequest{job: record.GetJob(), body: body, recorded: true}, &claim{record: record, revision: next})
 }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -42,8 +42,8 @@
 	if e.leaving.Load() {
 		return notRun("this process is leaving")
 	}
-	if !e.admission.enter(r.job.GetCustomer()) {
-		return notRun("too many requests of the customer are waiting")
+	if err := e.admission.enter(r.job.GetCustomer()); err != nil {
+		return notRun(err.Error())
 	}
 	// A caller that goes away does not stop a job that has a record.
 	ctx := c.Request().Context()
@@ -118,16 +118,14 @@
 func (e *Entry) runDetached(ctx context.Context, r *jobRequest) *wire.Outcome {
 	acceptCtx, cancel := context.WithTimeout(ctx, acceptTries*storeTimeout+time.Second)
 	defer cancel()
+	defer e.admission.leave(r.job.GetCustomer())
 	found, err := e.accept(acceptCtx, r)
 	if err != nil {
-		e.admission.leave(r.job.GetCustomer())
 		return acceptOutcome(err)
 	}
-	if found.existing {
-		e.admission.leave(r.job.GetCustomer())
-		return accepted()
+	if !found.existing {
+		e.carryDetached(r, found)
 	}
-	e.carryDetached(r, found)
 	return accepted()
 }
 
@@ -135,7 +133,6 @@
 // another entry adopts the job.
 func (e *Entry) carryDetached(r *jobRequest, found *claim) {
 	e.traffic.Go(func() {
-		defer e.admission.leave(r.job.GetCustomer())
 		ctx, cancel := context.WithCancel(e.life)
 		defer cancel()
 		if r.timeout > 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -17,13 +16,9 @@
 type metrics struct {
 	answers metric.Int64Counter
 	latency metric.Float64Histogram
-
-	mu          sync.Mutex
-	regionBytes map[string]int64 // by destination region
 }
 
 func (m *metrics) register(e *Entry, page *meter.Meter) error {
-	m.regionBytes = make(map[string]int64)
 	var err error
 	if m.answers, err = page.Counter("entry_answers", "Answers to callers, by fate."); err != nil {
 		return fmt.Errorf("registering answers: %w", err)
@@ -40,7 +35,7 @@
 		{"config_read_age_seconds", "Time since the last read of the configuration head.", func(o meter.Observe) {
 			o((time.Since(e.start) - time.Duration(e.storeRead.Load())).Seconds())
 		}},
-		{"region_bytes_sent", "Bytes of job bodies sent to other regions.", m.observeRegions},
+		{"region_bytes_sent", "Bytes of job bodies sent to other regions.", e.observeRegions},
 		{"sched_decisions", "Decisions of the placement policy, by data centre.", e.observeDecisions},
 		{"sched_jobs_ended", "Jobs that ended, by data centre and fate.", e.observeFates},
 	}
@@ -58,21 +53,8 @@
 	m.latency.Record(context.Background(), took.Seconds(), set)
 }
 
-// countRegion counts what crosses the paid link between regions.
-func (m *metrics) countRegion(e *Entry, dc string, bytes int) {
-	region := e.regionOf(dc)
-	if region == e.opts.Region {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.regionBytes[region] += int64(bytes)
-}
-
-func (m *metrics) observeRegions(observe meter.Observe) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for region, bytes := range m.regionBytes {
+func (e *Entry) observeRegions(observe meter.Observe) {
+	for region, bytes := range e.admission.sentBytes() {
 		observe(float64(bytes), attribute.String("region", region))
 	}
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"catkinpoint/conf"
 	"catkinpoint/link"
 	"catkinpoint/place"
 	"catkinpoint/store"
@@ -50,8 +50,8 @@
 	Dial link.Dialer
 }
 
-// FromSettings returns the options that the settings describe, without the store.
-func FromSettings(node *wire.Node, settings *wire.Entry) (Options, error) {
+// FromSettings returns the options that checked settings describe, without the store.
+func FromSettings(node *wire.Node, settings *wire.Entry) Options {
 	o := Options{
 		ID:           node.GetId(),
 		DataCentre:   node.GetDataCentre(),
@@ -61,28 +61,11 @@
 		MaxBodyBytes: settings.GetMaxBodyBytes(),
 		RegionBytes:  float64(settings.GetRegionLinkBytesPerSecond()),
 	}
-	var group errs.Group
-	parseAddr := func(text string) netip.AddrPort {
-		addr, err := netip.ParseAddrPort(text)
-		group.Add(err)
-		return addr
-	}
-	parseDuration := func(text string) time.Duration {
-		d, err := time.ParseDuration(text)
-		group.Add(err)
-		return d
-	}
-	o.RPCAddress = parseAddr(node.GetRpcAddress())
-	o.HTTPAddress = parseAddr(node.GetHttpAddress())
-	o.HeadPeriod = parseDuration(settings.GetHeadPeriod())
-	o.LeaseTTL = parseDuration(settings.GetLeaseTtl())
-	o.MembershipPeriod = parseDuration(settings.GetMembershipPeriod())
-	o.Retention = parseDuration(settings.GetRetention())
-	if o.PermitPolicy != Strict && o.PermitPolicy != Witness {
-		group.Add(Error.New("permit_policy %q is neither strict nor witness", settings.GetPermitPolicy()))
-	}
-	if err := group.Err(); err != nil {
-		return Options{}, fmt.Errorf("reading entry settings: %w", Error.Wrap(err))
-	}
-	return o, nil
+	o.RPCAddress = conf.Address(node.GetRpcAddress())
+	o.HTTPAddress = conf.Address(node.GetHttpAddress())
+	o.HeadPeriod = conf.Duration(settings.GetHeadPeriod())
+	o.LeaseTTL = conf.Duration(settings.GetLeaseTtl())
+	o.MembershipPeriod = conf.Duration(settings.GetMembershipPeriod())
+	o.Retention = conf.Duration(settings.GetRetention())
+	return o
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/decl"
@@ -15,8 +16,10 @@
 )
 
 const (
-	// routeRetry is the pause before a scheduler is asked again.
-	routeRetry = 150 * time.Millisecond
+	// routeRetry and longestRetry are the first and the longest pause before a
+	// scheduler is asked again.
+	routeRetry   = 150 * time.Millisecond
+	longestRetry = time.Second
 	// longRun is the run time from which a wait costs more than a remote run.
 	longRun = time.Minute
 	// retryAfter is told to callers whose request was refused for lack of room.
@@ -34,6 +37,9 @@
 	refused := make(map[string]string) // reason by data centre
 	sent := ""                         // data centre that may have the job
 	giveUp := time.Now().Add(noDutyPatience)
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = routeRetry, longestRetry
+	e.admission.called()
 	for {
 		dc := sent
 		if dc == "" {
@@ -49,11 +55,16 @@
 		case err == nil:
 			return response.GetOutcome()
 		case ctx.Err() != nil:
-			return e.outOfTime(ctx, r, sent, err)
+			return outOfTime(sent, err)
 		case !errors.Is(err, link.ErrNotSent):
 			// The scheduler may have taken the job. Its successor is asked with
 			// the same id: it knows a started job by its record or by its task.
+			// The first repetition is free, further ones have a budget.
+			again := sent != ""
 			sent = dc
+			if again && !e.admission.mayRetry() {
+				return unknown("the scheduler's answer was lost")
+			}
 		case sent == "" && time.Now().After(giveUp):
 			return notRun("no scheduler could be reached")
 		case sent == "" && e.hasOther(r.job, refused, dc):
@@ -62,8 +73,8 @@
 		if err != nil {
 			klog.V(1).Infof("entry: Job %s was not answered by %s: %v.", r.job.GetId(), dc, err)
 			e.refreshSoon()
-			if !sleep(ctx, routeRetry) {
-				return e.outOfTime(ctx, r, sent, err)
+			if !sleep(ctx, pause.NextBackOff()) {
+				return outOfTime(sent, err)
 			}
 		}
 	}
@@ -75,11 +86,20 @@
 
 // outOfTime is the outcome when the caller's time is over. Nothing was run if
 // the job was never sent.
-func (e *Entry) outOfTime(_ context.Context, _ *jobRequest, sent string, err error) *wire.Outcome {
+func outOfTime(sent string, err error) *wire.Outcome {
 	if sent == "" && (err == nil || errors.Is(err, link.ErrNotSent)) {
 		return notRun("the deadline has passed")
 	}
-	return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the deadline has passed; ask again by the job's id"}
+	return unknown("the deadline has passed")
+}
+
+// unknown is the outcome of a job that may have run.
+func unknown(reason string) *wire.Outcome {
+	return &wire.Outcome{
+		Fate:         wire.Fate_UNKNOWN,
+		Reason:       reason + "; ask again by the job's id",
+		RetryAfterMs: retryAfter.Milliseconds(),
+	}
 }
 
 func firstReason(refused map[string]string) string {
@@ -109,7 +129,13 @@
 		left := time.Until(deadline) - answerMargin
 		request.RemainingMs = max(1, left.Milliseconds())
 	}
-	e.metrics.countRegion(e, dc, len(r.body))
+	delay, err := e.admission.reserve(e.regionOf(dc), len(r.body))
+	if err != nil {
+		return &wire.SubmitResponse{Reroute: true, Outcome: notRun(err.Error())}, nil
+	}
+	if !sleep(ctx, delay) {
+		return nil, fmt.Errorf("waiting for the link between regions: %w: %w", link.ErrNotSent, ctx.Err())
+	}
 	r.sentTo = dc
 	response := new(wire.SubmitResponse)
 	if err := e.pool.Call(ctx, addr, "Sched.Submit", request, response); err != nil {
--- a/local/system.go
+++ b/local/system.go
@@ -167,10 +167,7 @@
 	settings := new(wire.Entry)
 	conf.SetDefaults(settings)
 	settings.StoreAddress = webAddr.String() // not used: the store is in this process
-	opts, err := entry.FromSettings(node, settings)
-	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("starting entry: %w", err)
-	}
+	opts := entry.FromSettings(node, settings)
 	if policy != "" {
 		opts.PermitPolicy = policy
 	}
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -13,6 +13,7 @@
 
 // begin starts an attempt of a queued job on the given workers.
 func (s *Scheduler) begin(c *control, j *job, workers []string, now time.Time) {
+	c.queue.Take(j.spec.GetId())
 	j.number++
 	a := &attempt{
 		id:      fmt.Sprintf("%s.%d.%d", j.spec.GetId(), s.opts.Epoch, j.number),
--- a/sched/control.go
+++ b/sched/control.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"catkinpoint/admit"
 	"catkinpoint/gang"
 	"catkinpoint/place"
 	"catkinpoint/wire"
@@ -16,11 +17,13 @@
 
 	workers  map[string]*worker
 	jobs     map[string]*job
-	queue    []*job // in order of submission; ended ones are skipped and swept
+	queue    *admit.Queue[*job]
 	attempts map[string]*attempt
 	tasks    map[string]taskRef // by the id that agents know
 	orphans  map[string]*orphan // by attempt
 
+	customersVersion int64 // of the configuration that the queue follows
+
 	learner     *place.Learner
 	health      *place.Health
 	reservation *place.Reservation
@@ -109,7 +112,7 @@
 	checked bool // its job record was looked up
 }
 
-func newControl(now time.Time) *control {
+func newControl(now time.Time, limits Limits) *control {
 	return &control{
 		taken:    now,
 		workers:  make(map[string]*worker),
@@ -117,6 +120,7 @@
 		attempts: make(map[string]*attempt),
 		tasks:    make(map[string]taskRef),
 		orphans:  make(map[string]*orphan),
+		queue:    admit.NewQueue[*job](admit.QueueOptions{Limit: limits.QueueTotal}),
 		learner:  place.NewLearner(),
 		health:   place.NewHealth(place.HealthOptions{}),
 	}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -30,9 +31,8 @@
 // decide asks the policy and carries out its actions.
 func (s *Scheduler) decide(c *control, now time.Time) {
 	c.dirty, c.lastDecide = false, now
-	s.sweepQueue(c)
 	s.followService(c, now)
-	if !s.settled(c, now) || len(c.queue) == 0 {
+	if !s.settled(c, now) || c.queue.Len() == 0 {
 		return
 	}
 	state := s.state(c, now)
@@ -60,10 +60,8 @@
 		return
 	}
 	klog.Infof("sched: Data centre %s is out of service.", s.opts.DataCentre)
-	for _, j := range c.queue {
-		if j.phase == queued {
-			s.finish(c, j, &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: "the data centre was taken out of service", RetryAfterMs: retryAfter.Milliseconds()})
-		}
+	for _, item := range slices.Collect(c.queue.All()) {
+		s.finish(c, item.Value, refused(errOutOfService))
 	}
 }
 
@@ -77,18 +75,6 @@
 	return min(1, float64(steps)*s.opts.Limits.ReturnShare)
 }
 
-// sweepQueue drops jobs that do not wait any more.
-func (s *Scheduler) sweepQueue(c *control) {
-	kept := c.queue[:0]
-	for _, j := range c.queue {
-		if j.phase == queued {
-			kept = append(kept, j)
-		}
-	}
-	clear(c.queue[len(kept):])
-	c.queue = kept
-}
-
 func (s *Scheduler) act(c *control, action place.Action, now time.Time) {
 	switch {
 	case action.Place != nil:
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -73,6 +73,7 @@
 		saved:   make([]time.Duration, len(members)),
 		placed:  now,
 	}
+	c.queue.Take(j.spec.GetId())
 	j.phase, j.current = running, a
 	c.jobs[j.spec.GetId()] = j
 	c.addAttempt(a)
--- a/sched/record.go
+++ b/sched/record.go
@@ -130,6 +130,7 @@
 // until the record has ended, so that a successor comes to the same outcome.
 func (s *Scheduler) finish(c *control, j *job, outcome *wire.Outcome) {
 	c.dirty = true
+	c.queue.Remove(j.spec.GetId())
 	if outcome.GetResultDigest() == 0 && len(outcome.GetResult()) > 0 {
 		outcome.ResultDigest = xxhash.Sum64(outcome.GetResult())
 		outcome.ResultBytes = int64(len(outcome.GetResult()))
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -26,7 +26,7 @@
 	if opts.Limits == (Limits{}) {
 		opts.Limits = DefaultLimits()
 	}
-	return &Scheduler{opts: opts, control: owner.New(newControl(time.Now()))}
+	return &Scheduler{opts: opts, control: owner.New(newControl(time.Now(), opts.Limits))}
 }
 
 // Run works until ctx ends; what it has started goes on at the agents.
--- a/sched/state.go
+++ b/sched/state.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"catkinpoint/admit"
 	"catkinpoint/decl"
 	"catkinpoint/gang"
 	"catkinpoint/place"
@@ -15,6 +16,10 @@
 // placed on less would be refused by its agent.
 const permitReserve = time.Second
 
+// maxConsidered bounds the waiting jobs of one decision, in fair order, and so
+// the time that the decision takes.
+const maxConsidered = 1000
+
 // maxPermitAge is the age up to which agents accept a permit.
 const maxPermitAge = 3 * time.Second
 
@@ -32,8 +37,11 @@
 		Customers:     customersOf(set),
 		Reservation:   c.reservation,
 	}
-	for _, j := range c.queue {
-		if j.phase == queued && !now.Before(j.notUntil) {
+	for item := range c.queue.All() {
+		if len(state.Queue) == maxConsidered {
+			break
+		}
+		if j := item.Value; !now.Before(j.notUntil) {
 			state.Queue = append(state.Queue, c.placeJob(j))
 		}
 	}
@@ -168,13 +176,23 @@
 	return list
 }
 
-// defaultQueueLimit applies to customers that are not declared any more.
-const defaultQueueLimit = 200
+// followCustomers applies the customers' settings of a new configuration.
+func (s *Scheduler) followCustomers(c *control) {
+	if version := s.opts.Config().Version(); version != c.customersVersion {
+		c.customersVersion = version
+		c.queue.SetCustomers(s.customers())
+	}
+}
 
-func (s *Scheduler) queueLimit(customer string) int {
-	declared, ok := decl.Lookup[*wire.Customer](s.opts.Config(), customer)
-	if !ok || declared.GetQueueLimit() == 0 {
-		return defaultQueueLimit
+// customers lists the admission settings of the declared customers.
+func (s *Scheduler) customers() []admit.Customer {
+	var list []admit.Customer
+	for name, customer := range decl.All[*wire.Customer](s.opts.Config()) {
+		list = append(list, admit.Customer{
+			Name:   name,
+			Weight: customer.GetWeight(),
+			Limit:  int(customer.GetQueueLimit()),
+		})
 	}
-	return int(declared.GetQueueLimit())
+	return list
 }
--- a/sched/submit.go
+++ b/sched/submit.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"slices"
 	"time"
 
+	"catkinpoint/admit"
 	"catkinpoint/wire"
 )
 
@@ -56,39 +57,51 @@
 		j.deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	j.wait(done)
-	if reason := s.refusal(c, j); reason != "" {
+	if err := s.push(c, j, now); err != nil {
+		// The job has left no trace, so it may be submitted elsewhere.
 		j.reroute = true
-		s.answer(j, &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: reason, RetryAfterMs: retryAfter.Milliseconds()})
+		s.answer(j, refused(err))
 		return j
 	}
 	c.jobs[id] = j
-	s.enqueue(c, j)
+	c.dirty = true
 	s.adoptOrphan(c, j)
 	return j
 }
 
-// refusal says why the job cannot wait here; empty if it can. The job has left
-// no trace, so it may be submitted elsewhere.
-func (s *Scheduler) refusal(c *control, j *job) string {
-	waiting, ofCustomer := 0, 0
-	for _, other := range c.queue {
-		if other.phase != queued {
-			continue
-		}
-		waiting++
-		if other.spec.GetCustomer() == j.spec.GetCustomer() {
-			ofCustomer++
-		}
+// errOutOfService refuses jobs while operators have the data centre out.
+var errOutOfService = Error.New("the data centre is out of service")
+
+// push lets the job wait, or says why it cannot wait here.
+func (s *Scheduler) push(c *control, j *job, now time.Time) error {
+	if c.seenState && !c.inService {
+		return errOutOfService
 	}
-	switch {
-	case c.seenState && !c.inService:
-		return "the data centre is out of service"
-	case waiting >= s.opts.Limits.QueueTotal:
-		return "the queue is full"
-	case ofCustomer >= s.queueLimit(j.spec.GetCustomer()):
-		return "the customer's queue is full"
+	s.followCustomers(c)
+	return c.queue.Push(now, c.item(j))
+}
+
+func refused(err error) *wire.Outcome {
+	outcome := &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: err.Error(), RetryAfterMs: retryAfter.Milliseconds()}
+	var refusal *admit.Refusal
+	if errors.As(err, &refusal) {
+		outcome.RetryAfterMs = max(1, refusal.RetryAfter.Milliseconds())
+	}
+	return outcome
+}
+
+// item is the job as the queue sees it.
+func (c *control) item(j *job) admit.Item[*job] {
+	p := c.placeJob(j)
+	return admit.Item[*job]{
+		ID:           p.ID,
+		Customer:     p.Customer,
+		Accelerators: p.Tasks * p.Accelerators,
+		Expected:     p.Expected,
+		Urgent:       p.Urgent,
+		Deadline:     p.Deadline,
+		Value:        j,
 	}
-	return ""
 }
 
 func (j *job) wait(done chan struct{}) {
@@ -99,16 +112,10 @@
 	j.waiters = append(j.waiters, done)
 }
 
-// enqueue makes the job wait for placement, in order of submission.
+// enqueue lets a job wait again that was taken before.
 func (s *Scheduler) enqueue(c *control, j *job) {
 	j.phase, j.current = queued, nil
-	at, _ := slices.BinarySearchFunc(c.queue, j, func(a, b *job) int {
-		if d := a.spec.GetSubmittedUnixMs() - b.spec.GetSubmittedUnixMs(); d != 0 {
-			return int(d)
-		}
-		return -1
-	})
-	c.queue = slices.Insert(c.queue, at, j)
+	_ = c.queue.Return(c.item(j)) // the only error is that it waits already
 	c.dirty = true
 }
 
