Keep planned stops, returning workers and refusals truthful

A worker that was given up and comes back with a task of a job that is served elsewhere is told to stop it, and its accelerators count as used until then. A refusal says when to come back only if some data centre may take the job later. A drained endpoint starts no task that was prepared more than 2 s before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -103,7 +103,7 @@
 		idle := false
 		err := a.control.Do(ctx, func(s *state) {
 			if !s.draining {
-				s.draining = true
+				s.draining, s.drainedFrom = true, time.Now()
 				a.reportSoon()
 			}
 			idle = s.idle()
--- a/agent/launch.go
+++ b/agent/launch.go
@@ -16,6 +16,8 @@
 const (
 	// renewsPerLease leaves room for two lost renewals of a task lease.
 	renewsPerLease = 3
+	// drainGrace lets tasks start that were prepared before a drain began.
+	drainGrace = 2 * time.Second
 	// fetchRetry is the time between two attempts to fetch a result.
 	fetchRetry = 200 * time.Millisecond
 )
@@ -27,6 +29,10 @@
 		a.step(s, t, gang.MemberNoPermit, err.Error())
 		return
 	}
+	if s.draining && now.Sub(s.drainedFrom) >= drainGrace {
+		a.step(s, t, gang.MemberNoPermit, permit.ErrDraining.Error())
+		return
+	}
 	t.launchedAt = now
 	ctx, cancel := context.WithCancel(a.life)
 	t.cancel = cancel
--- a/agent/state.go
+++ b/agent/state.go
@@ -46,8 +46,10 @@
 	permit   permit.Permit
 	ready    bool // the endpoint was cleared of earlier tasks
 	draining bool
-	tasks    map[string]*task
-	sequence int64
+	// drainedFrom is when the drain began.
+	drainedFrom time.Time
+	tasks       map[string]*task
+	sequence    int64
 }
 
 // usage counts what prepared and running attempts hold.
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -177,12 +177,29 @@
 	d.closed = true
 	for dc := range d.held {
 		d.drop(dc)
-		if err := d.entry.opts.Store.Delete(ctx, heldPrefix+dc, store.AnyRevision); err != nil {
+		if err := d.release(ctx, dc); err != nil {
 			klog.V(1).Infof("entry: The claim of %s ends with its lease: %v.", dc, err)
 		}
 	}
 }
 
+// release deletes the claim if it is still this entry's.
+func (d *duties) release(ctx context.Context, dc string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := d.entry.opts.Store.Get(ctx, heldPrefix+dc)
+	if err != nil {
+		return fmt.Errorf("reading the claim: %w", err)
+	}
+	if string(item.Value) != d.entry.opts.ID {
+		return nil
+	}
+	if err := d.entry.opts.Store.Delete(ctx, heldPrefix+dc, item.Revision); err != nil {
+		return fmt.Errorf("deleting the claim: %w", err)
+	}
+	return nil
+}
+
 // dataCentres lists the declared data centres and those of known entries.
 func (e *Entry) dataCentres(v *view) []string {
 	set := e.follower.Current().Set
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,9 +19,6 @@
 	"catkinpoint/sched"
 )
 
-// shutdownTimeout bounds the graceful shutdown of the HTTP server.
-const shutdownTimeout = 30 * time.Second
-
 // Entry is one entry process.
 type Entry struct {
 	opts      Options
@@ -133,7 +130,7 @@
 func (e *Entry) shutdown(web *http.Server) {
 	e.leaving.Store(true)
 	klog.Infof("entry: %s leaves.", e.opts.ID)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), e.opts.ShutdownTimeout)
 	defer cancel()
 	// Requests in progress go on with the schedulers that take the duties.
 	e.duties.close(ctx)
--- a/entry/options.go
+++ b/entry/options.go
@@ -16,6 +16,9 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("entry")
 
+// DefaultShutdownTimeout lets requests for long jobs finish after a planned stop.
+const DefaultShutdownTimeout = 24 * time.Hour
+
 // PermitPolicy says when permits are issued while the store cannot be read.
 type PermitPolicy string
 
@@ -44,6 +47,8 @@
 	MaxBodyBytes     int64
 	RegionBytes      float64 // budget for traffic to other regions, bytes a second
 	Retention        time.Duration
+	// ShutdownTimeout bounds the wait for requests in progress after a planned stop.
+	ShutdownTimeout time.Duration
 	// NewPolicy makes the placement policy of a scheduler.
 	NewPolicy func() place.Policy
 	// Dial opens connections to other processes; nil means TCP.
@@ -60,6 +65,8 @@
 		QueueLimit:   int(settings.GetQueueLimit()),
 		MaxBodyBytes: settings.GetMaxBodyBytes(),
 		RegionBytes:  float64(settings.GetRegionLinkBytesPerSecond()),
+
+		ShutdownTimeout: DefaultShutdownTimeout,
 	}
 	o.RPCAddress = conf.Address(node.GetRpcAddress())
 	o.HTTPAddress = conf.Address(node.GetHttpAddress())
--- a/entry/route.go
+++ b/entry/route.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -34,8 +36,8 @@
 // dispatch sends the job to schedulers, nearest first, until one gives a final
 // outcome or ctx ends.
 func (e *Entry) dispatch(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
-	refused := make(map[string]string) // reason by data centre
-	sent := ""                         // data centre that may have the job
+	refused := make(map[string]*wire.Outcome) // by data centre
+	sent := ""                                // data centre that may have the job
 	giveUp := time.Now().Add(noDutyPatience)
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = routeRetry, longestRetry
@@ -46,12 +48,12 @@
 			dc = e.choose(r.job, refused)
 		}
 		if dc == "" {
-			return notRun(firstReason(refused))
+			return combine(refused)
 		}
 		response, err := e.submit(ctx, dc, r, revision)
 		switch {
 		case err == nil && response.GetReroute():
-			refused[dc], sent = response.GetOutcome().GetReason(), ""
+			refused[dc], sent = response.GetOutcome(), ""
 		case err == nil:
 			return response.GetOutcome()
 		case ctx.Err() != nil:
@@ -68,7 +70,7 @@
 		case sent == "" && time.Now().After(giveUp):
 			return notRun("no scheduler could be reached")
 		case sent == "" && e.hasOther(r.job, refused, dc):
-			refused[dc] = "no scheduler could be reached"
+			refused[dc] = notRun("no scheduler could be reached")
 		}
 		if err != nil {
 			klog.V(1).Infof("entry: Job %s was not answered by %s: %v.", r.job.GetId(), dc, err)
@@ -102,16 +104,21 @@
 	}
 }
 
-func firstReason(refused map[string]string) string {
-	names := make([]string, 0, len(refused))
-	for dc := range refused {
-		names = append(names, dc)
-	}
-	slices.Sort(names)
-	if len(names) == 0 {
-		return "no data centre in service offers the service"
-	}
-	return names[0] + ": " + refused[names[0]]
+// combine is the outcome of a job that every data centre has given back. It
+// tells when to come back if some data centre may take the job later.
+func combine(refused map[string]*wire.Outcome) *wire.Outcome {
+	if len(refused) == 0 {
+		return notRun("no data centre in service offers the service")
+	}
+	names := slices.Sorted(maps.Keys(refused))
+	outcome := &wire.Outcome{Fate: wire.Fate_NOT_RUN}
+	reasons := make([]string, 0, len(names))
+	for _, dc := range names {
+		outcome.RetryAfterMs = max(outcome.GetRetryAfterMs(), refused[dc].GetRetryAfterMs())
+		reasons = append(reasons, dc+": "+refused[dc].GetReason())
+	}
+	outcome.Reason = strings.Join(reasons, "; ")
+	return outcome
 }
 
 // submit sends the job to the scheduler of the data centre and waits.
@@ -152,7 +159,7 @@
 const answerMargin = 150 * time.Millisecond
 
 // choose returns the best data centre that has not refused the job, or "".
-func (e *Entry) choose(job *wire.Job, refused map[string]string) string {
+func (e *Entry) choose(job *wire.Job, refused map[string]*wire.Outcome) string {
 	v := e.view.Load()
 	best, bestCost := "", 0.0
 	for _, dc := range e.offering(job) {
@@ -167,7 +174,7 @@
 	return best
 }
 
-func (e *Entry) hasOther(job *wire.Job, refused map[string]string, dc string) bool {
+func (e *Entry) hasOther(job *wire.Job, refused map[string]*wire.Outcome, dc string) bool {
 	for _, other := range e.offering(job) {
 		if _, no := refused[other]; !no && other != dc {
 			return true
--- a/sched/control.go
+++ b/sched/control.go
@@ -110,6 +110,8 @@
 	worker  string
 	seen    time.Time
 	checked bool // its job record was looked up
+	// stopping is set while a Stop is on its way, because its job is served elsewhere.
+	stopping bool
 }
 
 func newControl(now time.Time, limits Limits) *control {
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -97,8 +97,10 @@
 // takeOrphan keeps a task that no known job accounts for: its accelerators are
 // in use, and an entry may submit its job again.
 func (s *Scheduler) takeOrphan(c *control, report *wire.Report, status *wire.TaskStatus, now time.Time) {
-	if j, ok := c.jobs[status.GetJobId()]; ok && j.phase >= ending {
-		return // the outcome is known; the task is only to be settled
+	j, known := c.jobs[status.GetJobId()]
+	if known && j.phase >= ending && gang.Final(status.GetState()) {
+		delete(c.orphans, status.GetAttempt()) // the task is only to be settled
+		return
 	}
 	o, ok := c.orphans[status.GetAttempt()]
 	if !ok {
@@ -117,16 +119,42 @@
 	if !gang.Final(status.GetState()) {
 		o.seen = now
 	}
-	if j, ok := c.jobs[status.GetJobId()]; ok && j.phase == queued {
+	if known && j.phase == queued {
 		s.adoptOrphan(c, j)
 		return
 	}
+	if known && !gang.Final(status.GetState()) {
+		// A worker that was given up has come back with a task whose job has
+		// ended or runs elsewhere.
+		s.stopOrphan(c, o, status.GetAttempt())
+		return
+	}
 	if c.loaded && !o.checked {
 		o.checked = true
 		s.lookUp(status.GetJobId())
 	}
 }
 
+// stopOrphan tells the agent once for each report period to stop the task.
+func (s *Scheduler) stopOrphan(c *control, o *orphan, task string) {
+	w, ok := c.workers[o.worker]
+	if !ok || o.stopping {
+		return
+	}
+	o.stopping = true
+	request := &wire.StopRequest{Epoch: s.opts.Epoch, Attempt: task, Reason: "the job is served elsewhere"}
+	address := w.address
+	s.traffic.Go(func() {
+		ctx, cancel := context.WithTimeout(s.life, callTimeout)
+		defer cancel()
+		err := s.opts.Pool.Call(ctx, address, "Agent.Stop", request, new(wire.TaskResponse))
+		if err != nil {
+			klog.V(1).Infof("sched: Task %s could not be stopped: %v.", task, err)
+		}
+		s.post(func(*control) { o.stopping = false })
+	})
+}
+
 // lookUp reads the record of an orphan's job: an earlier scheduler may have
 // committed it after this one has read the records.
 func (s *Scheduler) lookUp(id string) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -36,6 +36,7 @@
 		Guarantees:    guaranteesOf(set, s.opts.DataCentre),
 		Customers:     customersOf(set),
 		Reservation:   c.reservation,
+		Planned:       plannedOf(set, s.opts.DataCentre),
 	}
 	for item := range c.queue.All() {
 		if len(state.Queue) == maxConsidered {
@@ -123,6 +124,24 @@
 	}
 }
 
+// plannedOf is the declared size of the data centre, so that a scheduler that
+// has just taken the duty refuses nothing for lack of reports.
+func plannedOf(set *decl.Set, name string) place.Planned {
+	dc, ok := decl.Lookup[*wire.DataCentre](set, name)
+	if !ok {
+		return place.Planned{}
+	}
+	planned := place.Planned{
+		Workers:        int(dc.GetWorkers()),
+		Accelerators:   int(dc.GetAcceleratorsPerWorker()),
+		WorkersPerRack: int(dc.GetWorkersPerRack()),
+	}
+	for _, service := range decl.All[*wire.Service](set) {
+		planned.Slots = max(planned.Slots, int(service.GetSlots()))
+	}
+	return planned
+}
+
 // ParseAdjacency returns the domain that a declaration names.
 func ParseAdjacency(text string) place.Adjacency {
 	switch text {
