Keep guaranteed shapes reclaimable where they move when a data centre leaves

Each scheduler takes its guarantees from decl.Holdings: the assignment of the whole-set check, and what the data centre would hold after the loss of one that may leave. Before, a guarantee was held only by its first data centre in service, whatever the check had assigned.

--- a/sched/control.go
+++ b/sched/control.go
@@ -24,6 +24,10 @@
 
 	customersVersion int64 // of the configuration that the queue follows
 
+	guarantees        []place.Guarantee
+	guaranteesKnown   bool
+	guaranteesVersion int64 // of the configuration that the guarantees follow
+
 	learner     *place.Learner
 	health      *place.Health
 	reservation *place.Reservation
--- a/sched/state.go
+++ b/sched/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"catkinpoint/admit"
+	"catkinpoint/conf"
 	"catkinpoint/decl"
 	"catkinpoint/gang"
 	"catkinpoint/place"
@@ -27,13 +28,14 @@
 func (s *Scheduler) state(c *control, now time.Time) *place.State {
 	set := s.opts.Config()
 	p := s.opts.Permit()
+	s.followGuarantees(c)
 	state := &place.State{
 		DataCentre:    s.opts.DataCentre,
 		InService:     p.InService && p.Left(now, maxPermitAge) >= permitReserve,
 		CapacityShare: s.capacityShare(c, now),
 		Workers:       s.placeWorkers(c, p.Draining, now),
 		Running:       c.placeRunning(),
-		Guarantees:    guaranteesOf(set, s.opts.DataCentre),
+		Guarantees:    c.guarantees,
 		Customers:     customersOf(set),
 		Reservation:   c.reservation,
 		Planned:       plannedOf(set, s.opts.DataCentre),
@@ -153,34 +155,29 @@
 	return place.SameDataCentre
 }
 
-// guaranteesOf lists the guarantees that the data centre holds: each is held by
-// the first of its data centres that is in service.
-func guaranteesOf(set *decl.Set, dc string) []place.Guarantee {
-	var list []place.Guarantee
+// followGuarantees works out, for a new configuration, what the data centre
+// must keep reclaimable.
+func (s *Scheduler) followGuarantees(c *control) {
+	set := s.opts.Config()
+	if c.guaranteesKnown && set.Version() == c.guaranteesVersion {
+		return
+	}
+	c.guaranteesKnown, c.guaranteesVersion = true, set.Version()
+	c.guarantees = nil
+	held := decl.Holdings(set, nil, s.opts.DataCentre)
 	for name, g := range decl.All[*wire.Guarantee](set) {
-		if holderOf(set, g) != dc {
+		if held[name] == 0 {
 			continue
 		}
-		within, _ := time.ParseDuration(g.GetReclaimWithin()) // checked before it was published
-		list = append(list, place.Guarantee{
+		c.guarantees = append(c.guarantees, place.Guarantee{
 			Name:          name,
 			Customer:      g.GetCustomer(),
 			Accelerators:  int(g.GetAccelerators()),
 			Adjacency:     ParseAdjacency(g.GetAdjacency()),
-			Count:         int(g.GetCount()),
-			ReclaimWithin: within,
+			Count:         held[name],
+			ReclaimWithin: conf.Duration(g.GetReclaimWithin()),
 		})
 	}
-	return list
-}
-
-func holderOf(set *decl.Set, g *wire.Guarantee) string {
-	for _, name := range g.GetDataCentres() {
-		if dc, ok := decl.Lookup[*wire.DataCentre](set, name); ok && dc.GetInService() {
-			return name
-		}
-	}
-	return ""
 }
 
 func customersOf(set *decl.Set) []place.Customer {
