--- a/store/client.go
+++ b/store/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -224,10 +225,15 @@
 		return Reply{}, fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	var reply Reply
-	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+	// Only a connection whose answer was read to the end is used again.
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
 		return Reply{}, fmt.Errorf("read answer with status %d: %w", response.StatusCode, err)
 	}
+	var reply Reply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return Reply{}, fmt.Errorf("decode answer with status %d: %w", response.StatusCode, err)
+	}
 	if response.StatusCode == http.StatusOK && reply.Error == "" {
 		return reply, nil
 	}
--- a/store/lease.go
+++ b/store/lease.go
@@ -118,9 +118,9 @@
 }
 
 func (k *LeaseKeeper) renew(ctx context.Context, sent time.Time) {
-	until := k.validUntil(sent)
 	next := sent.Add(k.ttl / renewalsPerTTL)
 	for {
+		until := k.expiry()
 		if next.After(until) {
 			next = until
 		}
@@ -140,7 +140,6 @@
 		if !k.extend(k.ID(), now) {
 			return
 		}
-		until = k.validUntil(now)
 		next = now.Add(k.ttl / renewalsPerTTL)
 	}
 }
@@ -158,7 +157,7 @@
 // extend records a call that was sent at sent and succeeded. It returns false
 // if the answer came too late to be of use, for example after a pause.
 func (k *LeaseKeeper) extend(id LeaseID, sent time.Time) bool {
-	until := k.validUntil(sent)
+	until := sent.Add(k.ttl - k.ttl/marginsPerTTL)
 	if !time.Now().Before(until) {
 		return false
 	}
@@ -176,8 +175,10 @@
 	close(k.lost)
 }
 
-func (k *LeaseKeeper) validUntil(sent time.Time) time.Time {
-	return sent.Add(k.ttl - k.ttl/marginsPerTTL)
+func (k *LeaseKeeper) expiry() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.until
 }
 
 // retryPause has jitter, so that holders do not all return to a recovering
