--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -37,6 +38,7 @@
 	Connections  int           `default:"64" help:"Connections that are accepted."`
 	Accelerators int           `default:"8" help:"Accelerators of the worker."`
 	UsageLag     time.Duration `default:"2s" help:"Age of the reported usage."`
+	RecordFile   string        `type:"path" placeholder:"FILE" help:"File to which each event is appended as a line of JSON."`
 	Drain        time.Duration `default:"5s" help:"Time that running tasks get on a stop."`
 }
 
@@ -62,7 +64,13 @@
 
 // Run implements the verb endpoint.
 func (v *endpointVerb) Run(ctx context.Context) error {
+	record, err := openRecord(v.RecordFile)
+	if err != nil {
+		return fmt.Errorf("open record: %w", err)
+	}
+	defer func() { _ = record.Close() }()
 	endpoint := fakeep.New(fakeep.Options{
+		RecordTo:     record,
 		Slots:        v.Slots,
 		Connections:  v.Connections,
 		Accelerators: v.Accelerators,
@@ -72,6 +80,14 @@
 	return v.run(ctx, endpoint.Serve, endpoint.ServeFaults)
 }
 
+// openRecord opens the null device if there is no name.
+func openRecord(name string) (*os.File, error) {
+	if name == "" {
+		name = os.DevNull
+	}
+	return os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+}
+
 func (p ports) run(ctx context.Context, service, faults serveFunc) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return listen(ctx, "service", p.Listen, service) })
--- a/stand/fakeep/conn.go
+++ b/stand/fakeep/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // listener counts the connections that it accepts.
@@ -43,7 +44,7 @@
 	if len(e.connections) >= e.opts.Connections {
 		c.refused = true
 		e.violations.Connections++
-		e.note(Event{Kind: KindRefuse, Detail: "too many connections"})
+		e.note(Event{Kind: KindRefuse, Detail: codeOf(errConnections)})
 		return c
 	}
 	e.connections[c] = struct{}{}
@@ -78,6 +79,10 @@
 	return c.Conn.Close()
 }
 
+// lastAnswers is the time for the answers of ended tasks before connections are
+// cut.
+const lastAnswers = time.Second
+
 // Serve serves HTTP on l until ctx ends, then lets running tasks finish for the
 // time Drain of the options and stops the rest.
 func (e *Endpoint) Serve(ctx context.Context, l net.Listener) error {
@@ -94,13 +99,20 @@
 		return Error.Wrap(fmt.Errorf("serve: %w", err))
 	case <-ctx.Done():
 	}
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.opts.Drain)
+	e.shutDown(context.WithoutCancel(ctx), server)
+	<-failed
+	return nil
+}
+
+// shutDown keeps serving while tasks finish, because they need renewals.
+func (e *Endpoint) shutDown(ctx context.Context, server *http.Server) {
+	drain, cancel := context.WithTimeout(ctx, e.opts.Drain)
 	defer cancel()
-	// The answers of tasks that are stopped after the drain are lost.
-	if err := server.Shutdown(drain); err != nil {
+	_ = e.Drain(drain)
+	e.Close()
+	last, cancel := context.WithTimeout(ctx, lastAnswers)
+	defer cancel()
+	if err := server.Shutdown(last); err != nil {
 		_ = server.Close()
 	}
-	<-failed
-	e.Close()
-	return nil
 }
--- a/stand/fakeep/endpoint.go
+++ b/stand/fakeep/endpoint.go
@@ -1,8 +1,9 @@
 package fakeep
 
 import (
-	"context"
 	"fmt"
+	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	ErrFailed = Error.New("task failed")
 	// ErrStopped means that the task was stopped before its end.
 	ErrStopped = Error.New("task stopped")
+	// ErrStopping means that the endpoint shuts down and starts nothing.
+	ErrStopping = Error.New("endpoint is stopping")
 	// ErrInvalid means that a request has a bad parameter.
 	ErrInvalid = Error.New("invalid request")
 )
@@ -51,6 +54,9 @@
 	UsageLag time.Duration
 	// Drain is how long Serve lets running tasks finish on a stop.
 	Drain time.Duration
+	// RecordTo receives each event as one line of JSON at once, so that the
+	// record outlives the process; nil means none.
+	RecordTo io.Writer
 	// Work computes a task's result; nil returns the body.
 	Work func(attempt string, body []byte) []byte
 }
@@ -67,6 +73,7 @@
 	record      []Event
 	violations  Violations
 	history     []usagePoint
+	stopping    bool
 	failTasks   bool
 	slow        time.Duration
 	thawed      chan struct{} // closed unless frozen
@@ -121,7 +128,7 @@
 			Kind:         KindRefuse,
 			Attempt:      spec.Attempt,
 			Accelerators: spec.Accelerators,
-			Detail:       err.Error(),
+			Detail:       codeOf(err),
 		})
 		return nil, Error.Wrap(fmt.Errorf("start %q: %w", spec.Attempt, err))
 	}
@@ -143,6 +150,9 @@
 	if spec.Accelerators < 0 || spec.Run < 0 || spec.Lease < 0 {
 		return fmt.Errorf("%w: negative number", ErrInvalid)
 	}
+	if e.stopping {
+		return ErrStopping
+	}
 	if len(e.running) >= e.opts.Slots {
 		e.violations.Slots++
 		return ErrNoSlot
@@ -176,113 +186,14 @@
 
 // known lists the running and the recently ended tasks by their start.
 func (e *Endpoint) known() []*Task {
-	list := append([]*Task{}, e.recent...)
-	for _, t := range e.running {
-		list = append(list, t)
-	}
+	list := append(e.active(), e.recent...)
 	slices.SortFunc(list, func(a, b *Task) int { return a.run - b.run })
 	return list
 }
 
-// apply calls f on every run of an attempt that has not ended, and lets the run
-// go on from there.
-func (e *Endpoint) apply(attempt string, f func(t *Task)) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	found := false
-	for _, t := range e.running {
-		if t.spec.Attempt != attempt {
-			continue
-		}
-		t.step()
-		if t.state != StateRunning {
-			continue
-		}
-		found = true
-		f(t)
-		t.step()
-	}
-	if !found {
-		return Error.Wrap(fmt.Errorf("find running %q: %w", attempt, ErrNoTask))
-	}
-	return nil
-}
-
-// Renew extends the lease of an attempt from now; 0 means the lease it was started with.
-func (e *Endpoint) Renew(attempt string, lease time.Duration) error {
-	return e.apply(attempt, func(t *Task) {
-		if lease == 0 {
-			lease = t.spec.Lease
-		}
-		// A lease that expired during a freeze is not revived.
-		if time.Now().Before(t.leaseUntil) {
-			t.leaseUntil = time.Now().Add(lease)
-		}
-	})
-}
-
-// Checkpoint records a checkpoint and returns the work done until now.
-func (e *Endpoint) Checkpoint(attempt string) (time.Duration, error) {
-	done := time.Duration(0)
-	err := e.apply(attempt, func(t *Task) {
-		done = t.worked
-		e.note(t.event(KindCheckpoint, done.String()))
-	})
-	return done, err
-}
-
-// Throttle sets the speed of an attempt; 1 is full speed and 0 pauses it.
-func (e *Endpoint) Throttle(attempt string, speed float64) error {
-	if speed < 0 || speed > 1 {
-		return Error.Wrap(fmt.Errorf("throttle %q to %v: %w", attempt, speed, ErrInvalid))
-	}
-	return e.apply(attempt, func(t *Task) {
-		t.speed = speed
-		e.note(t.event(KindThrottle, fmt.Sprint(speed)))
-	})
-}
-
-// Stop ends an attempt now and returns the work it had done.
-func (e *Endpoint) Stop(attempt string) (time.Duration, error) {
-	done := time.Duration(0)
-	err := e.apply(attempt, func(t *Task) {
-		done = t.worked
-		t.stopCause = "stopped by the caller"
-	})
-	return done, err
-}
-
-// Close stops all tasks.
-func (e *Endpoint) Close() {
-	e.Thaw()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, t := range e.running {
-		t.stopCause = "endpoint closed"
-		t.step()
-	}
-}
-
-// Drain waits until no task runs, or until ctx ends.
-func (e *Endpoint) Drain(ctx context.Context) error {
-	for {
-		t := e.anyRunning()
-		if t == nil {
-			return nil
-		}
-		select {
-		case <-t.ended:
-		case <-ctx.Done():
-			return Error.Wrap(fmt.Errorf("drain: %w", ctx.Err()))
-		}
-	}
-}
-
-func (e *Endpoint) anyRunning() *Task {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, t := range e.running {
-		return t
-	}
-	return nil
+// active lists the running tasks by their start.
+func (e *Endpoint) active() []*Task {
+	list := slices.Collect(maps.Values(e.running))
+	slices.SortFunc(list, func(a, b *Task) int { return a.run - b.run })
+	return list
 }
--- a/stand/fakeep/faults.go
+++ b/stand/fakeep/faults.go
@@ -37,7 +37,7 @@
 	}
 	close(e.thawed)
 	e.note(Event{Kind: KindThaw})
-	for _, t := range e.running {
+	for _, t := range e.active() {
 		t.step()
 	}
 }
--- a/stand/fakeep/http.go
+++ b/stand/fakeep/http.go
@@ -32,6 +32,7 @@
 	{ErrNoSlot, http.StatusServiceUnavailable, "no_slot"},
 	{ErrNoAccelerators, http.StatusServiceUnavailable, "no_accelerators"},
 	{errConnections, http.StatusServiceUnavailable, "too_many_connections"},
+	{ErrStopping, http.StatusServiceUnavailable, "stopping"},
 	{ErrNoTask, http.StatusNotFound, "no_task"},
 	{ErrFailed, http.StatusInternalServerError, "task_failed"},
 	{ErrStopped, http.StatusConflict, "task_stopped"},
@@ -173,7 +174,7 @@
 
 // controlReply answers a call that controls a task.
 type controlReply struct {
-	WorkedMS int64 `json:"worked_ms"`
+	WorkedMS int64 `json:"worked_ms,omitempty"`
 }
 
 func control(f func(attempt string, query url.Values) (time.Duration, error)) http.HandlerFunc {
@@ -224,13 +225,25 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
+	writeJSON(w, statusOf(err), errorReply{codeOf(err), err.Error()})
+}
+
+func statusOf(err error) int {
 	for _, f := range failures {
 		if errors.Is(err, f.err) {
-			writeJSON(w, f.status, errorReply{f.code, err.Error()})
-			return
+			return f.status
+		}
+	}
+	return http.StatusInternalServerError
+}
+
+func codeOf(err error) string {
+	for _, f := range failures {
+		if errors.Is(err, f.err) {
+			return f.code
 		}
 	}
-	writeJSON(w, http.StatusInternalServerError, errorReply{"internal", err.Error()})
+	return "internal"
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/stand/fakeep/record.go
+++ b/stand/fakeep/record.go
@@ -1,6 +1,9 @@
 package fakeep
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Kind is the kind of an Event.
 type Kind string
@@ -59,4 +62,8 @@
 	event.Seq = len(e.record) + 1
 	event.Time = time.Now()
 	e.record = append(e.record, event)
+	if e.opts.RecordTo != nil {
+		// A record that can't be written is missed by the test that reads it.
+		_ = json.NewEncoder(e.opts.RecordTo).Encode(event)
+	}
 }
--- a/stand/fakeep/task.go
+++ b/stand/fakeep/task.go
@@ -16,8 +16,12 @@
 	StateStopped = "stopped"
 )
 
-// causeLease is the cause of a stop for want of renewal.
-const causeLease = "lease expired"
+// The causes of a stop, as they stand in lists and in the record.
+const (
+	CauseLease   = "lease_expired"
+	CauseStopped = "stopped"
+	CauseClosed  = "endpoint_closed"
+)
 
 // Task is one run of an attempt.
 type Task struct {
@@ -81,7 +85,7 @@
 	// The lease comes first: after a freeze a task whose lease has passed
 	// must not be reported as done.
 	case lease <= 0:
-		t.finish(StateStopped, causeLease)
+		t.finish(StateStopped, CauseLease)
 	case t.stopCause != "":
 		t.finish(StateStopped, t.stopCause)
 	case t.fail:
