--- a/stand/fakekv/fakekv_test.go
+++ b/stand/fakekv/fakekv_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +158,13 @@
 			LosePrefix:      arg(t, d, "lose_prefix", ""),
 			LoseProbability: float64(arg(t, d, "lose_percent", 0)) / 100,
 		})
+	case "fault_port":
+		method, rest, _ := strings.Cut(d.Input, " ")
+		path, body, _ := strings.Cut(rest, "\n")
+		recorder := httptest.NewRecorder()
+		r := httptest.NewRequest(method, path, strings.NewReader(body))
+		s.server.FaultHandler().ServeHTTP(recorder, r)
+		return recorder.Body.String()
 	case "clear":
 		s.server.ClearFaults()
 	case "lapse":
@@ -195,3 +204,76 @@
 	code, _ := store.CodeOf(err)
 	return code
 }
+
+// Guards against a watch that misses a deletion because it was forgotten.
+func TestWatchAfterManyDeletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		for range 10002 {
+			if _, err := kv.Put(t.Context(), "p/k", nil, 0, 0); err != nil {
+				t.Fatal(err)
+			}
+			if err := kv.Delete(t.Context(), "p/k", store.AnyRevision); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, after := range []int64{0, 1, 3, 20003} {
+			start := time.Now()
+			if _, _, err := kv.Watch(t.Context(), "p/", after, time.Minute); err != nil || time.Since(start) > 0 {
+				t.Errorf("watch after %d returned after %v, %v", after, time.Since(start), err)
+			}
+		}
+	})
+}
+
+// Guards against lost updates of writers that race each other while answers are
+// lost: every token that a writer knows to be written must be there once.
+func TestRacingWriters(t *testing.T) {
+	const writers, tokens = 8, 50
+	kv := fakekv.New()
+	kv.SetFaults(fakekv.Everyone, fakekv.Faults{LoseProbability: 0.2, Seed: 1})
+	var group sync.WaitGroup
+	for w := range writers {
+		group.Go(func() {
+			for n := range tokens {
+				appendToken(t, kv, fmt.Sprintf("%d.%d,", w, n))
+			}
+		})
+	}
+	group.Wait()
+	item, err := kv.Get(t.Context(), "set")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for w := range writers {
+		for n := range tokens {
+			token := fmt.Sprintf(",%d.%d,", w, n)
+			if count := strings.Count(","+strings.ReplaceAll(string(item.Value), ",", ",,"), token); count != 1 {
+				t.Errorf("token %s is there %d times", token, count)
+			}
+		}
+	}
+}
+
+// appendToken adds a token by compare-and-swap; after an unknown outcome it
+// looks whether the token is there.
+func appendToken(t *testing.T, kv store.KV, token string) {
+	for {
+		item, err := kv.Get(t.Context(), "set")
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			t.Error(err)
+			return
+		}
+		if strings.Contains(","+string(item.Value), ","+token) {
+			return
+		}
+		_, err = kv.Put(t.Context(), "set", append(item.Value, token...), item.Revision, 0)
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
+			t.Error(err)
+			return
+		}
+	}
+}
--- a/stand/fakekv/faulthttp.go
+++ b/stand/fakekv/faulthttp.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 )
 
 // faultBody is the JSON form of Faults on the fault port.
@@ -70,5 +72,6 @@
 			Seed:            f.Seed,
 		})
 	}
+	slices.SortFunc(list, func(a, b faultBody) int { return strings.Compare(a.Caller, b.Caller) })
 	return list
 }
