--- a/admit/queue.go
+++ b/admit/queue.go
@@ -149,7 +149,8 @@
 // Return puts an item that was taken, and did not finish, before its
 // customer's other items. It is admitted above the limits, because refusing it
 // would lose an accepted job; the excess is at most the number of running jobs.
-// It returns ErrDuplicate if the id waits already.
+// The charge of Take stays; Correct gives back the unused part. It returns
+// ErrDuplicate if the id waits already.
 func (q *Queue[T]) Return(item Item[T]) error {
 	if _, ok := q.nodes[item.ID]; ok {
 		return ErrDuplicate
