--- /dev/null
+++ b/head/value.go
@@ -0,0 +1,91 @@
+package head
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"catkinpoint/decl"
+	"catkinpoint/wire"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("head")
+
+// Store keys.
+const (
+	headKey     = "head"
+	partPrefix  = "part/"
+	auditPrefix = "audit/"
+)
+
+// bucketCount spreads the set so that a part stays far below the largest value
+// of the store and a small change rewrites a small part.
+const bucketCount = 64
+
+func bucketOf(key decl.Key) int {
+	return int(xxhash.Sum64String(key.Kind+"/"+key.Name) % bucketCount)
+}
+
+func partKey(hash []byte) string {
+	return partPrefix + hex.EncodeToString(hash)
+}
+
+func auditKey(version int64) string {
+	return fmt.Sprintf("%s%012d", auditPrefix, version)
+}
+
+// marshal gives equal messages equal bytes, because hashes are taken of them.
+func marshal(m proto.Message) ([]byte, error) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, Error.Wrap(fmt.Errorf("encode %s: %w", m.ProtoReflect().Descriptor().Name(), err))
+	}
+	return b, nil
+}
+
+func unmarshal(b []byte, m proto.Message) error {
+	if err := proto.Unmarshal(b, m); err != nil {
+		return Error.Wrap(fmt.Errorf("decode %s: %w", m.ProtoReflect().Descriptor().Name(), err))
+	}
+	return nil
+}
+
+func hashOf(b []byte) []byte {
+	sum := sha256.Sum256(b)
+	return sum[:]
+}
+
+// part is the content of one bucket.
+type part struct {
+	hash    []byte
+	objects []*wire.Object
+}
+
+// encodePart returns the part's bytes, or nothing for an empty part.
+func encodePart(objects []*wire.Object) ([]byte, error) {
+	if len(objects) == 0 {
+		return nil, nil
+	}
+	slices.SortFunc(objects, func(a, b *wire.Object) int {
+		return cmp.Or(cmp.Compare(a.GetKind(), b.GetKind()), cmp.Compare(a.GetName(), b.GetName()))
+	})
+	return marshal(&wire.Part{Objects: objects})
+}
+
+func decodePart(hash, b []byte) (part, error) {
+	if !slices.Equal(hashOf(b), hash) {
+		return part{}, Error.New("part %x does not match its hash", hash)
+	}
+	m := &wire.Part{}
+	if err := unmarshal(b, m); err != nil {
+		return part{}, err
+	}
+	return part{hash, m.GetObjects()}, nil
+}
