--- a/head/publish.go
+++ b/head/publish.go
@@ -49,7 +49,7 @@
 type Result struct {
 	// Version that holds the change, or would hold it.
 	Version int64
-	// Repeated is set if the change had been published before this call.
+	// Repeated is set if an earlier call had published the change.
 	Repeated bool
 	// Warnings do not prevent the change; see decl.Warnings.
 	Warnings conf.Faults
@@ -114,7 +114,10 @@
 	// still do so; it was conditional on pendingRevision.
 	pending         bool
 	pendingRevision int64
-	failures        int
+	// uncertain is set once an answer was lost, so that the change found later
+	// counts as this call's own.
+	uncertain bool
+	failures  int
 }
 
 // classify turns the last error of a publication into its outcome.
@@ -201,7 +204,7 @@
 	if !proto.Equal(e.GetChange(), p.change) {
 		return Result{}, backoff.Permanent(conf.Faults{{Key: "id", Text: fmt.Sprintf("version %d was made by another change with the id %s", version, p.change.GetId())}})
 	}
-	return Result{Version: version, Repeated: true}, nil
+	return Result{Version: version, Repeated: !p.uncertain}, nil
 }
 
 func (p *publication) merge(set *decl.Set, h *wire.Head) (*decl.Set, conf.Faults, error) {
@@ -253,7 +256,7 @@
 	case errors.Is(err, store.ErrUnavailable):
 		return p.failed(Error.Wrap(fmt.Errorf("advance head: %w", err)))
 	default:
-		p.pending, p.pendingRevision = true, s.revision
+		p.pending, p.uncertain, p.pendingRevision = true, true, s.revision
 		return p.failed(Error.Wrap(fmt.Errorf("advance head: %w", err)))
 	}
 }
