decl: keep what operators drained when declarations are applied

A declaration file that does not write in_service has its default, true, so applying the same file again after a drain returned the data centre to service. Source.Diff keeps the published in_service and draining_endpoints unless the file writes the key.

--- a/conf/reference.go
+++ b/conf/reference.go
@@ -28,7 +28,8 @@
 object. The header of a section is the kind and the name, as in
 ` + "`[data_centre keila]`" + `. A name has up to 64 letters, digits, hyphens, underscores
 and dots, and begins with a letter or a digit. An object may stand in any file,
-but only once.
+but only once. in_service and draining_endpoints keep their published values
+where a file does not write them, so that applying it does not undo a drain.
 `
 
 // Reference renders the reference page of all settings and declarations.
--- a/decl/diff.go
+++ b/decl/diff.go
@@ -8,9 +8,49 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"catkinpoint/conf"
 	"catkinpoint/wire"
 )
 
+// operating lists fields that operators change with the verbs drain and return.
+var operating = map[string][]protoreflect.Name{
+	"data_centre": {"in_service", "draining_endpoints"},
+}
+
+// Diff returns the operations that turn the objects of base into those of the
+// source. An operating field, such as in_service, keeps its published value
+// unless the source writes its key; otherwise applying the same declarations
+// again would return a drained data centre to service.
+func (src *Source) Diff(base *Set, prune bool) []*wire.Operation {
+	want := make([]*wire.Object, len(src.Objects))
+	for i, o := range src.Objects {
+		want[i] = o
+		key := KeyOf(o)
+		have := base.Get(key)
+		if have == nil || len(operating[key.Kind]) == 0 {
+			continue
+		}
+		want[i] = proto.CloneOf(o)
+		to, from := Body(want[i]).ProtoReflect(), Body(proto.CloneOf(have)).ProtoReflect()
+		for _, name := range operating[key.Kind] {
+			fd := to.Descriptor().Fields().ByName(name)
+			switch {
+			case src.writes(key, string(name)):
+			case from.Has(fd):
+				to.Set(fd, from.Get(fd))
+			default:
+				to.Clear(fd)
+			}
+		}
+	}
+	return Diff(base, want, prune)
+}
+
+// writes reports whether the source gives the key a value in the object's section.
+func (src *Source) writes(key Key, field string) bool {
+	return slices.ContainsFunc(src.origins[key].Keys, func(k conf.Key) bool { return k.Name == field })
+}
+
 // Diff returns the operations that turn the objects of base into the wanted
 // ones, each based on the revision in base. Objects that are not wanted are
 // deleted only if prune is set.
