--- /dev/null
+++ b/verbs/exit.go
@@ -0,0 +1,95 @@
+package verbs
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"catkinpoint/conf"
+	"catkinpoint/oper"
+	"catkinpoint/wire"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("catkinpoint")
+
+// Exit codes.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitUnavailable = 4
+)
+
+// exitError carries the exit code of an error.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the text of the error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error without its code.
+func (e *exitError) Unwrap() error { return e.err }
+
+func exitCode(err error) int {
+	var faults conf.Faults
+	var coded *exitError
+	var refused *apiError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &faults):
+		return exitUsage
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &refused):
+		return refused.exitCode()
+	default:
+		return exitFailed
+	}
+}
+
+// apiError is an answer of the API that is not a success.
+type apiError struct {
+	response *wire.ErrorResponse
+}
+
+func (e *apiError) exitCode() int {
+	switch e.response.GetCode() {
+	case oper.CodeBadRequest, oper.CodeInvalid:
+		return exitUsage
+	case oper.CodeConflict, oper.CodeStale:
+		return exitConflict
+	case oper.CodeUnavailable, oper.CodeContention, oper.CodeOutcomeUnknown:
+		return exitUnavailable
+	default:
+		return exitFailed
+	}
+}
+
+// Error returns the error with one line for each fault.
+func (e *apiError) Error() string {
+	lines := []string{e.response.GetError()}
+	for _, fault := range faultsOf(e.response.GetFaults()) {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+func faultsOf(list []*wire.Fault) conf.Faults {
+	var faults conf.Faults
+	for _, f := range list {
+		faults = append(faults, conf.Fault{File: f.GetFile(), Line: int(f.GetLine()), Section: f.GetSection(), Key: f.GetKey(), Text: f.GetText()})
+	}
+	return faults
+}
+
+// notInForce reports a published version that some processes lack.
+func notInForce(version int64, missing []string) error {
+	return &exitError{code: exitUnavailable, err: fmt.Errorf("version %d is published, but not in force yet at %s", version, strings.Join(missing, ", "))}
+}
--- /dev/null
+++ b/verbs/settings.go
@@ -0,0 +1,18 @@
+package verbs
+
+import (
+	"fmt"
+
+	"catkinpoint/conf"
+)
+
+// Settings is the verb settings.
+type Settings struct{}
+
+// Run prints the reference page.
+func (*Settings) Run(out *Output) error {
+	if _, err := fmt.Fprint(out.Stdout, conf.Reference()); err != nil {
+		return fmt.Errorf("print reference: %w", err)
+	}
+	return nil
+}
