--- a/verbs/agent.go
+++ b/verbs/agent.go
@@ -17,14 +17,14 @@
 	"catkinpoint/wire"
 )
 
-// agentVerb runs the agent beside an endpoint.
-type agentVerb struct {
+// Agent is the verb agent: it runs the agent beside an endpoint.
+type Agent struct {
 	Settings     string        `arg:"" type:"existingfile" help:"Settings file with the sections node and agent."`
 	DrainTimeout time.Duration `default:"24h" help:"Longest wait for running tasks after SIGTERM."`
 }
 
 // Run serves until ctx ends, and then until the worker is drained.
-func (v *agentVerb) Run(ctx context.Context) error {
+func (v *Agent) Run(ctx context.Context) error {
 	settings, err := conf.Load(v.Settings, "node", "agent")
 	if err != nil {
 		return fmt.Errorf("loading settings: %w", err)
--- a/verbs/cli.go
+++ b/verbs/cli.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -10,59 +9,57 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/zeebo/errs"
+	"k8s.io/klog/v2"
 )
 
-// Error is the class of all errors of this package.
-var Error = errs.Class("catkinpoint")
-
-// Exit codes.
-const (
-	exitOK          = 0
-	exitFailed      = 1
-	exitUsage       = 2
-	exitConflict    = 3
-	exitUnavailable = 4
-)
-
-// exitError carries the exit code of an error.
-type exitError struct {
-	code int
-	err  error
+// CLI has one field for each verb.
+type CLI struct {
+	Check    Check    `cmd:"" help:"Check declarations without an entry."`
+	Diff     Diff     `cmd:"" help:"Show what applying declarations would change."`
+	Apply    Apply    `cmd:"" help:"Publish declarations."`
+	Status   Status   `cmd:"" help:"Show the published version and whether it is in force."`
+	Audit    Audit    `cmd:"" help:"Show the audit trail."`
+	Drain    Drain    `cmd:"" help:"Take a data centre or an endpoint out of service."`
+	Return   Return   `cmd:"" help:"Return a data centre or an endpoint to service."`
+	Submit   Submit   `cmd:"" help:"Submit a job and write its result."`
+	Wait     Wait     `cmd:"" help:"Wait for a job and write its result."`
+	Cancel   Cancel   `cmd:"" help:"Cancel a job."`
+	Serve    Serve    `cmd:"" help:"Run an entry."`
+	Agent    Agent    `cmd:"" help:"Run the agent beside an endpoint."`
+	Local    Local    `cmd:"" help:"Run an example of the whole system in this process."`
+	Settings Settings `cmd:"" help:"Print the reference page of settings and declarations."`
 }
 
-// Error returns the text of the error.
-func (e *exitError) Error() string { return e.err.Error() }
-
-// Unwrap returns the error without its code.
-func (e *exitError) Unwrap() error { return e.err }
+// Output is where a verb writes. It is bound for every Run method, beside the
+// standard output as an io.Writer and a context that ends on SIGINT and SIGTERM.
+type Output struct {
+	Stdout io.Writer
+	Stderr io.Writer
+}
 
 // entryFlag names the entry that a verb calls.
 type entryFlag struct {
-	Entry netip.AddrPort `default:"127.0.0.1:7100" placeholder:"IP:PORT" help:"HTTP address of an entry or of the balancer."`
+	Entry netip.AddrPort `env:"CATKINPOINT_ENTRY" default:"127.0.0.1:7100" placeholder:"IP:PORT" help:"HTTP address of an entry or of the balancer."`
 }
 
-type cli struct {
-	Serve  serveVerb  `cmd:"" help:"Run an entry."`
-	Agent  agentVerb  `cmd:"" help:"Run the agent beside an endpoint."`
-	Local  localVerb  `cmd:"" help:"Run an example of the whole system in this process."`
-	Submit submitVerb `cmd:"" help:"Submit a job and write its result."`
-	Wait   waitVerb   `cmd:"" help:"Wait for a job and write its result."`
-	Cancel cancelVerb `cmd:"" help:"Cancel a job."`
-}
-
-// Main runs the command line and returns the exit code.
+// Main parses the arguments without the program's name, runs the verb and
+// returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	var verbs cli
+	defer klog.Flush()
 	code := -1
-	parser, err := kong.New(&verbs, kong.Name("catkinpoint"), kong.Writers(stdout, stderr), kong.Exit(func(c int) { code = c }))
+	parser, err := kong.New(&CLI{},
+		kong.Name("catkinpoint"),
+		kong.Description("Scheduler for multi-accelerator jobs under customer guarantees."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(c int) { code = c }),
+	)
 	if err != nil {
 		fmt.Fprintf(stderr, "catkinpoint: %v\n", err)
 		return exitFailed
 	}
 	parsed, err := parser.Parse(args)
 	if code >= 0 {
-		return code // kong has printed the help
+		return code // the parser has printed the help
 	}
 	if err != nil {
 		fmt.Fprintf(stderr, "catkinpoint: %v\n", err)
@@ -72,13 +69,10 @@
 	defer stop()
 	parsed.BindTo(ctx, (*context.Context)(nil))
 	parsed.BindTo(stdout, (*io.Writer)(nil))
-	if err := parsed.Run(); err != nil {
+	parsed.Bind(&Output{Stdout: stdout, Stderr: stderr})
+	err = parsed.Run()
+	if err != nil {
 		fmt.Fprintf(stderr, "catkinpoint: %v\n", err)
-		var exit *exitError
-		if errors.As(err, &exit) {
-			return exit.code
-		}
-		return exitFailed
 	}
-	return exitOK
+	return exitCode(err)
 }
--- a/verbs/jobs.go
+++ b/verbs/jobs.go
@@ -14,8 +14,8 @@
 	"catkinpoint/entry"
 )
 
-// submitVerb submits a job and writes its result.
-type submitVerb struct {
+// Submit is the verb submit: it submits a job and writes its result.
+type Submit struct {
 	entryFlag
 	Customer  string            `required:"" help:"Customer for whom the job runs."`
 	JobClass  string            `required:"" help:"Class of the job."`
@@ -28,7 +28,7 @@
 }
 
 // Run submits the job.
-func (v *submitVerb) Run(ctx context.Context, out io.Writer) error {
+func (v *Submit) Run(ctx context.Context, out io.Writer) error {
 	query := url.Values{"customer": {v.Customer}, "job_class": {v.JobClass}}
 	setIf(query, "key", v.Key, v.Key != "")
 	setIf(query, "tasks", strconv.Itoa(v.Tasks), v.Tasks > 0)
@@ -53,27 +53,27 @@
 	}
 }
 
-// waitVerb waits for a job and writes its result.
-type waitVerb struct {
+// Wait is the verb wait: it waits for a job and writes its result.
+type Wait struct {
 	entryFlag
 	Job     string        `arg:"" help:"Id of the job."`
 	Timeout time.Duration `default:"10m" help:"Longest wait."`
 }
 
 // Run waits for the job.
-func (v *waitVerb) Run(ctx context.Context, out io.Writer) error {
+func (v *Wait) Run(ctx context.Context, out io.Writer) error {
 	query := url.Values{"wait": {v.Timeout.String()}}
 	return v.callJob(ctx, out, http.MethodGet, "/v1/jobs/"+url.PathEscape(v.Job)+"?"+query.Encode(), nil)
 }
 
-// cancelVerb cancels a job.
-type cancelVerb struct {
+// Cancel is the verb cancel: it cancels a job.
+type Cancel struct {
 	entryFlag
 	Job string `arg:"" help:"Id of the job."`
 }
 
 // Run cancels the job and writes what is then true of it.
-func (v *cancelVerb) Run(ctx context.Context, out io.Writer) error {
+func (v *Cancel) Run(ctx context.Context, out io.Writer) error {
 	return v.callJob(ctx, out, http.MethodDelete, "/v1/jobs/"+url.PathEscape(v.Job), nil)
 }
 
--- a/verbs/local.go
+++ b/verbs/local.go
@@ -7,10 +7,10 @@
 	"catkinpoint/local"
 )
 
-// localVerb runs the built-in example.
-type localVerb struct{}
+// Local is the verb local: it runs the built-in example.
+type Local struct{}
 
 // Run runs the example and prints the outcome of its jobs.
-func (v *localVerb) Run(ctx context.Context, out io.Writer) error {
+func (v *Local) Run(ctx context.Context, out io.Writer) error {
 	return local.Demo(ctx, out)
 }
--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -14,13 +14,13 @@
 	"catkinpoint/store"
 )
 
-// serveVerb runs an entry.
-type serveVerb struct {
+// Serve is the verb serve: it runs an entry.
+type Serve struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file with the sections node and entry."`
 }
 
 // Run serves until ctx ends.
-func (v *serveVerb) Run(ctx context.Context) error {
+func (v *Serve) Run(ctx context.Context) error {
 	settings, err := conf.Load(v.Settings, "node", "entry")
 	if err != nil {
 		return fmt.Errorf("loading settings: %w", err)
