--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"catkinpoint/oper"
 	"catkinpoint/wire"
@@ -39,56 +42,26 @@
 	return c.String(http.StatusOK, "ok\n")
 }
 
-// dutyView is one duty in the status for operators.
-type dutyView struct {
-	DataCentre       string `json:"data_centre"`
-	Holder           string `json:"holder"`
-	Epoch            int64  `json:"epoch"`
-	Ready            bool   `json:"ready"`
-	Workers          int32  `json:"workers"`
-	Accelerators     int32  `json:"accelerators"`
-	FreeAccelerators int32  `json:"free_accelerators"`
-	Queued           int32  `json:"queued"`
-	Running          int32  `json:"running"`
-	AgentVersion     int64  `json:"lowest_agent_version"`
-}
-
 // getStatus describes entries and duties as this entry sees them.
 func (e *Entry) getStatus(c echo.Context) error {
 	v := e.view.Load()
-	body := struct {
-		ID             string     `json:"id"`
-		Version        int64      `json:"version"`
-		StoreReachable bool       `json:"store_reachable"`
-		Entries        []string   `json:"entries"`
-		Duties         []dutyView `json:"duties"`
-	}{
-		ID:             e.opts.ID,
+	status := &wire.SystemStatus{
+		Id:             e.opts.ID,
 		Version:        e.follower.Current().Set.Version(),
 		StoreReachable: e.storeReachable(time.Now()),
-		Entries:        []string{},
-		Duties:         []dutyView{},
-	}
-	for _, registration := range v.entries {
-		body.Entries = append(body.Entries, registration.GetId())
+		Entries:        v.entries,
 	}
 	for _, dc := range e.dataCentres(v) {
-		body.Duties = append(body.Duties, newDutyView(dc, v.duties[dc].Duty, v.load[dc]))
+		duty := &wire.DutyStatus{DataCentre: dc}
+		if load, ok := v.load[dc]; ok {
+			duty = proto.CloneOf(load)
+		}
+		duty.Holder, duty.Epoch = v.duties[dc].GetHolder(), v.duties[dc].GetEpoch()
+		status.Duties = append(status.Duties, duty)
 	}
-	return c.JSON(http.StatusOK, body)
-}
-
-func newDutyView(dc string, d *wire.Duty, load *wire.DutyStatus) dutyView {
-	return dutyView{
-		DataCentre:       dc,
-		Holder:           d.GetHolder(),
-		Epoch:            d.GetEpoch(),
-		Ready:            load.GetReady(),
-		Workers:          load.GetWorkers(),
-		Accelerators:     load.GetAccelerators(),
-		FreeAccelerators: load.GetFreeAccelerators(),
-		Queued:           load.GetQueued(),
-		Running:          load.GetRunning(),
-		AgentVersion:     load.GetLowestAgentVersion(),
+	text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(status)
+	if err != nil {
+		return fmt.Errorf("encoding status: %w", err)
 	}
+	return c.JSONBlob(http.StatusOK, text)
 }
--- a/verbs/jobs.go
+++ b/verbs/jobs.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"catkinpoint/entry"
 )
 
@@ -100,7 +102,7 @@
 	if err != nil {
 		return fmt.Errorf("reading the answer: %w", err)
 	}
-	return &exitError{code: jobExit(response.StatusCode), err: Error.New("%s", bytes.TrimSpace(text))}
+	return &exitError{code: jobExit(response.StatusCode), err: errs.New("%s", bytes.TrimSpace(text))}
 }
 
 func jobExit(status int) int {
--- a/verbs/status.go
+++ b/verbs/status.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"text/tabwriter"
 
+	"google.golang.org/protobuf/encoding/protojson"
+
 	"catkinpoint/decl"
 	"catkinpoint/wire"
 )
@@ -13,22 +16,30 @@
 // Status is the verb status.
 type Status struct {
 	Remote
+	Output string `enum:"text,json" default:"text" help:"Form of the result: text or json."`
 }
 
-// Run prints the published version, the data centres and what lacks the version.
+// Run prints the published version, the data centres with their schedulers, and
+// what lacks the version.
 func (v *Status) Run(ctx context.Context, out *Output) error {
+	system := &wire.SystemStatus{}
+	if err := v.call(ctx, http.MethodGet, "/v1/status", nil, nil, system); err != nil {
+		return fmt.Errorf("read status: %w", err)
+	}
+	if v.Output == "json" {
+		text, err := protojson.MarshalOptions{UseProtoNames: true, Multiline: true, EmitUnpopulated: true}.Marshal(system)
+		if err != nil {
+			return fmt.Errorf("encode status: %w", err)
+		}
+		fmt.Fprintf(out.Stdout, "%s\n", text)
+		return nil
+	}
 	set, _, err := v.fetch(ctx)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out.Stdout, "version %d, %d objects\n", set.Version(), set.Len())
-	table := tabwriter.NewWriter(out.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "data centre\tregion\tin service\tdraining endpoints")
-	for name, dc := range decl.All[*wire.DataCentre](set) {
-		fmt.Fprintf(table, "%s\t%s\t%t\t%s\n", name, dc.GetRegion(), dc.GetInService(), strings.Join(dc.GetDrainingEndpoints(), ", "))
-	}
-	if err := table.Flush(); err != nil {
-		return fmt.Errorf("print table: %w", err)
+	if err := printStatus(out, set, system); err != nil {
+		return err
 	}
 	if set.Version() == 0 {
 		return nil
@@ -43,3 +54,26 @@
 	fmt.Fprintln(out.Stdout, "in force everywhere")
 	return nil
 }
+
+func printStatus(out *Output, set *decl.Set, system *wire.SystemStatus) error {
+	fmt.Fprintf(out.Stdout, "version %d, %d objects, %d entries\n", set.Version(), set.Len(), len(system.GetEntries()))
+	if !system.GetStoreReachable() {
+		fmt.Fprintf(out.Stdout, "entry %s cannot reach the store\n", system.GetId())
+	}
+	duties := make(map[string]*wire.DutyStatus)
+	for _, d := range system.GetDuties() {
+		duties[d.GetDataCentre()] = d
+	}
+	table := tabwriter.NewWriter(out.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "data centre\tregion\tin service\tscheduler\tworkers\tfree accelerators\tqueued\trunning\tdraining endpoints")
+	for name, dc := range decl.All[*wire.DataCentre](set) {
+		d := duties[name]
+		fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%d\t%d of %d\t%d\t%d\t%s\n", name, dc.GetRegion(), dc.GetInService(),
+			d.GetHolder(), d.GetWorkers(), d.GetFreeAccelerators(), d.GetAccelerators(), d.GetQueued(), d.GetRunning(),
+			strings.Join(dc.GetDrainingEndpoints(), ", "))
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("print table: %w", err)
+	}
+	return nil
+}
--- a/verbs/verbs_test.go
+++ b/verbs/verbs_test.go
@@ -39,6 +39,10 @@
 	oper.Mount(e.Group(""), oper.Options{
 		KV: kv, Follower: follower, Confirmer: confirm, Publisher: head.NewPublisher(follower, head.Options{}),
 	})
+	e.GET("/v1/status", func(c echo.Context) error {
+		return c.JSONBlob(http.StatusOK, []byte(`{"id": "entry-0", "store_reachable": true, "entries": [{"id": "entry-0"}],
+			"duties": [{"data_centre": "tartu", "holder": "entry-0", "workers": 2, "accelerators": 16, "free_accelerators": 12, "queued": 3, "running": 1}]}`))
+	})
 	dir := t.TempDir()
 	var cut, race atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
