--- a/verbs/cli.go
+++ b/verbs/cli.go
@@ -24,6 +24,7 @@
 	Submit   Submit   `cmd:"" help:"Submit a job and write its result."`
 	Wait     Wait     `cmd:"" help:"Wait for a job and write its result."`
 	Cancel   Cancel   `cmd:"" help:"Cancel a job."`
+	Load     Load     `cmd:"" help:"Send jobs at a rate and report fates and latencies."`
 	Serve    Serve    `cmd:"" help:"Run an entry."`
 	Agent    Agent    `cmd:"" help:"Run the agent beside an endpoint."`
 	Local    Local    `cmd:"" help:"Run an example of the whole system in this process."`
