decl: leave out the guarantees if their plan was found sound before

A drain changes neither workers nor guarantees, yet the publisher searched a place for every guarantee again, up to several times under contention. Checker remembers the hash of the last sound plan. A property test changes one figure at a time and compares with Check; with any one field left out of the hash it fails within 1,000 cases (go test ./decl -run CheckerSees -rapid.checks=1000).

--- a/decl/capacity_test.go
+++ b/decl/capacity_test.go
@@ -149,6 +149,54 @@
 	return NewSet(1, objects)
 }
 
+// TestCheckerSeesPlanChanges guards against a plan that is taken for one that
+// was checked before. Each step changes one figure of the plan.
+func TestCheckerSeesPlanChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		checker := &Checker{}
+		var figure [18]int64
+		for i := range figure {
+			figure[i] = int64(rapid.IntRange(1, 3).Draw(t, "figure"))
+		}
+		for range 40 {
+			figure[rapid.IntRange(0, len(figure)-1).Draw(t, "which")] = int64(rapid.IntRange(1, 3).Draw(t, "value"))
+			set, inventory := planOf(figure)
+			if have, want := checker.Check(set, inventory).Error(), Check(set, inventory).Error(); have != want {
+				t.Fatalf("%v: want %q, have %q", figure, want, have)
+			}
+		}
+	})
+}
+
+func planOf(f [18]int64) (*Set, Inventory) {
+	names := []string{"d0", "d1"}
+	var objects []*wire.Object
+	for i, name := range names {
+		dc := &wire.DataCentre{
+			Region: "r", InService: f[i] > 1, MayLeave: f[2+i] > 2, Workers: f[4+i],
+			AcceleratorsPerWorker: f[6+i], WorkersPerRack: f[8+i],
+		}
+		objects = append(objects, &wire.Object{Kind: "data_centre", Name: name, Body: &wire.Object_DataCentre{DataCentre: dc}})
+	}
+	g := &wire.Guarantee{
+		Customer: "c", Accelerators: f[10], Count: f[11], ReclaimWithin: "1s",
+		Adjacency: adjacencies[f[12]-1], DataCentres: names[:min(2, f[13])],
+	}
+	service := &wire.Service{Slots: f[14], Connections: 1, DataCentres: names[:min(2, f[15]-1)]}
+	objects = append(objects,
+		&wire.Object{Kind: "guarantee", Name: "g", Body: &wire.Object_Guarantee{Guarantee: g}},
+		&wire.Object{Kind: "service", Name: "s", Body: &wire.Object_Service{Service: service}},
+		&wire.Object{Kind: "customer", Name: "c", Body: &wire.Object_Customer{Customer: &wire.Customer{QueueLimit: 1, Weight: 1}}})
+	inventory := Inventory{}
+	if f[16] > 1 {
+		inventory["d0"] = []Worker{{"r1", int(f[17])}, {fmt.Sprint("r", f[16]-1), 1}}
+	}
+	if f[16] > 1 && f[17] == 3 {
+		inventory["d0"] = nil
+	}
+	return NewSet(1, objects), inventory
+}
+
 func BenchmarkCheck(b *testing.B) {
 	for _, share := range []float64{0.3, 0.7, 1.1} {
 		set := targetSet(share)
@@ -161,4 +209,11 @@
 			b.ReportMetric(float64(faults), "faults")
 		})
 	}
+	set, checker := targetSet(0.7), &Checker{}
+	b.Run("target_size/plan_unchanged", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			checker.Check(set, nil)
+		}
+	})
 }
--- a/decl/check.go
+++ b/decl/check.go
@@ -26,7 +26,12 @@
 // of the guarantees that the workers cannot meet together. A set without
 // faults may be published.
 func Check(s *Set, inventory Inventory) conf.Faults {
-	c := &checker{set: s}
+	return check(s, inventory, false)
+}
+
+// check leaves out the guarantees if their plan is known to be sound.
+func check(s *Set, inventory Inventory, planKnown bool) conf.Faults {
+	c := &checker{set: s, planKnown: planKnown}
 	for o := range s.Objects() {
 		c.checkObject(o)
 	}
@@ -54,12 +59,16 @@
 	sound := &checker{set: c.set.with(c.set.version, drop)}
 	sound.checkQuotas()
 	sound.checkJobClasses(inventory)
-	c.faults = slices.Concat(c.faults, sound.faults, checkGuarantees(sound.set, inventory))
+	c.faults = append(c.faults, sound.faults...)
+	if !c.planKnown || len(drop) > 0 {
+		c.faults = append(c.faults, checkGuarantees(sound.set, inventory)...)
+	}
 }
 
 type checker struct {
-	set    *Set
-	faults conf.Faults
+	set       *Set
+	planKnown bool
+	faults    conf.Faults
 }
 
 func (c *checker) add(key Key, field, format string, args ...any) {
--- a/head/publish.go
+++ b/head/publish.go
@@ -61,6 +61,7 @@
 	cache   *partCache
 	options Options
 	trail   *trail
+	checker decl.Checker
 	turn    chan struct{}
 }
 
@@ -224,7 +225,7 @@
 	if p.options.Inventory != nil {
 		inventory = p.options.Inventory()
 	}
-	if err := decl.Check(next, inventory).Err(); err != nil {
+	if err := p.checker.Check(next, inventory).Err(); err != nil {
 		return nil, nil, err
 	}
 	return next, decl.Warnings(next, inventory), nil
