pipe, fakekv, local: inject faults between processes and stop parts one by one

A test of the whole path needs to cut, silence, freeze and kill single processes and to hold back calls to the store. pipe.Network joins named processes with addresses, fakekv.SetGate sees every call before and after its effect, and local.Process stops, drains and restarts one part. Shape.Net now names the process, because faults lie between processes.

--- a/local/system.go
+++ b/local/system.go
@@ -33,9 +33,10 @@
 	Entries   []netip.AddrPort // HTTP addresses
 	Endpoints []*fakeep.Endpoint
 
-	net    Network
-	group  *errgroup.Group
-	cancel context.CancelFunc
+	net       func(process string) Network
+	group     *errgroup.Group
+	cancel    context.CancelFunc
+	processes map[string]*Process
 }
 
 // Shape says how large a system is.
@@ -47,8 +48,9 @@
 	Declarations []byte
 	// PermitPolicy is strict if it is empty.
 	PermitPolicy entry.PermitPolicy
-	// Net joins the parts; nil means loopback TCP.
-	Net Network
+	// Net returns what joins the named process to the others, anew for each of
+	// its starts; nil means loopback TCP.
+	Net func(process string) Network
 }
 
 // Network opens listeners and connections.
@@ -90,9 +92,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	if shape.Net == nil {
-		shape.Net = loopback{}
+		shape.Net = func(string) Network { return loopback{} }
+	}
+	s := &System{
+		Store:     fakekv.New(),
+		net:       shape.Net,
+		group:     group,
+		cancel:    cancel,
+		processes: make(map[string]*Process),
 	}
-	s := &System{Store: fakekv.New(), net: shape.Net, group: group, cancel: cancel}
 	set := source.Set(0)
 	if err := s.publish(ctx, set); err != nil {
 		cancel()
@@ -155,11 +163,12 @@
 }
 
 func (s *System) startEntry(ctx context.Context, node *wire.Node, policy entry.PermitPolicy) (netip.AddrPort, error) {
-	rpc, rpcAddr, err := s.net.Listen()
+	network := s.net(node.GetId())
+	rpc, rpcAddr, err := network.Listen()
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	web, webAddr, err := s.net.Listen()
+	web, webAddr, err := network.Listen()
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -172,7 +181,7 @@
 		opts.PermitPolicy = policy
 	}
 	opts.Store = store.KV(s.Store.WithCaller(node.GetId()))
-	opts.Dial = s.net.Dial
+	opts.Dial = network.Dial
 	opts.NewPolicy = func() place.Policy { return place.New(place.Options{}) }
 	page, err := meter.New("entry", node.GetId())
 	if err != nil {
@@ -183,31 +192,28 @@
 		return netip.AddrPort{}, fmt.Errorf("starting entry: %w", err)
 	}
 	s.Entries = append(s.Entries, webAddr)
-	s.group.Go(func() error { return e.Run(ctx, entry.Listeners{RPC: rpc, HTTP: web}) })
+	p := &Process{Name: node.GetId(), Entry: e}
+	s.run(ctx, p, func(ctx context.Context) error { return e.Run(ctx, entry.Listeners{RPC: rpc, HTTP: web}) })
 	return rpcAddr, nil
 }
 
 func (s *System) startWorker(ctx context.Context, set *decl.Set, dc string, number int, entries []netip.AddrPort) error {
-	service := firstService(set, dc)
-	endpointListener, endpointAddr, err := s.net.Listen()
+	worker := fmt.Sprintf("%s-%02d", dc, number)
+	listener, addr, err := s.net(EndpointOf(worker)).Listen()
 	if err != nil {
 		return err
 	}
 	endpoint := fakeep.New(fakeep.Options{Slots: slots, Connections: connections, Accelerators: accelerators})
 	s.Endpoints = append(s.Endpoints, endpoint)
-	s.group.Go(func() error { return endpoint.Serve(ctx, endpointListener) })
-	listener, addr, err := s.net.Listen()
-	if err != nil {
-		return err
-	}
-	a, err := agent.New(agent.Options{
-		Worker:       fmt.Sprintf("%s-%02d", dc, number),
+	p := &Process{Name: EndpointOf(worker), Endpoint: endpoint}
+	s.run(ctx, p, func(ctx context.Context) error { return endpoint.Serve(ctx, listener) })
+	return s.startAgent(ctx, agent.Options{
+		Worker:       worker,
 		Rack:         fmt.Sprintf("%s-rack-%d", dc, number/workersPerRack),
 		DataCentre:   dc,
-		Service:      service,
-		Address:      addr,
+		Service:      firstService(set, dc),
 		Entries:      entries,
-		Endpoint:     endpointAddr,
+		Endpoint:     addr,
 		Accelerators: accelerators,
 		Slots:        slots,
 		Connections:  connections,
@@ -215,13 +221,7 @@
 		TaskLease:    3 * time.Second,
 		PermitAge:    3 * time.Second,
 		Timers:       gang.DefaultTimers(),
-		Dial:         s.net.Dial,
 	})
-	if err != nil {
-		return fmt.Errorf("starting agent: %w", err)
-	}
-	s.group.Go(func() error { return a.Run(ctx, listener) })
-	return nil
 }
 
 // firstService names a service that the data centre runs.
--- a/stand/fakekv/server.go
+++ b/stand/fakekv/server.go
@@ -33,6 +33,39 @@
 	state  *state
 	faults map[string]*faultState
 	counts map[string]*Counts
+	gate   Gate
+}
+
+// Call is one call as a Gate sees it.
+type Call struct {
+	Caller string
+	Op     string
+	Key    string // or the prefix of a list
+	// Took is set when the call has taken effect and is about to be answered.
+	Took bool
+}
+
+// Gate is called before each call, and again before its answer if it took
+// effect. It may block, and an error takes the place of the answer.
+type Gate func(ctx context.Context, call Call) error
+
+// SetGate makes all calls pass gate; nil removes it.
+func (s *Server) SetGate(gate Gate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate = gate
+}
+
+// pass lets the gate hold the call back or fail it.
+func (s *Server) pass(ctx context.Context, call Call) error {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate == nil {
+		return nil
+	}
+	call.Caller = s.caller
+	return gate(ctx, call)
 }
 
 // New returns an empty service without faults, seen by a caller without name.
@@ -179,6 +212,9 @@
 
 // read carries out f under the lock, after the delay of the faults.
 func (s *Server) read(ctx context.Context, op, key string, f func()) error {
+	if err := s.pass(ctx, Call{Op: op, Key: key}); err != nil {
+		return fail(op, key, fmt.Errorf("%w: %w", store.ErrUnavailable, err))
+	}
 	delay, err := s.arrive(op, false)
 	if err != nil {
 		return fail(op, key, err)
@@ -187,14 +223,20 @@
 		return fail(op, key, fmt.Errorf("%w: %w", store.ErrUnavailable, err))
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	f()
+	s.mu.Unlock()
+	if err := s.pass(ctx, Call{Op: op, Key: key, Took: true}); err != nil {
+		return fail(op, key, fmt.Errorf("%w: %w", store.ErrUnavailable, err))
+	}
 	return nil
 }
 
 // write carries out f under the lock, after the delay of the faults. If the
 // caller gives up meanwhile, f is carried out nevertheless.
 func (s *Server) write(ctx context.Context, op, key string, f func() error) error {
+	if err := s.pass(ctx, Call{Op: op, Key: key}); err != nil {
+		return fail(op, key, fmt.Errorf("%w: %w", store.ErrUnavailable, err))
+	}
 	delay, err := s.arrive(op, true)
 	if err != nil {
 		return fail(op, key, err)
@@ -209,14 +251,18 @@
 		return fail(op, key, fmt.Errorf("%w: %w", store.ErrUnknown, err))
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	err = f()
-	if s.loses(key, err == nil) {
-		return fail(op, key, fmt.Errorf("%w: answer lost", store.ErrUnknown))
-	}
-	if err != nil {
+	lost := s.loses(key, err == nil)
+	s.mu.Unlock()
+	if err != nil && !lost {
 		return fail(op, key, err)
 	}
+	if err := s.pass(ctx, Call{Op: op, Key: key, Took: err == nil}); err != nil {
+		return fail(op, key, fmt.Errorf("%w: %w", store.ErrUnknown, err))
+	}
+	if lost {
+		return fail(op, key, fmt.Errorf("%w: answer lost", store.ErrUnknown))
+	}
 	return nil
 }
 
