--- a/agent/agent.go
+++ b/agent/agent.go
@@ -162,3 +162,9 @@
 		return true
 	}
 }
+
+// Hold keeps the control goroutine busy until the channel is closed, as a
+// paused process would; tests of freezes use it.
+func (a *Agent) Hold(until <-chan struct{}) {
+	a.control.Post(func(*state) { <-until })
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -207,3 +207,11 @@
 		return true
 	}
 }
+
+// Hold keeps the control goroutines of all duties busy until the channel is
+// closed, as a paused process would; tests of freezes use it.
+func (e *Entry) Hold(until <-chan struct{}) {
+	for _, s := range e.host.All() {
+		s.Hold(until)
+	}
+}
--- a/local/process.go
+++ b/local/process.go
@@ -28,13 +28,19 @@
 
 // Process returns the latest run of a part, or nil. Entries are named entry-0,
 // entry-1 and so on, agents after their workers.
-func (s *System) Process(name string) *Process { return s.processes[name] }
+func (s *System) Process(name string) *Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes[name]
+}
 
 // run starts a part that ends with ctx or with its own Stop.
 func (s *System) run(ctx context.Context, p *Process, serve func(ctx context.Context) error) {
 	ctx, p.cancel = context.WithCancel(ctx)
 	p.done = make(chan struct{})
+	s.mu.Lock()
 	s.processes[p.Name] = p
+	s.mu.Unlock()
 	s.group.Go(func() error {
 		defer close(p.done)
 		return serve(ctx)
@@ -74,11 +80,11 @@
 }
 
 // RestartAgent starts the agent of a worker anew, without memory of its earlier run.
-func (s *System) RestartAgent(ctx context.Context, worker string) error {
-	old, ok := s.processes[worker]
-	if !ok || old.Agent == nil {
+func (s *System) RestartAgent(worker string) error {
+	old := s.Process(worker)
+	if old == nil || old.Agent == nil {
 		return Error.New("no agent is named %s", worker)
 	}
 	old.cancel()
-	return s.startAgent(ctx, old.options)
+	return s.startAgent(s.life, old.options)
 }
--- a/local/system.go
+++ b/local/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -36,7 +37,9 @@
 	net       func(process string) Network
 	group     *errgroup.Group
 	cancel    context.CancelFunc
-	processes map[string]*Process
+	life      context.Context // ends with Stop
+	mu        sync.Mutex
+	processes map[string]*Process // the latest run of each
 }
 
 // Shape says how large a system is.
@@ -99,6 +102,7 @@
 		net:       shape.Net,
 		group:     group,
 		cancel:    cancel,
+		life:      ctx,
 		processes: make(map[string]*Process),
 	}
 	set := source.Set(0)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -148,3 +148,9 @@
 
 // DataCentre is the data centre of the duty.
 func (s *Scheduler) DataCentre() string { return s.opts.DataCentre }
+
+// Hold keeps the control goroutine busy until the channel is closed, as a
+// paused process would; tests of freezes use it.
+func (s *Scheduler) Hold(until <-chan struct{}) {
+	s.post(func(*control) { <-until })
+}
--- a/stand/pipe/conn.go
+++ b/stand/pipe/conn.go
@@ -15,6 +15,7 @@
 	peer          *hostConn
 	local, remote netip.AddrPort
 	queue         []segment // on its way to this end
+	lastDue       time.Time // of what this end sent
 	closed        bool      // by this end
 	reset         bool
 	silent        bool
@@ -152,7 +153,11 @@
 	case c.silent:
 		return true, nil
 	}
-	due := time.Now().Add(c.host.network.Delay)
+	due := time.Now().Add(c.host.network.Delay(c.host.name, c.peer.host.name))
+	if due.Before(c.lastDue) {
+		due = c.lastDue
+	}
+	c.lastDue = due
 	c.peer.queue = append(c.peer.queue, segment{due, append([]byte(nil), p...)})
 	c.peer.wake()
 	return true, nil
--- a/stand/pipe/network.go
+++ b/stand/pipe/network.go
@@ -13,8 +13,9 @@
 // them. Its zero value is not usable; New connections and listeners belong to a
 // Host, which is one run of a process.
 type Network struct {
-	// Delay is the time that every byte takes to its receiver.
-	Delay time.Duration
+	// Delay is the time that bytes take from one process to another; within a
+	// connection they stay in order.
+	Delay func(from, to string) time.Duration
 	// Watch is called with what a process is about to send; it must not block.
 	Watch func(from, to string, data []byte)
 
@@ -28,7 +29,7 @@
 }
 
 // NewNetwork returns a network without processes.
-func NewNetwork(delay time.Duration) *Network {
+func NewNetwork(delay func(from, to string) time.Duration) *Network {
 	return &Network{
 		Delay:     delay,
 		hosts:     make(map[string]*Host),
