--- a/stand/pipe/conn.go
+++ b/stand/pipe/conn.go
@@ -28,6 +28,7 @@
 // segment is what one write sent.
 type segment struct {
 	due  time.Time
+	held bool // sent in a freeze, so it leaves only after its end
 	data []byte
 }
 
@@ -82,6 +83,9 @@
 	}
 	if len(c.queue) > 0 {
 		first := &c.queue[0]
+		if first.held && c.peer.host.frozen {
+			return 0, deadline, nil
+		}
 		if wait := first.due.Sub(now); wait > 0 {
 			if deadline > 0 {
 				wait = min(wait, deadline)
@@ -118,49 +122,34 @@
 	}
 }
 
-// Write implements net.Conn; the buffer of the connection has no limit.
+// Write implements net.Conn. It never blocks: the buffer has no limit, and what
+// a frozen process writes waits there. A blocked writer would hold locks, and
+// testing/synctest does not let time pass while a goroutine waits for a lock.
 func (c *hostConn) Write(p []byte) (int, error) {
 	n := c.host.network
 	if n.Watch != nil {
 		n.Watch(c.host.name, c.peer.host.name, p)
 	}
-	for {
-		n.mu.Lock()
-		sent, err := c.tryWrite(p)
-		woken, changed := c.woken, n.changed
-		n.mu.Unlock()
-		if err != nil {
-			return 0, err
-		}
-		if sent {
-			return len(p), nil
-		}
-		pause(0, woken, changed)
-	}
-}
-
-// tryWrite sends p, or reports false while the process is frozen.
-func (c *hostConn) tryWrite(p []byte) (bool, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	switch {
 	case c.closed:
-		return false, c.fail("write", net.ErrClosed)
+		return 0, c.fail("write", net.ErrClosed)
 	case c.reset, c.host.dead, c.peer.closed && !c.silent:
-		return false, c.fail("write", syscall.ECONNRESET)
-	case c.host.frozen:
-		return false, nil
+		return 0, c.fail("write", syscall.ECONNRESET)
 	case !c.writeUntil.IsZero() && !time.Now().Before(c.writeUntil):
-		return false, c.fail("write", os.ErrDeadlineExceeded)
+		return 0, c.fail("write", os.ErrDeadlineExceeded)
 	case c.silent:
-		return true, nil
+		return len(p), nil
 	}
-	due := time.Now().Add(c.host.network.Delay(c.host.name, c.peer.host.name))
+	due := time.Now().Add(n.Delay(c.host.name, c.peer.host.name))
 	if due.Before(c.lastDue) {
 		due = c.lastDue
 	}
 	c.lastDue = due
-	c.peer.queue = append(c.peer.queue, segment{due, append([]byte(nil), p...)})
+	c.peer.queue = append(c.peer.queue, segment{due, c.host.frozen, append([]byte(nil), p...)})
 	c.peer.wake()
-	return true, nil
+	return len(p), nil
 }
 
 // Close implements net.Conn.
