--- a/agent/state.go
+++ b/agent/state.go
@@ -46,8 +46,10 @@
 	permit   permit.Permit
 	ready    bool // the endpoint was cleared of earlier tasks
 	draining bool
-	tasks    map[string]*task
-	sequence int64
+	// drainedFrom is when the drain began.
+	drainedFrom time.Time
+	tasks       map[string]*task
+	sequence    int64
 }
 
 // usage counts what prepared and running attempts hold.
@@ -87,8 +89,8 @@
 		}
 		status.RunMs = end.Sub(t.launchedAt).Milliseconds()
 	}
-	if withResult {
-		status.Result = t.result
+	if withResult && t.member.State == wire.TaskState_TASK_DONE && !t.settled {
+		status.HasResult, status.Result = true, t.result
 	}
 	return status
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
+	"catkinpoint/oper"
 	"catkinpoint/wire"
 )
 
@@ -19,6 +20,12 @@
 	server.GET("/v1/jobs/:id", e.getJob)
 	server.DELETE("/v1/jobs/:id", e.deleteJob)
 	server.GET("/v1/status", e.getStatus)
+	oper.Mount(server.Group(""), oper.Options{
+		KV:        e.opts.Store,
+		Follower:  e.follower,
+		Publisher: e.publisher,
+		Confirmer: e,
+	})
 	server.GET("/metrics", echo.WrapHandler(e.meter.Handler()))
 	server.GET("/healthz", e.getHealth)
 	return server
--- a/head/race_test.go
+++ b/head/race_test.go
@@ -48,6 +48,12 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var watchers, group sync.WaitGroup
 	watchers.Go(func() { watchVersions(ctx, t, kv) })
+	watchers.Go(func() {
+		for ctx.Err() == nil {
+			Sweep(ctx, kv)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
 	accepted, rejected := sync.Map{}, sync.Map{}
 	for w := range writers {
 		group.Go(func() {
@@ -57,10 +63,14 @@
 			for n := range changes {
 				id := fmt.Sprintf("w%d-%d", w, n)
 				for f.Poll(ctx) != nil {
+					time.Sleep(time.Millisecond)
 				}
 				change := putCustomer(f.Current().Set, id, fmt.Sprint("c", rng.IntN(12)), int64(1+rng.IntN(90000)))
 				result, err := p.Publish(ctx, change, false)
-				for errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrUnavailable) || errors.Is(err, ErrContention) {
+				for range 20 {
+					if !errors.Is(err, store.ErrUnknown) && !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, ErrContention) {
+						break
+					}
 					result, err = p.Publish(ctx, change, false)
 				}
 				if conflict := new(decl.ConflictError); errors.As(err, &conflict) {
--- a/sched/control.go
+++ b/sched/control.go
@@ -24,6 +24,10 @@
 
 	customersVersion int64 // of the configuration that the queue follows
 
+	guarantees        []place.Guarantee
+	guaranteesKnown   bool
+	guaranteesVersion int64 // of the configuration that the guarantees follow
+
 	learner     *place.Learner
 	health      *place.Health
 	reservation *place.Reservation
@@ -92,6 +96,7 @@
 	coord     *gang.Coordinator
 	members   []*wire.Member
 	results   [][]byte
+	received  []bool          // whether the result of the member is here
 	saved     []time.Duration // checkpoint of each member
 	placed    time.Time
 	started   time.Time
@@ -110,6 +115,8 @@
 	worker  string
 	seen    time.Time
 	checked bool // its job record was looked up
+	// stopping is set while a Stop is on its way, because its job is served elsewhere.
+	stopping bool
 }
 
 func newControl(now time.Time, limits Limits) *control {
