--- a/entry/duty.go
+++ b/entry/duty.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,7 +19,9 @@
 // duties takes and leaves the scheduling duties of this entry.
 type duties struct {
 	entry *Entry
-	mu    sync.Mutex
+	// turn is a lock that is held during calls to the store; it is a channel so
+	// that testing/synctest lets time pass while others wait for it.
+	turn  chan struct{}
 	lease *store.LeaseKeeper // nil without a valid registration
 	held  map[string]*heldDuty
 	// missing counts the refreshes in which nobody held a duty.
@@ -36,19 +37,19 @@
 }
 
 func newDuties(e *Entry) *duties {
-	return &duties{entry: e, held: make(map[string]*heldDuty), missing: make(map[string]int)}
+	return &duties{entry: e, turn: make(chan struct{}, 1), held: make(map[string]*heldDuty), missing: make(map[string]int)}
 }
 
 func (d *duties) setLease(lease *store.LeaseKeeper) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.turn <- struct{}{}
+	defer func() { <-d.turn }()
 	d.lease = lease
 }
 
 // update compares the duties held with what the store says.
 func (d *duties) update(ctx context.Context, v *view) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.turn <- struct{}{}
+	defer func() { <-d.turn }()
 	if d.closed {
 		return
 	}
@@ -172,8 +173,8 @@
 
 // close gives all duties back, so that other entries take them at once.
 func (d *duties) close(ctx context.Context) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.turn <- struct{}{}
+	defer func() { <-d.turn }()
 	d.closed = true
 	for dc := range d.held {
 		d.drop(dc)
--- a/head/follow.go
+++ b/head/follow.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,16 +23,18 @@
 
 // Follower keeps the newest published set of one process.
 type Follower struct {
-	kv      store.KV
-	cache   partCache
-	polling sync.Mutex
+	kv    store.KV
+	cache partCache
+	// polling is a lock that is held during reads; it is a channel so that
+	// testing/synctest lets time pass while others wait for it.
+	polling chan struct{}
 	raw     []byte
 	current atomic.Pointer[Snapshot]
 }
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(kv store.KV) *Follower {
-	f := &Follower{kv: kv}
+	f := &Follower{kv: kv, polling: make(chan struct{}, 1)}
 	f.current.Store(&Snapshot{Set: &decl.Set{}, Head: &wire.Head{}})
 	return f
 }
@@ -46,8 +47,8 @@
 // Poll reads the head and loads the parts that differ. On an error the present
 // snapshot stays as it is, with its age.
 func (f *Follower) Poll(ctx context.Context) error {
-	f.polling.Lock()
-	defer f.polling.Unlock()
+	f.polling <- struct{}{}
+	defer func() { <-f.polling }()
 	err := f.poll(ctx)
 	if errors.Is(err, store.ErrNotFound) {
 		// A part may be swept between the reads of an old head and of the part.
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -17,6 +17,12 @@
 	flag.Parse()
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
+	if os.Getenv("MATRIX_LOG") != "" {
+		var flags flag.FlagSet
+		klog.InitFlags(&flags)
+		_ = flags.Set("v", os.Getenv("MATRIX_LOG"))
+		_ = flags.Set("logtostderr", "true")
+	}
 	os.Exit(m.Run())
 }
 
@@ -63,6 +69,14 @@
 					if !r.Reached {
 						t.Errorf("the step was not reached")
 					}
+					if os.Getenv("MATRIX_LOG") != "" {
+						for _, p := range r.list {
+							t.Logf("%s-%d %s from %s to %s %s", p.attempt, p.rank, p.worker, r.at(p.start), r.at(p.end), p.how)
+						}
+						for _, told := range r.script.told {
+							t.Logf("%s %s %s broken %d refused %v, %s to %s: %.150q", told.Title, told.Job, told.Fate, told.Broken, told.Refused, r.at(told.Sent), r.at(told.Final), told.Result)
+						}
+					}
 					for promise, list := range r.Breaches {
 						t.Errorf("%s: %s", promise, strings.Join(list[:min(3, len(list))], "; "))
 					}
--- a/matrix/script.go
+++ b/matrix/script.go
@@ -60,7 +60,7 @@
 const (
 	cancelAt    = 2 * time.Second
 	fillAt      = 8 * time.Second
-	fillers     = 7
+	fillers     = 9
 	urgentAt    = 11 * time.Second
 	publishAt   = 14 * time.Second
 	leaveAt     = 16 * time.Second
@@ -69,6 +69,8 @@
 	trickleEnd  = 32 * time.Second
 	trickleGap  = 400 * time.Millisecond
 	watchGap    = 250 * time.Millisecond
+	// drainPatience is above the run time of all work.
+	drainPatience = time.Minute
 )
 
 // play gives the whole work to the system and returns when all callers and
@@ -281,6 +283,11 @@
 		}
 	}
 	s.drainedAt = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, drainPatience)
+	s.group.Go(func() {
+		time.Sleep(drainPatience)
+		cancel()
+	})
 	if s.twice {
 		s.group.Go(func() { _ = s.world.System.Process(s.drained).Agent.Drain(ctx) })
 	}
