gang: date a member's lease by the last time the whole gang was alive

The explorer found a gang member running alone for longer than the task lease after a single fault: the leader's agent died just after it had renewed its own endpoint's lease, while the other member had not been released yet. With two faults (a member, then the leader) the times of silence added up.

Monitor.Heard gives the latest time at which every unfinished member was alive; Member.Renewal gives the lease that counts from it. Both are additions. A monitor that hears from a running member before it has released the gang now breaks it: its agent restarted without memory of the gang.

--- a/gang/member.go
+++ b/gang/member.go
@@ -34,6 +34,8 @@
 	Single     bool
 	PreparedAt time.Time
 	JoinedAt   time.Time
+	// LeaderSeen is when the answered ping was sent or, if the answer carries
+	// it, the time of Monitor.Heard; MemberGo and MemberLeaderSeen set it.
 	LeaderSeen time.Time
 }
 
@@ -77,6 +79,16 @@
 	return false
 }
 
+// Renewal returns for how long the endpoint may run the task without a further
+// renewal. The lease of a gang's task counts from LeaderSeen, so that a member
+// whose agent dies after a renewal still stops with the rest of the gang.
+func (m Member) Renewal(now time.Time, lease time.Duration) time.Duration {
+	if m.Single {
+		return lease
+	}
+	return max(0, m.LeaderSeen.Add(lease).Sub(now))
+}
+
 // Step returns the member after the event, and what the agent does now.
 func (m Member) Step(e MemberEvent, now time.Time, t Timers) (Member, MemberEffect) {
 	switch m.State {
@@ -123,6 +135,13 @@
 	return m, MemberNone
 }
 
+// see keeps the latest time, because answers may be reordered.
+func (m *Member) see(now time.Time) {
+	if now.After(m.LeaderSeen) {
+		m.LeaderSeen = now
+	}
+}
+
 func (m Member) launch(single bool) (Member, MemberEffect) {
 	m.State, m.Started, m.Single = wire.TaskState_TASK_RUNNING, true, single
 	return m, MemberLaunch
@@ -134,7 +153,7 @@
 		m.LeaderSeen = now
 		return m.launch(false)
 	case MemberLeaderSeen:
-		m.LeaderSeen = now
+		m.see(now)
 	case MemberStop, MemberBroken, MemberNoPermit:
 		m.State = wire.TaskState_TASK_REFUSED
 	case MemberTick:
@@ -159,7 +178,7 @@
 		// The endpoint stopped the task by itself when its lease ran out.
 		m.State = wire.TaskState_TASK_STOPPED
 	case MemberLeaderSeen, MemberGo:
-		m.LeaderSeen = now
+		m.see(now)
 	case MemberStop, MemberBroken:
 		return m.kill()
 	case MemberTick:
--- a/gang/monitor.go
+++ b/gang/monitor.go
@@ -42,6 +42,10 @@
 	case wire.TaskState_TASK_WAITING:
 		member.joined, member.permitEnd = true, now.Add(permitLeft)
 	case wire.TaskState_TASK_RUNNING:
+		if !m.Released {
+			// Another monitor released it: this agent restarted without memory.
+			m.breakGang(fmt.Sprintf("task %d runs, but this leader did not release it", rank))
+		}
 		member.joined = true
 	case wire.TaskState_TASK_DONE:
 		member.joined, member.finished = true, true
@@ -64,6 +68,22 @@
 	}
 }
 
+// Heard returns the latest time at which every unfinished member of a released
+// gang was known to be alive. A member that dates MemberGo and MemberLeaderSeen
+// by it stops in time even if the leader is lost after another member.
+func (m *Monitor) Heard(now time.Time) time.Time {
+	heard := now
+	if !m.Released {
+		return heard
+	}
+	for _, member := range m.members {
+		if !member.finished && member.seen.Before(heard) {
+			heard = member.seen
+		}
+	}
+	return heard
+}
+
 // Finished says whether every member has finished.
 func (m *Monitor) Finished() bool {
 	for _, member := range m.members {
--- /dev/null
+++ b/gang/monitor_test.go
@@ -0,0 +1,84 @@
+package gang
+
+import (
+	"testing"
+	"time"
+
+	"catkinpoint/wire"
+)
+
+const (
+	waiting = wire.TaskState_TASK_WAITING
+	running = wire.TaskState_TASK_RUNNING
+	done    = wire.TaskState_TASK_DONE
+)
+
+type joinEvent struct {
+	at    time.Duration
+	rank  int
+	state wire.TaskState
+	left  time.Duration // permit
+}
+
+func TestMonitor(t *testing.T) {
+	both := []joinEvent{{0, 0, waiting, 3 * time.Second}, {time.Second, 1, waiting, 3 * time.Second}}
+	tests := []struct {
+		name     string
+		joins    []joinEvent
+		now      time.Duration
+		released bool
+		broken   bool
+		heard    time.Duration
+	}{
+		{"released when all have joined", both, time.Second, true, false, 0},
+		{"one member missing", both[:1], time.Second, false, false, time.Second},
+		// A released gang would start a member whose permit runs out at once.
+		{"permit about to end", []joinEvent{{0, 0, waiting, 1500 * time.Millisecond}, both[1]}, time.Second, false, false, time.Second},
+		{"barrier late", []joinEvent{both[0], {5 * time.Second, 1, waiting, 3 * time.Second}}, 5 * time.Second, false, true, 5 * time.Second},
+		{"silent member", append(both, joinEvent{1900 * time.Millisecond, 1, running, 0}), 2 * time.Second, true, true, 0},
+		{"finished members may be silent", append(both, joinEvent{time.Second, 0, done, 0}), 2900 * time.Millisecond, true, false, time.Second},
+		{"failed member", append(both, joinEvent{time.Second, 1, wire.TaskState_TASK_FAILED, 0}), time.Second, true, true, 0},
+		// A leader that restarted without memory would have let the other
+		// members run on until the barrier's timeout.
+		{"running member at a new monitor", []joinEvent{{0, 1, running, 0}}, 0, false, true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := NewMonitor(2, epoch0)
+			for _, j := range test.joins {
+				m.Join(j.rank, j.state, j.left, epoch0.Add(j.at), DefaultTimers())
+			}
+			now := epoch0.Add(test.now)
+			m.Tick(now, DefaultTimers())
+			if m.Released != test.released || (m.Broken != "") != test.broken {
+				t.Errorf("released %v, broken %q; want %v, %v", m.Released, m.Broken, test.released, test.broken)
+			}
+			if heard := m.Heard(now).Sub(epoch0); heard != test.heard {
+				t.Errorf("heard %v, want %v", heard, test.heard)
+			}
+		})
+	}
+}
+
+// A lease that counted from its renewal let a member run on alone after its
+// agent had died.
+func TestRenewalCountsFromLeaderSeen(t *testing.T) {
+	now := epoch0.Add(1500 * time.Millisecond)
+	m := Member{State: running, LeaderSeen: epoch0}
+	if got := m.Renewal(now, 3*time.Second); got != 1500*time.Millisecond {
+		t.Errorf("gang member: %v, want 1.5s", got)
+	}
+	m.Single = true
+	if got := m.Renewal(now, 3*time.Second); got != 3*time.Second {
+		t.Errorf("single task: %v, want 3s", got)
+	}
+}
+
+// A reordered answer must not set the time of the leader's last answer back.
+func TestLeaderSeenNeverDecreases(t *testing.T) {
+	m := Member{State: running, LeaderSeen: epoch0}
+	m, _ = m.Step(MemberLeaderSeen, epoch0.Add(-time.Second), DefaultTimers())
+	if !m.LeaderSeen.Equal(epoch0) {
+		t.Errorf("leader seen %v, want %v", m.LeaderSeen, epoch0)
+	}
+}
