--- a/gang/model_agent_test.go
+++ b/gang/model_agent_test.go
@@ -1,6 +1,10 @@
 package gang
 
-import "catkinpoint/wire"
+import (
+	"time"
+
+	"catkinpoint/wire"
+)
 
 const (
 	stateAbsent  = uint8(wire.TaskState_TASK_ABSENT)
@@ -22,9 +26,6 @@
 		m.launching = true
 	case MemberJoin:
 		m.joining = true
-		if b.mutation == noBarrier {
-			b.feed(w, rank, attempt, MemberGo, 0)
-		}
 	case MemberKill:
 		if m.launching { // the endpoint was not told yet
 			m.launching = false
@@ -40,6 +41,9 @@
 	if m.scheduler+1 < a.epoch && b.mutation != noEpochFencing {
 		return // see "learn epoch"
 	}
+	if m.scheduler+1 < a.epoch {
+		b.violate(w, fencedOff)
+	}
 	a.epoch = max(a.epoch, m.scheduler+1)
 	wrongBoot := m.boot != a.boot && b.mutation != noBootCheckAtAgent
 	switch {
@@ -88,19 +92,25 @@
 		b.feed(w, rank, attempt, MemberNoPermit, 0)
 		return
 	}
+	if a.permitLeft == 0 {
+		b.violate(w, permitAtStart)
+	}
 	b.judgeStart(w, rank, attempt)
-	a.task, a.taskOwner, a.lease = endpointRunning, attempt, b.lease
+	a.task, a.taskOwner, a.lease = endpointRunning, attempt, b.renewal(&a.members[attempt])
+	if a.lease == 0 {
+		a.task = endpointExpired
+	}
 }
 
 func (b *bounds) judgeStart(w *world, rank, attempt uint8) {
 	if w.agents[rank].task == endpointRunning {
-		w.violate(oneHolder)
+		b.violate(w, oneHolder)
 	}
 	if b.recorded && !w.committed[attempt] {
-		w.violate(commitBeforeStart)
+		b.violate(w, commitBeforeStart)
 	}
 	if w.refused[attempt][rank] {
-		w.violate(refusedStays)
+		b.violate(w, refusedStays)
 	}
 	w.starts[attempt][rank] = min(w.starts[attempt][rank]+1, 2)
 	total := uint8(0)
@@ -108,7 +118,7 @@
 		total += w.starts[i][rank]
 	}
 	if !b.idempotent && total > 1 {
-		w.violate(atMostOnce)
+		b.violate(w, atMostOnce)
 	}
 }
 
@@ -191,12 +201,15 @@
 		if own != wire.TaskState_TASK_PREPARED && own != wire.TaskState_TASK_WAITING {
 			return false, true, 0 // an agent without memory of the attempt cannot lead it
 		}
-		*s = monitorState{exists: true}
+		*s = monitorState{exists: true, released: b.mutation == noBarrier}
 	}
 	monitor := b.monitor(s)
 	monitor.Join(int(m.rank), wire.TaskState(m.state), b.at(0).Sub(b.at(m.revision)), b.at(0), b.timers)
 	b.keepMonitor(s, &monitor)
-	return s.released && !s.broken, s.broken, 0
+	if b.dating == datedByHeard {
+		heard = b.age(monitor.Heard(b.at(0)))
+	}
+	return s.released && !s.broken, s.broken, heard
 }
 
 // tick lets one unit pass everywhere and runs the timers of agents that are not frozen.
@@ -233,8 +246,20 @@
 		b.feed(w, rank, attempt, MemberTick, 0)
 	}
 	if a.task == endpointRunning && a.taskOwner == attempt && m.is(wire.TaskState_TASK_RUNNING) {
-		a.lease = b.lease
+		a.lease = b.renewal(m)
+		if a.lease == 0 {
+			a.task = endpointExpired
+		}
+	}
+}
+
+// renewal is for how many units the endpoint may run a task.
+func (b *bounds) renewal(s *memberState) uint8 {
+	m := Member{Single: s.single, LeaderSeen: b.at(s.seen)}
+	if b.dating == undatedRenewal {
+		return b.lease
 	}
+	return uint8(m.Renewal(b.at(0), time.Duration(b.lease)*b.unit) / b.unit)
 }
 
 func (b *bounds) growOlder(w *world) {
@@ -306,7 +331,7 @@
 // reportsTo says whether an agent's reports reach the scheduler at present.
 func (w *world) reportsTo(rank, s uint8) bool {
 	a := &w.agents[rank]
-	highest := s+1 == maxSchedulers || w.schedulers[s+1].mode == schedulerAbsent
+	highest := !w.isDeposed(s)
 	return a.up && !a.frozen && !a.cut && (highest || a.epoch == s+1)
 }
 
@@ -328,7 +353,7 @@
 		}
 		w.partial[attempt]++
 		if w.partial[attempt] > b.lease {
-			w.violate(wholeGang)
+			b.violate(w, wholeGang)
 		}
 	}
 }
--- a/gang/model_explore_test.go
+++ b/gang/model_explore_test.go
@@ -152,7 +152,7 @@
 	if from.ordinal > 0 {
 		link = &step{from.from, from.ordinal}
 	}
-	if !s.runOut(&from.w, s.ended) {
+	if (s.watch == noViolation || s.watch == ends) && !s.runOut(&from.w, s.ended) {
 		s.report(ends, append(s.trace(link), s.stuck(&from.w)...))
 		return next
 	}
@@ -190,7 +190,7 @@
 			anyStart[i] = anyStart[i] || w.starts[i][rank] > 0
 		}
 		if w.proved[i] && anyStart[i] {
-			w.violate(notRunProof)
+			b.violate(w, notRunProof)
 		}
 	}
 	for s, notRun := range w.notRun {
@@ -199,7 +199,7 @@
 		}
 		for i := range uint8(maxAttempts) {
 			if anyStart[i] && (b.recorded || owner(i) == uint8(s)) {
-				w.violate(notRunProof)
+				b.violate(w, notRunProof)
 			}
 		}
 	}
--- a/gang/model_moves_test.go
+++ b/gang/model_moves_test.go
@@ -205,7 +205,7 @@
 			return false
 		}
 	}
-	if w.busy(b) {
+	if w.busy(b) || b.punctual && b.pending(w) {
 		return true
 	}
 	return try(move{name: "tick"}, func(n *world) { b.tick(n) })
@@ -231,6 +231,40 @@
 	return false
 }
 
+// pending says whether a message or report is due in this unit.
+func (b *bounds) pending(w *world) bool {
+	for i := range w.messages() {
+		m := w.net[i]
+		deposed := w.schedulers[m.scheduler].mode == schedulerDead || w.isDeposed(m.scheduler)
+		if !m.late && !deposed && w.reachable(m) {
+			return true
+		}
+	}
+	for s := range uint8(maxSchedulers) {
+		if w.schedulers[s].mode == schedulerReading {
+			return true
+		}
+		if w.schedulers[s].mode != schedulerRunning || w.isDeposed(s) {
+			continue
+		}
+		for rank := range uint8(b.members) {
+			if w.reportsTo(rank, s) {
+				n := *w
+				b.report(&n, rank, s)
+				if n != *w {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// isDeposed says whether a successor exists, so that the scheduler may be frozen.
+func (w *world) isDeposed(s uint8) bool {
+	return s+1 < maxSchedulers && w.schedulers[s+1].mode != schedulerAbsent
+}
+
 func (b *bounds) allows(f faultSet) bool { return b.only == 0 || b.only&f != 0 }
 
 func (b *bounds) faultMoves(w *world, try attempt) bool {
@@ -246,8 +280,9 @@
 			continue
 		}
 		ok := fault(faultLose, move{name: "lose", msg: m}, func(n *world) { n.remove(i); b.unreachable(n, m) }) &&
-			(!w.reachable(m) || fault(faultDuplicate, move{name: "duplicate", msg: m}, func(n *world) { b.deliver(n, m) })) &&
-			(m.kind == responseMessage || fault(faultTimeout, move{name: "time out", msg: m}, func(n *world) { b.unreachable(n, m) }))
+			(!w.reachable(m) || fault(faultDuplicate, move{name: "duplicate", msg: m}, func(n *world) { n.net[i].late = true; n.sortNet(); b.deliver(n, m) })) &&
+			(m.late || !b.punctual || fault(faultDelay, move{name: "delay", msg: m}, func(n *world) { n.net[i].late = true; n.sortNet() })) &&
+			(m.kind == responseMessage || fault(faultTimeout, move{name: "time out", msg: m}, func(n *world) { n.net[i].late = true; n.sortNet(); b.unreachable(n, m) }))
 		if !ok {
 			return false
 		}
--- a/gang/model_state_test.go
+++ b/gang/model_state_test.go
@@ -32,7 +32,12 @@
 	lease      uint8 // task lease, in units
 	permit     uint8 // validity of a permit, in units
 	mutation   mutation
-	only       faultSet // kinds of fault tried; 0 means all
+	// punctual says that only a fault keeps a message in flight, or a report
+	// from a scheduler, for longer than a unit.
+	punctual bool
+	dating   dating
+	watch    property // the only property to judge; none means all
+	only     faultSet // kinds of fault tried; 0 means all
 }
 
 // mutation switches one mechanism off, so that its check is seen to fail.
@@ -54,6 +59,15 @@
 	noPermitAfterPause
 )
 
+// dating is how a member dates the leader's answers and its endpoint's lease.
+type dating int
+
+const (
+	datedByHeard   dating = iota // by Monitor.Heard
+	datedByAnswer                // by the answer; the lease counts from LeaderSeen
+	undatedRenewal               // by the answer; the lease counts from its renewal
+)
+
 type faultSet uint16
 
 const (
@@ -67,7 +81,7 @@
 	faultCutAgent
 	faultCutLeader
 	faultTaskFails
-	faultStore
+	faultDelay
 )
 
 type messageKind uint8
@@ -95,6 +109,7 @@
 	state     uint8
 	flag      uint8 // started or success
 	revision  uint8
+	late      bool // may stay in flight for longer than a unit
 	boots     [maxMembers]uint8
 }
 
@@ -208,17 +223,20 @@
 	refusedStays
 	oneHolder
 	ends
+	permitAtStart
+	fencedOff
 )
 
 func (p property) String() string {
 	return [...]string{
 		"none", "a: start before commit", "b: partial gang beyond the lease", "c: NOT_RUN but started",
 		"d: non-idempotent task started twice", "e: start after refusal", "f: accelerator held twice", "g: attempt does not end",
+		"h: start without a valid permit", "i: command of a deposed scheduler obeyed",
 	}[p]
 }
 
-func (w *world) violate(p property) {
-	if w.violation == noViolation {
+func (b *bounds) violate(w *world, p property) {
+	if w.violation == noViolation && (b.watch == noViolation || b.watch == p) {
 		w.violation = p
 	}
 }
@@ -252,6 +270,9 @@
 	for _, b := range [...]uint8{m.scheduler, m.attempt<<4 | m.rank, m.boot, m.state<<4 | m.flag, m.revision} {
 		k = k<<8 | uint64(b)
 	}
+	if m.late {
+		k |= 1 << 47
+	}
 	return k<<16 | uint64(m.boots[0])<<10 | uint64(m.boots[1])<<5 | uint64(m.boots[2])
 }
 
@@ -309,8 +330,11 @@
 		PreparedAt: b.at(s.prepared), JoinedAt: b.at(s.joined), LeaderSeen: b.at(s.seen),
 	}
 	m, effect := before.Step(e, b.at(age), b.timers)
-	if b.mutation == noTombstone && before.State <= wire.TaskState_TASK_ABSENT && m.State == wire.TaskState_TASK_REFUSED {
-		m = Member{}
+	if m.State == wire.TaskState_TASK_REFUSED {
+		w.refused[attempt][rank] = true
+		if b.mutation == noTombstone {
+			m = Member{}
+		}
 	}
 	s.state, s.started, s.single = uint8(m.State), m.Started, m.Single
 	s.prepared, s.joined, s.seen = 0, 0, 0
@@ -323,8 +347,6 @@
 		if !m.Single {
 			s.seen = b.age(m.LeaderSeen)
 		}
-	case wire.TaskState_TASK_REFUSED:
-		w.refused[attempt][rank] = true
 	}
 	return effect
 }
