--- a/place/firstfit.go
+++ b/place/firstfit.go
@@ -25,10 +25,11 @@
 		return nil
 	}
 	v := newView(s, now)
+	refuse := refuser{view: v}
 	var actions []Action
 	for i := range s.Queue {
 		j := v.request(&s.Queue[i])
-		if reason := refusal(s, j.Job); reason != "" {
+		if reason := refuse.reason(&j); reason != "" {
 			actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
--- a/place/fit.go
+++ b/place/fit.go
@@ -63,9 +63,36 @@
 // fit finds seats for the whole job, or none.
 func (v *view) fit(j *request, before order) []seat {
 	seats := v.seats(j, before)
-	if seats == nil || !v.guarded(j, seats) {
+	if seats == nil {
+		return v.fitBeside(j, before)
+	}
+	if !v.guarded(j, seats) {
+		return nil
+	}
+	return seats
+}
+
+// remapSearches bounds the searches in one decision for another map of the
+// guaranteed shapes, each of which takes up to a few milliseconds.
+const remapSearches = 16
+
+// fitBeside finds seats that the present map of shapes forbids although
+// another map allows them, and maps the shapes again around the job.
+func (v *view) fitBeside(j *request, before order) []seat {
+	if j.lent || v.unmet && !v.tight || v.searches >= remapSearches {
+		return nil
+	}
+	free := *j
+	free.lent = true
+	seats := v.seats(&free, before)
+	if seats == nil {
 		return nil
 	}
+	v.searches++
+	if !v.keeps(v.started(j, seats)) {
+		return nil
+	}
+	v.remap(j, seats)
 	return seats
 }
 
@@ -155,9 +182,7 @@
 	for _, s := range seats {
 		v.take(&v.nodes[s.node], j, s.tasks)
 	}
-	if v.tight {
-		v.placed = append(v.placed, started)
-	}
+	v.placed = append(v.placed, started)
 	return Action{Place: &Place{JobID: j.ID, Workers: started.Workers}}
 }
 
--- a/place/main.go
+++ b/place/main.go
@@ -44,13 +44,14 @@
 // queue returns the jobs that can run, urgent ones first.
 func (d *decision) queue() []request {
 	requests := make([]request, 0, len(d.state.Queue))
+	refuse := refuser{view: d.view}
 	for i := range d.state.Queue {
-		j := &d.state.Queue[i]
-		if reason := refusal(d.state, j); reason != "" {
+		j := d.request(&d.state.Queue[i])
+		if reason := refuse.reason(&j); reason != "" {
 			d.actions = append(d.actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
-		requests = append(requests, d.request(j))
+		requests = append(requests, j)
 	}
 	sort.SliceStable(requests, func(a, b int) bool {
 		return requests[a].Urgent && !requests[b].Urgent
--- a/place/preempt.go
+++ b/place/preempt.go
@@ -174,6 +174,7 @@
 		}
 		actions = append(actions, Action{Preempt: &Preempt{JobID: t.Job.ID, Reason: reason}})
 	}
+	v.placed = append(v.placed, v.started(j, p.seats))
 	for _, s := range p.seats {
 		v.claim(&v.nodes[s.node], j, s.tasks)
 	}
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -1,6 +1,9 @@
 package place
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // refusal returns why the job can never run in the data centre, or "".
 //
@@ -25,8 +28,53 @@
 		return ""
 	}
 	domain := [...]string{"worker", "rack", "data centre"}[j.Adjacency]
-	return fmt.Sprintf("%d tasks with %d accelerators each are needed in one %s, the largest holds %d when empty",
+	reason := fmt.Sprintf("%d tasks with %d accelerators each are needed in one %s, the largest holds %d when empty",
 		j.Tasks, j.Accelerators, domain, most)
+	if len(j.Avoid) > 0 {
+		reason += fmt.Sprintf(" without the %d workers on which the job failed", len(j.Avoid))
+	}
+	return reason
+}
+
+// sizeKey identifies jobs that are refused for the same reason.
+type sizeKey struct {
+	customer, service   string
+	tasks, accelerators int
+	adjacency           Adjacency
+}
+
+const besideReason = "guarantees of other customers leave no place for a job that cannot be stopped in time"
+
+// refuser finds the jobs of one decision that can never run.
+type refuser struct {
+	view  *view
+	known map[sizeKey]bool // whether guarantees exclude the job
+}
+
+// reason returns why the job can never run, or "".
+func (r *refuser) reason(j *request) string {
+	if reason := refusal(r.view.state, j.Job); reason != "" || j.lent {
+		return reason
+	}
+	if len(j.Avoid) > 0 {
+		if neverBeside(r.view.state, j.Job) {
+			return besideReason
+		}
+		return ""
+	}
+	key := sizeKey{j.Customer, j.Service, j.Tasks, j.Accelerators, j.Adjacency}
+	never, ok := r.known[key]
+	if !ok {
+		never = neverBeside(r.view.state, j.Job)
+		if r.known == nil {
+			r.known = make(map[sizeKey]bool)
+		}
+		r.known[key] = never
+	}
+	if never {
+		return besideReason
+	}
+	return ""
 }
 
 // mostTasks is the largest number of tasks that one domain of the job's
@@ -37,7 +85,7 @@
 	largestRack := 0
 	for i := range s.Workers {
 		w := &s.Workers[i]
-		if w.Service != j.Service && w.Service != "" && j.Service != "" {
+		if w.Service != j.Service && w.Service != "" && j.Service != "" || slices.Contains(j.Avoid, w.Name) {
 			continue
 		}
 		tasks := emptyTasks(w.Slots, w.Accelerators, j)
@@ -68,3 +116,71 @@
 	}
 	return min(slots, accelerators/j.Accelerators)
 }
+
+// neverBeside reports whether the guarantees of other customers keep the job,
+// which cannot be lent to, from every place of its adjacency even when all
+// known workers are empty and in use. It is certain for jobs within a worker
+// or rack; wider ones are excluded only by their sum.
+func neverBeside(s *State, j *Job) bool {
+	if len(s.Guarantees) == 0 || s.Planned.Workers > len(s.Workers) {
+		return false
+	}
+	empty := *s
+	empty.Running = nil
+	empty.CapacityShare = 1
+	empty.Workers = slices.Clone(s.Workers)
+	for i := range empty.Workers {
+		w := &empty.Workers[i]
+		w.Ready, w.SetAside, w.Probing = true, false, false
+	}
+	v := newView(&empty, j.Submitted)
+	r := v.request(j)
+	if v.unmet && !v.tight || v.fit(&r, firstFit) != nil {
+		return false
+	}
+	if j.Adjacency == SameDataCentre && j.Tasks > 1 {
+		return v.exceeds(&r)
+	}
+	r.lent = true // looks at free workers alone; the search judges the guarantees
+	for _, domain := range v.domains(j.Adjacency) {
+		for turn := range domain {
+			nodes := slices.Concat(domain[turn:], domain[:turn])
+			order := func(a, b *node) bool { return slices.Index(nodes, a.index) < slices.Index(nodes, b.index) }
+			if seats := v.fitNodes(&r, nodes, order); seats != nil && v.keeps(v.started(&r, seats)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// exceeds reports whether the job and the guarantees of others need more
+// accelerators than there are.
+func (v *view) exceeds(j *request) bool {
+	sum := j.Tasks * j.Accelerators
+	for i := range v.tallies {
+		if i != j.customer {
+			sum += v.tallies[i].guaranteed
+		}
+	}
+	for i := range v.nodes {
+		sum -= v.nodes[i].worker.Accelerators
+	}
+	return sum > 0
+}
+
+// domains are the sets of nodes within which the adjacency keeps a job.
+func (v *view) domains(a Adjacency) [][]int {
+	var domains [][]int
+	switch a {
+	case SameRack:
+		for i := range v.racks {
+			domains = append(domains, v.racks[i].nodes)
+		}
+	default:
+		for i := range v.nodes {
+			domains = append(domains, []int{i})
+		}
+	}
+	return domains
+}
--- a/place/shape.go
+++ b/place/shape.go
@@ -30,6 +30,7 @@
 		}
 		return x.Adjacency < y.Adjacency
 	})
+	v.unmet = false
 	for _, sh := range shapes {
 		if !v.mapShape(sh) {
 			v.unmet = true
@@ -40,6 +41,32 @@
 	v.tight = v.unmet && v.keeps()
 }
 
+// remap maps the shapes again as if the job ran on the seats.
+func (v *view) remap(j *request, seats []seat) {
+	for i := range v.nodes {
+		n := &v.nodes[i]
+		for k := range n.parts {
+			p := &n.parts[k]
+			n.update(p, 0, 0, -p.held, -p.heldSlots)
+		}
+	}
+	lock := func(sign int) {
+		for _, s := range seats {
+			n := &v.nodes[s.node]
+			p := n.part(j.customer)
+			count := sign * s.tasks * j.Accelerators
+			n.free -= count
+			p.used += count
+			n.update(p, count, sign*s.tasks, 0, 0)
+		}
+	}
+	lock(1)
+	v.mapShapes()
+	lock(-1)
+	// The search has found an assignment with the job.
+	v.tight = v.unmet
+}
+
 // mapSteps bounds the search of one placement that the greedy map cannot
 // decide to a few milliseconds.
 const mapSteps = 20_000
--- a/place/state.go
+++ b/place/state.go
@@ -42,8 +42,10 @@
 	Urgent         bool
 	StopTime       time.Duration // longest time of a checkpoint and stop
 	Expected       time.Duration // learned, else declared, run time
-	Submitted      time.Time
-	Deadline       time.Time // zero means none
+	// Done is the work that earlier runs have kept.
+	Done      time.Duration
+	Submitted time.Time
+	Deadline  time.Time // zero means none
 	// Avoid lists workers on which the job has failed.
 	Avoid []string
 }
--- a/place/view.go
+++ b/place/view.go
@@ -26,6 +26,7 @@
 	unmet          bool // a guaranteed shape has no place in the map
 	tight          bool // the map misses an assignment that exists
 	placed         []Running
+	searches       int
 	running        []task
 }
 
