place: serve work within a guarantee first, then by least expected work

Cause: a job within its customer's guarantee waited up to 1,489 s, because jobs earlier in the queue took the accelerators that its reclaim had freed. Such jobs now go first, then urgent ones, then the rest by expected work, corrected by the wait and by the customer's use over its weighted share.

--- a/place/main.go
+++ b/place/main.go
@@ -1,9 +1,6 @@
 package place
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // Options tunes Main; a zero field takes its default.
 type Options struct{}
@@ -29,8 +26,13 @@
 		return nil
 	}
 	d := &decision{view: newView(s, now)}
-	for _, j := range d.queue() {
-		d.serve(&j)
+	for i := range d.tallies {
+		d.used += d.tallies[i].usage
+		d.weights += d.tallies[i].weight
+	}
+	queue := d.queue()
+	for i := range queue {
+		d.serve(&queue[i])
 	}
 	return d.actions
 }
@@ -39,9 +41,12 @@
 type decision struct {
 	*view
 	actions []Action
+	// used and weights are sums over the customers.
+	used    int
+	weights float64
 }
 
-// queue returns the jobs that can run, urgent ones first.
+// queue returns the jobs that can run, in the order of service.
 func (d *decision) queue() []request {
 	requests := make([]request, 0, len(d.state.Queue))
 	refuse := refuser{view: d.view}
@@ -53,9 +58,7 @@
 		}
 		requests = append(requests, j)
 	}
-	sort.SliceStable(requests, func(a, b int) bool {
-		return requests[a].Urgent && !requests[b].Urgent
-	})
+	d.sorted(requests)
 	return requests
 }
 
@@ -67,7 +70,7 @@
 		d.actions = append(d.actions, d.book(j, seats))
 		return
 	}
-	if d.entitled(j) && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
+	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
 		return
 	}
 	if j.Urgent {
--- a/place/view.go
+++ b/place/view.go
@@ -92,6 +92,8 @@
 	*Job
 	customer int
 	lent     bool
+	rank     rank
+	score    float64
 }
 
 const noLimit = math.MaxInt / 4
--- a/trace/decide.go
+++ b/trace/decide.go
@@ -39,9 +39,34 @@
 		return
 	}
 	it.phase, it.site = queued, best
+	if it.Submitted == r.now {
+		it.held = best.fitsGuarantee(it)
+	}
 	r.enqueue(best, r.job(it))
 }
 
+// fitsGuarantee reports whether the job fits what its customer's guarantees
+// in the data centre leave beside what the customer runs and queues.
+func (s *site) fitsGuarantee(it *item) bool {
+	left := -it.Tasks * it.Accelerators
+	for _, g := range s.Guarantees {
+		if g.Customer == it.Customer {
+			left += g.Accelerators * g.Count
+		}
+	}
+	for i := range s.state.Running {
+		if j := &s.state.Running[i].Job; j.Customer == it.Customer {
+			left -= j.Tasks * j.Accelerators
+		}
+	}
+	for i := range s.state.Queue {
+		if j := &s.state.Queue[i]; j.Customer == it.Customer {
+			left -= j.Tasks * j.Accelerators
+		}
+	}
+	return left >= 0
+}
+
 // load is the number of accelerators that the site's jobs hold or ask for.
 func (s *site) load() float64 {
 	sum := 0
@@ -159,6 +184,9 @@
 	}
 	it.version++
 	it.phase, it.began = running, r.now
+	if !it.started {
+		it.started, it.first = true, r.now
+	}
 	if it.Faulty || slices.ContainsFunc(p.Workers, r.broken) {
 		r.push(event{at: r.now + failAfter, kind: failEvent, item: it, version: it.version})
 		return nil
--- a/trace/meter.go
+++ b/trace/meter.go
@@ -39,9 +39,11 @@
 	// Preemptions the number of preemptions.
 	Thrown      float64
 	Preemptions int
-	// Held is the mean wait of jobs that fit their customer's unused guarantee
-	// at submission, and HeldMost the longest.
-	Held, HeldMost time.Duration
+	// Held counts the jobs that fit what was unused of their customer's
+	// guarantee in their data centre when they were queued first. HeldMost is
+	// their longest wait for a start.
+	Held     int
+	HeldMost time.Duration
 }
 
 // meter integrates over time.
@@ -52,7 +54,6 @@
 	thrown         float64
 	preemptions    int
 	window         [2]time.Duration
-	heldWaits      []time.Duration
 }
 
 func (m *meter) advance(r *replay, to time.Duration) {
@@ -159,6 +160,10 @@
 	for i := range r.trace.Jobs {
 		it := r.items[r.trace.Jobs[i].ID]
 		o.count(it)
+		if it.held && it.started {
+			o.Held++
+			o.HeldMost = max(o.HeldMost, it.first-it.Submitted)
+		}
 		if it.phase != done || it.Cancelled > 0 {
 			continue
 		}
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -48,6 +48,9 @@
 	version  int // events of an earlier run are dropped
 	kept     time.Duration
 	began    time.Duration // of the present run
+	first    time.Duration // start of the first run
+	started  bool
+	held     bool // fitted the unused guarantee of its customer when queued first
 	ended    time.Duration
 	refusals map[*site]bool
 }
