place: reserve workers for a starving large job

Backfill on reserved workers must end in time by 1.5 times its expected run time or fit beside the reserved job.

--- a/place/fit.go
+++ b/place/fit.go
@@ -30,7 +30,11 @@
 	if n.slots <= 0 || n.free < j.Accelerators || !v.canUse(n, j) {
 		return 0
 	}
-	return v.limit(n, j, n.free, n.slots)
+	free := n.free
+	if n.reserved && !v.endsBefore(j) {
+		free = min(free, n.spare)
+	}
+	return v.limit(n, j, free, n.slots)
 }
 
 // limit is how many tasks fit the given accelerators and slots of the node
--- a/place/main.go
+++ b/place/main.go
@@ -3,7 +3,14 @@
 import "time"
 
 // Options tunes Main; a zero field takes its default.
-type Options struct{}
+type Options struct {
+	// GangSize is the number of accelerators from which a waiting job may get
+	// a reservation (default 8).
+	GangSize int
+	// StarveRatio is the wait over the expected run time from which it gets
+	// one (default 0.25).
+	StarveRatio float64
+}
 
 // Main is the policy in use.
 type Main struct {
@@ -12,6 +19,12 @@
 
 // New returns the policy with the given options.
 func New(o Options) *Main {
+	if o.GangSize == 0 {
+		o.GangSize = 8
+	}
+	if o.StarveRatio == 0 {
+		o.StarveRatio = 0.25
+	}
 	return &Main{options: o}
 }
 
@@ -25,21 +38,19 @@
 	if !s.InService {
 		return nil
 	}
-	d := &decision{view: newView(s, now)}
+	d := &decision{view: newView(s, now), options: &m.options}
 	for i := range d.tallies {
 		d.used += d.tallies[i].usage
 		d.weights += d.tallies[i].weight
 	}
-	queue := d.queue()
-	for i := range queue {
-		d.serve(&queue[i])
-	}
+	d.serveAll(d.queue())
 	return d.actions
 }
 
 // decision collects the actions of one call.
 type decision struct {
 	*view
+	options *Options
 	actions []Action
 	// used and weights are sums over the customers.
 	used    int
@@ -62,20 +73,37 @@
 	return requests
 }
 
-func (d *decision) serve(j *request) {
+// serveAll serves the queue in order. The starving job comes before other
+// work that is neither urgent nor within a guarantee.
+func (d *decision) serveAll(queue []request) {
+	starving := d.starving(queue)
+	tried := starving < 0
+	for i := range queue {
+		if queue[i].rank == otherRank && !tried {
+			tried = true
+			if j := &queue[starving]; !d.serve(j) {
+				d.reserve(j)
+			}
+		}
+		if i != starving {
+			d.serve(&queue[i])
+		}
+	}
+}
+
+// serve places the job or frees room for it, and reports whether it did.
+func (d *decision) serve(j *request) bool {
 	if !d.permitted(j) {
-		return
+		return false
 	}
 	if seats := d.fit(j, d.bestFit); seats != nil {
 		d.actions = append(d.actions, d.book(j, seats))
-		return
+		return true
 	}
 	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
-		return
-	}
-	if j.Urgent {
-		d.preempt(j, d.forUrgent(j.customer), "urgent job "+j.ID)
+		return true
 	}
+	return j.Urgent && d.preempt(j, d.forUrgent(j.customer), "urgent job "+j.ID)
 }
 
 func (d *decision) preempt(j *request, may allow, reason string) bool {
--- a/place/view.go
+++ b/place/view.go
@@ -27,6 +27,7 @@
 	tight          bool // the map misses an assignment that exists
 	placed         []Running
 	searches       int
+	reservedFrom   time.Time
 	running        []task
 }
 
@@ -46,6 +47,9 @@
 	need        int // accelerators that are locked or held
 	needSlots   int
 	hosted      []hosted
+	// reserved limits new work to what ends in time or fits into spare.
+	reserved bool
+	spare    int
 }
 
 // part is the claim of one customer on a node.
@@ -234,6 +238,9 @@
 	n.free -= count
 	n.slots -= tasks
 	n.tasks += tasks
+	if n.reserved && !v.endsBefore(j) {
+		n.spare -= count
+	}
 	if n.usable {
 		v.racks[n.rack].free -= count
 	}
