place: preempt for a waiting job when it gains more than the victims lose

Guarantees are used in order of submission; by expected work a job within its guarantee waited 296 s behind later ones.

stranded is now measured over the length of the trace, with the mean number beside the share, because the idle end of a replay hid the difference.

--- a/place/main.go
+++ b/place/main.go
@@ -52,6 +52,7 @@
 	*view
 	options *Options
 	actions []Action
+	moves   int // tries in this decision
 	// used and weights are sums over the customers.
 	used    int
 	weights float64
@@ -103,7 +104,10 @@
 	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
 		return true
 	}
-	return j.Urgent && d.preempt(j, d.forUrgent(j.customer), "urgent job "+j.ID)
+	if j.Urgent {
+		return d.preempt(j, d.forUrgent(j.customer), "urgent job "+j.ID)
+	}
+	return d.move(j)
 }
 
 func (d *decision) preempt(j *request, may allow, reason string) bool {
--- a/place/order.go
+++ b/place/order.go
@@ -26,31 +26,37 @@
 func (d *decision) sorted(requests []request) {
 	for i := range requests {
 		requests[i].score = d.score(&requests[i])
+		requests[i].rank = otherRank
+		if requests[i].Urgent {
+			requests[i].rank = urgentRank
+		}
 	}
+	d.entitle(requests)
 	slices.SortStableFunc(requests, func(a, b request) int {
-		if a.Urgent != b.Urgent {
-			if a.Urgent {
-				return -1
-			}
-			return 1
+		if c := cmp.Compare(a.rank, b.rank); c != 0 {
+			return c
 		}
 		return cmp.Compare(a.score, b.score)
 	})
+}
+
+// entitle raises the rank of the jobs that fit their customers' guarantees,
+// urgent ones first and then in order of submission, so that a job that
+// fitted when it was submitted is not passed by later ones.
+func (d *decision) entitle(requests []request) {
 	spent := make(map[int]int)
-	for i := range requests {
-		r := &requests[i]
-		r.rank = otherRank
-		if r.Urgent {
-			r.rank = urgentRank
-		}
-		t := &d.tallies[r.customer]
-		need := r.Tasks * r.Accelerators
-		if need > 0 && t.usage+spent[r.customer]+need <= t.guaranteed {
+	for _, from := range []rank{urgentRank, otherRank} {
+		for i := range requests {
+			r := &requests[i]
+			need := r.Tasks * r.Accelerators
+			t := &d.tallies[r.customer]
+			if r.rank != from || need == 0 || t.usage+spent[r.customer]+need > t.guaranteed {
+				continue
+			}
 			spent[r.customer] += need
-			r.rank -= 2
+			r.rank -= urgentRank
 		}
 	}
-	slices.SortStableFunc(requests, func(a, b request) int { return cmp.Compare(a.rank, b.rank) })
 }
 
 // remaining is the run time that is left by the learned estimate.
--- a/trace/meter.go
+++ b/trace/meter.go
@@ -24,9 +24,10 @@
 	Bound time.Duration
 	// Makespan is the time until the last job ended; MakespanBound is its lower bound.
 	Makespan, MakespanBound time.Duration
-	// Stranded is the share of free accelerators, over time, that cannot
-	// serve the largest guaranteed shape of their data centre.
-	Stranded float64
+	// Stranded is the share of free accelerators that cannot serve the largest
+	// guaranteed shape of their data centre, and StrandedMean their mean
+	// number, both over the length of the trace.
+	Stranded, StrandedMean float64
 	// Gangs counts done jobs of 8 or more accelerators. GangMean and GangMost
 	// are their wait: completion time less run time. GangsOver counts those
 	// that waited over twice their run time.
@@ -65,7 +66,7 @@
 	}
 	m.window = r.trace.leaveWindow()
 	for _, s := range r.sites {
-		if s.state.InService {
+		if s.state.InService && at < r.trace.Length {
 			free, usable := s.freeFor()
 			m.free += dt * float64(free)
 			m.stranded += dt * float64(free-usable)
@@ -154,6 +155,7 @@
 	}
 	if r.meter.free > 0 {
 		o.Stranded = r.meter.stranded / r.meter.free
+		o.StrandedMean = r.meter.stranded / r.trace.Length.Seconds()
 	}
 	var times, waits []time.Duration
 	var counted []*Job
--- a/trace/report.go
+++ b/trace/report.go
@@ -75,12 +75,12 @@
 func Table(w io.Writer, outcomes []*Outcome) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(tw, "trace\tpolicy\tdone\trefused\tfailed\tcancelled\tstuck\tmean_s\tp95_s\tbound_s\tover_bound\t"+
-		"stranded\tgangs\tgang_wait_s\tgang_most_s\tgangs_over\theld\theld_most_s\tleave_work_h\tthrown_h\tpreemptions\tmakespan_s\tmakespan_bound_s\t")
+		"stranded\tstranded_mean\tgangs\tgang_wait_s\tgang_most_s\tgangs_over\theld\theld_most_s\tleave_work_h\tthrown_h\tpreemptions\tmakespan_s\tmakespan_bound_s\t")
 	for _, o := range outcomes {
-		_, _ = fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.2f\t%.3f\t%d\t%s\t%s\t%d\t%d\t%s\t%.1f\t%.2f\t%d\t%s\t%s\t\n",
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.2f\t%.3f\t%.1f\t%d\t%s\t%s\t%d\t%d\t%s\t%.1f\t%.2f\t%d\t%s\t%s\t\n",
 			o.Trace, o.Policy, o.Done, o.Refused, o.Failed, o.Cancelled, o.Stuck,
 			seconds(o.Mean), seconds(o.P95), seconds(o.Bound), float64(o.Mean)/float64(max(1, o.Bound)),
-			o.Stranded, o.Gangs, seconds(o.GangMean), seconds(o.GangMost), o.GangsOver, o.Held, seconds(o.HeldMost),
+			o.Stranded, o.StrandedMean, o.Gangs, seconds(o.GangMean), seconds(o.GangMost), o.GangsOver, o.Held, seconds(o.HeldMost),
 			o.LeaveWork/3600, o.Thrown/3600, o.Preemptions, seconds(o.Makespan), seconds(o.MakespanBound))
 	}
 	if err := tw.Flush(); err != nil {
