place: serve starving jobs by preemption and keep the start of a reservation

Now the start never moves later, checkpointable small work may use reserved workers and is preempted for the starving job, and a worker returns to use if no probe comes within 10 min.

--- a/place/health.go
+++ b/place/health.go
@@ -16,7 +16,8 @@
 	// ProbeAfter is the time from setting a worker aside to its first probe;
 	// it doubles with each failed probe (default 30 s).
 	ProbeAfter time.Duration
-	// ProbeAtMost is the longest time between two probes (default 10 min).
+	// ProbeAtMost is the longest time between two probes, and the time for
+	// which a worker waits for a probe (default 10 min).
 	ProbeAtMost time.Duration
 }
 
@@ -117,9 +118,13 @@
 
 // Status returns whether the worker is set aside or, once its wait is over,
 // may be probed with one idempotent task.
+//
+// A worker for which no such task came within ProbeAtMost returns to use, else
+// a large job that needs it would wait without end. Its next failure sets it
+// aside again.
 func (h *Health) Status(worker string, now time.Time) (setAside, probing bool) {
 	s, ok := h.workers[worker]
-	if !ok || s.wait == 0 {
+	if !ok || s.wait == 0 || now.Sub(s.aside) >= s.wait+h.options.ProbeAtMost {
 		return false, false
 	}
 	probing = h.probing(s, now)
--- a/place/main.go
+++ b/place/main.go
@@ -8,8 +8,17 @@
 	// a reservation (default 8).
 	GangSize int
 	// StarveRatio is the wait over the expected run time from which it gets
-	// one (default 0.25).
+	// one (default 3). A lower ratio shortens the wait of
+	// large jobs and lengthens the mean completion time.
 	StarveRatio float64
+	// Slack is the factor by which a backfilled job may exceed its expected
+	// run time without delaying a reservation (default 1.5).
+	Slack float64
+	// Margin is the factor by which the gain of a preemption must exceed its
+	// cost, since both rest on learned run times (default 8).
+	Margin float64
+	// Stretch bounds the weight that a long wait gives to a job (default 4).
+	Stretch float64
 }
 
 // Main is the policy in use.
@@ -23,7 +32,16 @@
 		o.GangSize = 8
 	}
 	if o.StarveRatio == 0 {
-		o.StarveRatio = 0.25
+		o.StarveRatio = 3
+	}
+	if o.Slack == 0 {
+		o.Slack = 1.5
+	}
+	if o.Margin == 0 {
+		o.Margin = 8
+	}
+	if o.Stretch == 0 {
+		o.Stretch = 4
 	}
 	return &Main{options: o}
 }
@@ -39,6 +57,7 @@
 		return nil
 	}
 	d := &decision{view: newView(s, now), options: &m.options}
+	d.slack, d.gangSize = m.options.Slack, m.options.GangSize
 	for i := range d.tallies {
 		d.used += d.tallies[i].usage
 		d.weights += d.tallies[i].weight
@@ -82,7 +101,8 @@
 	for i := range queue {
 		if queue[i].rank == otherRank && !tried {
 			tried = true
-			if j := &queue[starving]; !d.serve(j) {
+			j := &queue[starving]
+			if !d.serve(j) && !d.preempt(j, d.forStarving(j), "job "+j.ID+" starves") {
 				d.reserve(j)
 			}
 		}
--- a/place/move.go
+++ b/place/move.go
@@ -22,17 +22,13 @@
 	if ok {
 		wait = at.Sub(d.now)
 	}
-	if d.gain(j, p, wait) <= margin*d.cost(j, p) {
+	if d.gain(j, p, wait) <= d.options.Margin*d.cost(j, p) {
 		return false
 	}
 	d.actions = append(d.actions, d.execute(j, p, "job "+j.ID+" gains more than it costs")...)
 	return true
 }
 
-// margin is the factor by which the gain must exceed the cost, since both
-// rest on learned run times.
-const margin = 2
-
 // unknownWait stands for a wait that the expected ends of running work do not bound.
 const unknownWait = time.Hour
 
@@ -64,12 +60,9 @@
 	return sum
 }
 
-// mostStretch bounds the weight of a job that waits far longer than it runs.
-const mostStretch = 4
-
 // stretch is the time since submission over the expected run time, at least 1.
 func (d *decision) stretch(j *Job) float64 {
-	return min(mostStretch, max(1, d.now.Sub(j.Submitted).Seconds()/max(shortest, j.Expected).Seconds()))
+	return min(d.options.Stretch, max(1, d.now.Sub(j.Submitted).Seconds()/max(shortest, j.Expected).Seconds()))
 }
 
 // forOther allows the preemption of work that is not urgent, not within
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// slack is the factor by which a backfilled job may exceed its expected run
-// time without delaying a reservation; learned run times are often too short.
-const slack = 1.5
-
 // starving returns the index of the large job that gets the reservation, or
 // -1: the one that has it already, else the one that has waited longest for
 // its run time.
@@ -20,7 +16,7 @@
 		if r.rank != otherRank || r.Tasks*r.Accelerators < d.options.GangSize || !d.permitted(r) {
 			continue
 		}
-		if held := d.state.Reservation; held != nil && held.JobID == r.ID {
+		if d.heldFor(r) != nil {
 			return i
 		}
 		ratio := d.now.Sub(r.Submitted).Seconds() / r.remaining().Seconds()
@@ -31,12 +27,35 @@
 	return best
 }
 
+// heldFor returns the reservation from earlier decisions if it is the job's.
+func (d *decision) heldFor(j *request) *Reservation {
+	if held := d.state.Reservation; held != nil && held.JobID == j.ID {
+		return held
+	}
+	return nil
+}
+
+// forStarving allows the preemption of checkpointable work that is neither
+// urgent, nor large itself, nor within another customer's guarantee.
+func (d *decision) forStarving(j *request) allow {
+	urgent := d.forUrgent(j.customer)
+	return func(n *node, t *task) bool {
+		return t.Job.Tasks*t.Job.Accelerators < d.options.GangSize && urgent(n, t)
+	}
+}
+
 // reserve holds the workers on which the job can start first.
+//
+// The start never moves to a later time: running jobs that exceed their
+// expected run times would move it on and on, and let in ever more backfill.
 func (d *decision) reserve(j *request) {
 	seats, at, ok := d.earliest(j)
 	if !ok {
 		return
 	}
+	if held := d.heldFor(j); held != nil && held.Start.Before(at) {
+		at = held.Start
+	}
 	res := &Reservation{JobID: j.ID, Workers: d.started(j, seats).Workers, Start: at}
 	for _, s := range seats {
 		n := &d.nodes[s.node]
@@ -45,15 +64,18 @@
 		n.spare = free - s.tasks*j.Accelerators
 	}
 	d.reservedFrom = at
-	if held := d.state.Reservation; held == nil || held.JobID != res.JobID ||
-		!slices.Equal(held.Workers, res.Workers) || held.Start.Sub(at).Abs() > time.Second {
+	if held := d.heldFor(j); held == nil || !slices.Equal(held.Workers, res.Workers) || held.Start.Sub(at).Abs() > time.Second {
 		d.actions = append(d.actions, Action{Reserve: res})
 	}
 }
 
-// endsBefore reports whether the job is expected to leave a reserved worker in time.
+// endsBefore reports whether the job is expected to leave a reserved worker
+// in time, or can be stopped when the rest of the worker is free.
 func (v *view) endsBefore(j *request) bool {
-	left := time.Duration(slack * float64(j.remaining()))
+	if j.Checkpointable && j.Tasks*j.Accelerators < v.gangSize {
+		return true
+	}
+	left := time.Duration(v.slack * float64(j.remaining()))
 	return !v.now.Add(left).After(v.reservedFrom)
 }
 
@@ -133,7 +155,7 @@
 		}
 	}
 	kept := ""
-	if held := d.state.Reservation; held != nil && held.JobID == j.ID && len(held.Workers) > 0 {
+	if held := d.heldFor(j); held != nil && len(held.Workers) > 0 {
 		kept = held.Workers[0]
 	}
 	bestWait := time.Duration(0)
--- a/place/view.go
+++ b/place/view.go
@@ -28,6 +28,8 @@
 	placed         []Running
 	searches       int
 	reservedFrom   time.Time
+	slack          float64
+	gangSize       int
 	running        []task
 }
 
