Date a gang member's task lease by the last time its whole gang was alive

The leader's answer now carries the time since every member was last heard, and the agent renews the endpoint's lease only for the rest of the task lease from then on; the explorer of the gang protocol had found a member that ran alone for longer than the lease after its leader's agent died.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -103,13 +103,13 @@
 func (b *guardedBody) Close() error { return nil }
 
 // run starts the task and returns its result; guard is the last check.
-func (e *endpoint) run(ctx context.Context, attempt string, job *wire.Job, body []byte, resume time.Duration, guard func() error) ([]byte, error) {
+func (e *endpoint) run(ctx context.Context, attempt string, job *wire.Job, body []byte, resume, lease time.Duration, guard func() error) ([]byte, error) {
 	query := url.Values{}
 	for key, value := range job.GetParameters() {
 		query.Set(key, value)
 	}
 	query.Set("accelerators", strconv.Itoa(int(job.GetAccelerators())))
-	query.Set("lease_ms", strconv.FormatInt(e.lease.Milliseconds(), 10))
+	query.Set("lease_ms", strconv.FormatInt(lease.Milliseconds(), 10))
 	if resume > 0 {
 		query.Set("resume_ms", strconv.FormatInt(resume.Milliseconds(), 10))
 	}
@@ -188,8 +188,8 @@
 }
 
 // renew renews the task lease.
-func (e *endpoint) renew(ctx context.Context, attempt string) error {
-	query := url.Values{"lease_ms": {strconv.FormatInt(e.lease.Milliseconds(), 10)}}
+func (e *endpoint) renew(ctx context.Context, attempt string, lease time.Duration) error {
+	query := url.Values{"lease_ms": {strconv.FormatInt(lease.Milliseconds(), 10)}}
 	return e.call(ctx, http.MethodPost, e.url(attempt, "renew", query), nil)
 }
 
--- a/agent/gangping.go
+++ b/agent/gangping.go
@@ -36,6 +36,7 @@
 	response.Go = t.monitor.Released
 	response.Broken = t.monitor.Broken != ""
 	response.Reason = t.monitor.Broken
+	response.HeardAgeMs = now.Sub(t.monitor.Heard(now)).Milliseconds()
 }
 
 // pingLeader pings the gang's leader until the member has ended. It is a
@@ -109,25 +110,27 @@
 	if gang.Final(request.GetState()) {
 		return true
 	}
+	heard := sent.Add(-time.Duration(response.GetHeardAgeMs()) * time.Millisecond)
 	switch {
 	case response.GetBroken():
 		a.event(attempt, gang.MemberBroken, "the gang is broken: "+response.GetReason())
 	case response.GetGo():
-		a.leaderEvent(attempt, gang.MemberGo, sent)
+		a.leaderEvent(attempt, gang.MemberGo, heard)
 	default:
-		a.leaderEvent(attempt, gang.MemberLeaderSeen, sent)
+		a.leaderEvent(attempt, gang.MemberLeaderSeen, heard)
 	}
 	return false
 }
 
-// leaderEvent passes the leader's answer on, dated from before the ping was
-// sent. A frozen process can find an answer that is older than the silence
-// allowed; it proves nothing about the gang any more.
-func (a *Agent) leaderEvent(attempt string, e gang.MemberEvent, sent time.Time) {
+// leaderEvent passes the leader's answer on, dated by the last time at which
+// the whole gang was known to be alive, counted from before the ping was sent.
+// A frozen process can find an answer that is older than the silence allowed;
+// it proves nothing about the gang any more.
+func (a *Agent) leaderEvent(attempt string, e gang.MemberEvent, heard time.Time) {
 	a.control.Post(func(s *state) {
 		t, ok := s.tasks[attempt]
-		if ok && time.Since(sent) < a.opts.Timers.Silence && !gang.Final(t.member.State) {
-			a.stepAt(s, t, e, "", sent)
+		if ok && time.Since(heard) < a.opts.Timers.Silence && !gang.Final(t.member.State) {
+			a.stepAt(s, t, e, "", heard)
 		}
 	})
 }
--- a/agent/launch.go
+++ b/agent/launch.go
@@ -22,8 +22,8 @@
 	fetchRetry = 200 * time.Millisecond
 )
 
-// launch checks the permit and starts the task. It runs on the control goroutine.
-func (a *Agent) launch(s *state, t *task, now time.Time) {
+// launchTask checks the permit and starts the task. It runs on the control goroutine.
+func (a *Agent) launchTask(s *state, t *task, now time.Time) {
 	current := s.permit
 	if err := current.Check(a.opts.Worker, now, a.opts.PermitAge); err != nil {
 		a.step(s, t, gang.MemberNoPermit, err.Error())
@@ -36,20 +36,37 @@
 	t.launchedAt = now
 	ctx, cancel := context.WithCancel(a.life)
 	t.cancel = cancel
-	attempt, job, body, resume := t.attempt, t.job, t.body, t.resume
-	single := t.member.Single
+	l := launch{
+		attempt: t.attempt,
+		job:     t.job,
+		body:    t.body,
+		resume:  t.resume,
+		lease:   t.member.Renewal(now, a.opts.TaskLease),
+		permit:  current,
+	}
 	a.traffic.Go(func() {
 		defer cancel()
-		a.runTask(ctx, attempt, job, body, resume, current)
+		a.runTask(ctx, l)
 	})
-	a.traffic.Go(func() { a.renewLoop(ctx, attempt, single) })
+	a.traffic.Go(func() { a.renewLoop(ctx, l.attempt) })
+}
+
+// launch is what a traffic goroutine needs to run a task.
+type launch struct {
+	attempt string
+	job     *wire.Job
+	body    []byte
+	resume  time.Duration
+	lease   time.Duration // the first task lease
+	permit  permit.Permit
 }
 
 // runTask carries the task to the endpoint and its result back. It is a traffic
 // goroutine.
-func (a *Agent) runTask(ctx context.Context, attempt string, job *wire.Job, body []byte, resume time.Duration, p permit.Permit) {
-	guard := func() error { return p.Check(a.opts.Worker, time.Now(), a.opts.PermitAge) }
-	result, err := a.endpoint.run(ctx, attempt, job, body, resume, guard)
+func (a *Agent) runTask(ctx context.Context, l launch) {
+	attempt := l.attempt
+	guard := func() error { return l.permit.Check(a.opts.Worker, time.Now(), a.opts.PermitAge) }
+	result, err := a.endpoint.run(ctx, attempt, l.job, l.body, l.resume, l.lease, guard)
 	if err != nil && !isVerdict(err) && ctx.Err() == nil {
 		// The connection broke after the request was written; the endpoint
 		// still knows the task.
@@ -97,16 +114,17 @@
 	}
 }
 
-// renewLoop renews the task lease until the task has ended. A member of a gang
-// renews only while its leader answers, so that the endpoint stops the task
-// even if this process can do nothing more.
-func (a *Agent) renewLoop(ctx context.Context, attempt string, single bool) {
+// renewLoop renews the task lease until the task has ended. The lease of a
+// member of a gang counts from the last time the whole gang was alive, so that
+// the endpoint stops the task even if this process can do nothing more.
+func (a *Agent) renewLoop(ctx context.Context, attempt string) {
 	period := a.opts.TaskLease / renewsPerLease
 	for sleep(ctx, period) {
-		if !single && !a.leaderAnswers(ctx, attempt) {
+		lease := a.renewal(ctx, attempt)
+		if lease <= 0 {
 			continue
 		}
-		err := a.endpoint.renew(ctx, attempt)
+		err := a.endpoint.renew(ctx, attempt, lease)
 		if errors.Is(err, errNoTask) || errors.Is(err, errTaskStopped) {
 			a.fetchEnded(ctx, attempt)
 			return
@@ -124,13 +142,15 @@
 	a.control.Post(func(s *state) { a.exit(s, attempt, result, err) })
 }
 
-func (a *Agent) leaderAnswers(ctx context.Context, attempt string) bool {
-	answers := false
+// renewal is the task lease that the attempt may have now; 0 means none.
+func (a *Agent) renewal(ctx context.Context, attempt string) time.Duration {
+	lease := time.Duration(0)
 	_ = a.control.Do(ctx, func(s *state) {
-		t, ok := s.tasks[attempt]
-		answers = ok && time.Since(t.member.LeaderSeen) < a.opts.Timers.Silence
+		if t, ok := s.tasks[attempt]; ok && t.member.State == wire.TaskState_TASK_RUNNING {
+			lease = t.member.Renewal(time.Now(), a.opts.TaskLease)
+		}
 	}) // an ended agent renews nothing
-	return answers
+	return lease
 }
 
 // kill stops the task at the endpoint and reports once that is certain. It runs
--- a/agent/step.go
+++ b/agent/step.go
@@ -29,7 +29,7 @@
 	case gang.MemberJoin:
 		a.traffic.Go(func() { a.pingLeader(t.attempt, t.rank, t.members) })
 	case gang.MemberLaunch:
-		a.launch(s, t, now)
+		a.launchTask(s, t, now)
 	case gang.MemberKill:
 		a.kill(t)
 	}
