link: close silent links on time, keep slow ones, survive an early close

The link now closes its connection itself. - A body that took longer than MaxSilence to send closed a live link, because pings waited behind it. A write that makes progress now counts; a ping that was sent and not answered, or a stalled write, still closes the link. - A silent link was closed at up to 4 s, since the check ran once a second; it now runs four times a second. - A server kept the handlers of a vanished client until TCP gave up, because net/rpc waits for blocked writes; a failed read now closes the connection.

--- a/link/codec.go
+++ b/link/codec.go
@@ -62,11 +62,18 @@
 // Close closes the connection.
 func (c *codec) Close() error { return c.conn.Close() }
 
-type clientCodec struct{ *codec }
+type clientCodec struct {
+	*codec
+	pingSent func()
+}
 
 // WriteRequest sends one request.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.write(&wire.CallHeader{Sequence: r.Seq, Method: r.ServiceMethod}, body)
+	err := c.write(&wire.CallHeader{Sequence: r.Seq, Method: r.ServiceMethod}, body)
+	if err == nil && r.ServiceMethod == pingMethod {
+		c.pingSent()
+	}
+	return err
 }
 
 // ReadResponseHeader reads the header of the next response.
--- a/link/conn.go
+++ b/link/conn.go
@@ -36,10 +36,17 @@
 const (
 	// PingPeriod is the time between two pings.
 	PingPeriod = time.Second
-	// MaxSilence is the time without a received byte after which a link is closed.
+	// MaxSilence is the time without a received byte after which a link is
+	// closed, unless a long write still makes progress.
 	MaxSilence = 3 * time.Second
 	// DialTimeout bounds the opening of a connection.
-	DialTimeout = 2 * time.Second
+	DialTimeout   = 2 * time.Second
+	checksPerPing = 4
+	checkPeriod   = PingPeriod / checksPerPing
+	// writePiece is the unit in which the progress of a long write is seen, bytes.
+	writePiece = 64 << 10
+	// sendBuffer is twice what a link of 30 Mbit/s and 30 ms one way needs, bytes.
+	sendBuffer = 512 << 10
 	// serverIdle closes connections on which no ping arrives any more.
 	serverIdle = 4 * MaxSilence
 	pingMethod = "Link.Ping"
@@ -47,14 +54,18 @@
 
 // Conn is one link to a peer; it is safe for concurrent use.
 type Conn struct {
-	client   *rpc.Client
-	lastRead atomic.Int64 // time since start, nanoseconds
-	start    time.Time
-	done     chan struct{}
-	close    sync.Once
+	conn   net.Conn
+	client *rpc.Client
+	start  time.Time
+	done   chan struct{}
+	close  sync.Once
+	// Times since start, nanoseconds.
+	lastRead   atomic.Int64
+	pingSent   atomic.Int64 // first ping sent since the last read; 0 means none
+	writeSince atomic.Int64 // last progress of the write under way; 0 means none
 }
 
-// watchedConn notes when bytes arrive.
+// watchedConn notes when bytes arrive and leave.
 type watchedConn struct {
 	net.Conn
 	owner *Conn
@@ -64,15 +75,32 @@
 func (w watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	if n > 0 {
-		w.owner.lastRead.Store(int64(time.Since(w.owner.start)))
+		w.owner.lastRead.Store(w.owner.now())
+		w.owner.pingSent.Store(0)
 	}
 	if err != nil {
 		// The pool must not offer a link whose peer has gone.
-		go w.owner.Close()
+		w.owner.Close()
 	}
 	return n, err
 }
 
+// Write writes in pieces, so that a slow peer is told from a silent one.
+func (w watchedConn) Write(p []byte) (int, error) {
+	defer w.owner.writeSince.Store(0)
+	written := 0
+	for {
+		w.owner.writeSince.Store(w.owner.now())
+		n, err := w.Conn.Write(p[written:min(written+writePiece, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *Conn) now() int64 { return max(1, int64(time.Since(c.start))) }
+
 // Dial opens a link, or returns ErrNotSent.
 func Dial(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
@@ -84,30 +112,52 @@
 }
 
 func newConn(conn net.Conn) *Conn {
-	c := &Conn{start: time.Now(), done: make(chan struct{})}
-	c.client = rpc.NewClientWithCodec(clientCodec{newCodec(watchedConn{conn, c})})
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// A small buffer keeps pings from waiting for long behind a body that
+		// has left this process but not this machine; an error costs only that.
+		_ = tcp.SetWriteBuffer(sendBuffer)
+	}
+	c := &Conn{conn: conn, start: time.Now(), done: make(chan struct{})}
+	c.client = rpc.NewClientWithCodec(clientCodec{newCodec(watchedConn{conn, c}), c.notePing})
 	go c.watch()
 	return c
 }
 
+func (c *Conn) notePing() { c.pingSent.CompareAndSwap(0, c.now()) }
+
 // watch pings the peer and closes the link after MaxSilence.
 func (c *Conn) watch() {
-	ticker := time.NewTicker(PingPeriod)
+	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
-	for {
+	for check := 1; ; check++ {
 		select {
 		case <-c.done:
 			return
 		case <-ticker.C:
 		}
-		silent := time.Since(c.start) - time.Duration(c.lastRead.Load())
-		if silent > MaxSilence {
+		if c.silent() {
 			c.Close()
 			return
 		}
-		// A separate goroutine writes, because a full send buffer blocks.
-		go c.client.Go(pingMethod, &wire.Ping{}, &wire.Ping{}, make(chan *rpc.Call, 1))
+		// During a long write a ping would only wait behind it. A separate
+		// goroutine writes, because a full send buffer blocks.
+		if check%checksPerPing == 0 && c.writeSince.Load() == 0 {
+			go c.client.Go(pingMethod, &wire.Ping{}, &wire.Ping{}, make(chan *rpc.Call, 1))
+		}
+	}
+}
+
+// silent says whether the peer has sent nothing for MaxSilence although it had
+// a ping to answer, or has taken nothing from a write for as long.
+func (c *Conn) silent() bool {
+	now := c.now()
+	longer := func(since int64, limit time.Duration) bool {
+		return since != 0 && time.Duration(now-since) >= limit
+	}
+	if time.Duration(now-c.lastRead.Load()) < MaxSilence {
+		return false
 	}
+	return longer(c.pingSent.Load(), MaxSilence-PingPeriod) || longer(c.writeSince.Load(), MaxSilence)
 }
 
 // Call sends a request and waits for its response until ctx ends.
@@ -151,6 +201,6 @@
 func (c *Conn) Close() {
 	c.close.Do(func() {
 		close(c.done)
-		_ = c.client.Close() // the connection is gone either way
+		_ = c.conn.Close() // the client ends as its next read or write fails
 	})
 }
--- a/link/server.go
+++ b/link/server.go
@@ -50,7 +50,13 @@
 	if err := c.SetReadDeadline(time.Now().Add(serverIdle)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		// Handlers that are blocked in a write end too; net/rpc waits for them
+		// before it closes the connection.
+		_ = c.Close()
+	}
+	return n, err
 }
 
 // Serve accepts links until the listener is closed.
