link: bound what malformed frames cost; refuse calls on a closed pool

protodelim allocates the announced length at once: 10 bytes could cost 80 MB. The codec now grows with what arrives (at most 1 MB ahead), and a header has its own limit of 64 KB; longer error texts are cut at 16 KB. A pool that was closed opened new links; it now returns ErrNotSent.

--- a/link/codec.go
+++ b/link/codec.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net/rpc"
+	"strings"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -15,6 +19,16 @@
 // MaxMessageBytes is the largest message that a link carries, in bytes.
 const MaxMessageBytes = 80 << 20
 
+const (
+	// maxHeaderBytes bounds a header; longer error texts are cut.
+	maxHeaderBytes = 64 << 10
+	maxErrorBytes  = 16 << 10
+	// firstAllocation is the most that a frame's length alone allocates, bytes.
+	firstAllocation = 1 << 20
+)
+
+var errTooLarge = Error.New("frame beyond the size limit")
+
 // codec frames a header and a body for each call; it serves both ends.
 type codec struct {
 	conn   io.Closer
@@ -45,9 +59,31 @@
 	return nil
 }
 
-func (c *codec) read(message proto.Message) error {
-	// The error stays unwrapped: net/rpc compares it with io.EOF.
-	return protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}.UnmarshalFrom(c.reader, message)
+// read reads one frame of at most limit bytes. protodelim would allocate the
+// announced length at once; this grows with what arrives, so that a malformed
+// length costs little. The errors stay unwrapped: net/rpc compares with io.EOF.
+func (c *codec) read(message proto.Message, limit uint64) error {
+	size, err := binary.ReadUvarint(c.reader)
+	if err != nil {
+		return err
+	}
+	if size > limit {
+		return errTooLarge
+	}
+	var frame bytes.Buffer
+	frame.Grow(int(min(size, firstAllocation)))
+	if _, err := io.CopyN(&frame, c.reader, int64(size)); err != nil {
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	return proto.Unmarshal(frame.Bytes(), message)
+}
+
+func (c *codec) readHeader() error {
+	c.header.Reset()
+	return c.read(&c.header, maxHeaderBytes)
 }
 
 func (c *codec) readBody(body any) error {
@@ -56,7 +92,7 @@
 		// net/rpc passes nil to discard a body; any message type skips unknown fields.
 		message = &wire.Ping{}
 	}
-	return c.read(message)
+	return c.read(message, MaxMessageBytes)
 }
 
 // Close closes the connection.
@@ -78,8 +114,7 @@
 
 // ReadResponseHeader reads the header of the next response.
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
-	c.header.Reset()
-	if err := c.read(&c.header); err != nil {
+	if err := c.readHeader(); err != nil {
 		return err
 	}
 	r.Seq, r.ServiceMethod, r.Error = c.header.GetSequence(), c.header.GetMethod(), c.header.GetError()
@@ -93,8 +128,7 @@
 
 // ReadRequestHeader reads the header of the next request.
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	c.header.Reset()
-	if err := c.read(&c.header); err != nil {
+	if err := c.readHeader(); err != nil {
 		return err
 	}
 	r.Seq, r.ServiceMethod = c.header.GetSequence(), c.header.GetMethod()
@@ -106,5 +140,9 @@
 
 // WriteResponse sends one response.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	return c.write(&wire.CallHeader{Sequence: r.Seq, Method: r.ServiceMethod, Error: r.Error}, body)
+	text := r.Error
+	if len(text) > maxErrorBytes {
+		text = strings.ToValidUTF8(text[:maxErrorBytes], "")
+	}
+	return c.write(&wire.CallHeader{Sequence: r.Seq, Method: r.ServiceMethod, Error: text}, body)
 }
--- a/link/pool.go
+++ b/link/pool.go
@@ -14,6 +14,7 @@
 type Pool struct {
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*Conn
+	ended bool
 }
 
 // NewPool returns an empty pool.
@@ -42,6 +43,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.ended {
+		fresh.Close()
+		return nil, fmt.Errorf("pool is closed: %w", ErrNotSent)
+	}
 	if conn, ok := p.conns[addr]; ok && !conn.ended() {
 		fresh.Close()
 		return conn, nil
@@ -78,10 +83,11 @@
 	}
 }
 
-// Close ends all links.
+// Close ends all links; later calls fail with ErrNotSent.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended = true
 	for addr, conn := range p.conns {
 		conn.Close()
 		delete(p.conns, addr)
