place: preempt no work that would be entitled to start again at once

Cause: in kivilaud_bursty the starving job j0235 preempted j0267 of its own customer 343 times. The victim ran within the guarantee, was entitled again and took the accelerators that its own stop had freed. Work within a guarantee is now no victim, and a starving job preempts only what has run for 20 stop times.

--- a/place/main.go
+++ b/place/main.go
@@ -102,7 +102,7 @@
 		if queue[i].rank == otherRank && !tried {
 			tried = true
 			j := &queue[starving]
-			if !d.serve(j) && !d.preempt(j, d.forStarving(j), "job "+j.ID+" starves") {
+			if !d.serve(j) && !d.preempt(j, d.forStarving, "job "+j.ID+" starves") {
 				d.reserve(j)
 			}
 		}
@@ -142,10 +142,13 @@
 // other customers run within their guarantees: they would reclaim it.
 func (v *view) forUrgent(customer int) allow {
 	return func(_ *node, t *task) bool {
-		if t.Job.Urgent {
-			return false
-		}
-		o := &v.tallies[t.customer]
-		return t.customer == customer || o.usage > o.guaranteed
+		return !t.Job.Urgent && (t.customer == customer || v.beyond(t))
 	}
 }
+
+// beyond reports whether the task runs beside its customer's guarantees, so
+// that it is not entitled to start again at once when it is preempted.
+func (v *view) beyond(t *task) bool {
+	o := &v.tallies[t.customer]
+	return o.usage-t.Job.Tasks*t.Job.Accelerators >= o.guaranteed
+}
--- a/place/move.go
+++ b/place/move.go
@@ -13,7 +13,7 @@
 		return false
 	}
 	d.moves++
-	p, ok := d.planPreempt(j, d.forOther(j))
+	p, ok := d.planPreempt(j, d.forOther)
 	if !ok || len(p.victims) == 0 {
 		return ok && d.claims(j, p)
 	}
@@ -65,12 +65,9 @@
 	return min(d.options.Stretch, max(1, d.now.Sub(j.Submitted).Seconds()/max(shortest, j.Expected).Seconds()))
 }
 
-// forOther allows the preemption of work that is not urgent, not within
-// another customer's guarantee and has passed a checkpoint since it started,
-// so that every run of a job makes progress.
-func (d *decision) forOther(j *request) allow {
-	urgent := d.forUrgent(j.customer)
-	return func(n *node, t *task) bool {
-		return t.Checkpointed > 0 && urgent(n, t)
-	}
+// forOther allows the preemption of work that is not urgent, runs beside the
+// guarantees and has passed a checkpoint since it started, so that every run
+// of a job makes progress.
+func (d *decision) forOther(_ *node, t *task) bool {
+	return t.Checkpointed > 0 && !t.Job.Urgent && d.beyond(t)
 }
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -35,13 +35,15 @@
 	return nil
 }
 
-// forStarving allows the preemption of checkpointable work that is neither
-// urgent, nor large itself, nor within another customer's guarantee.
-func (d *decision) forStarving(j *request) allow {
-	urgent := d.forUrgent(j.customer)
-	return func(n *node, t *task) bool {
-		return t.Job.Tasks*t.Job.Accelerators < d.options.GangSize && urgent(n, t)
-	}
+// leastRun is the number of stop times that a job runs before a starving job
+// may preempt it, which bounds the share of time that goes into stopping.
+const leastRun = 20
+
+// forStarving allows the preemption of work that is neither urgent nor large
+// itself and runs beside the guarantees.
+func (d *decision) forStarving(_ *node, t *task) bool {
+	return t.Job.Tasks*t.Job.Accelerators < d.options.GangSize && !t.Job.Urgent && d.beyond(t) &&
+		d.now.Sub(t.Started) >= leastRun*t.Job.StopTime
 }
 
 // reserve holds the workers on which the job can start first.
