place: cut the decision time at 620 workers and 1,000 queued jobs

Profile: 69% of a decision went into an empty data centre that was mapped again for every size of job to judge whether guarantees exclude it. It is now built once for each decision and only for jobs that do not fit; reasons and failed fits are kept by size.

--- a/place/firstfit.go
+++ b/place/firstfit.go
@@ -25,11 +25,11 @@
 		return nil
 	}
 	v := newView(s, now)
-	refuse := refuser{view: v}
+	refuse := newRefuser(s)
 	var actions []Action
 	for i := range s.Queue {
 		j := v.request(&s.Queue[i])
-		if reason := refuse.reason(&j); reason != "" {
+		if reason := refuse.size(&j); reason != "" {
 			actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
@@ -41,8 +41,13 @@
 			if v.entitled(&j) {
 				if p, ok := v.planPreempt(&j, v.lentTo(j.customer)); ok {
 					actions = append(actions, v.execute(&j, p, "reclaimed for "+j.Customer)...)
+					continue
 				}
 			}
+			if reason := refuse.guarantees(&j); reason != "" {
+				actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
+				continue
+			}
 		}
 		if !f.Backfill {
 			break
--- a/place/fit.go
+++ b/place/fit.go
@@ -76,14 +76,15 @@
 	return seats
 }
 
-// remapSearches bounds the searches in one decision for another map of the
-// guaranteed shapes, each of which takes up to a few milliseconds.
-const remapSearches = 16
+// mapWork bounds the searches in one decision for another map of the
+// guaranteed shapes by their number times the workers; one search takes about
+// 10 ms with 620 workers.
+const mapWork = 1000
 
 // fitBeside finds seats that the present map of shapes forbids although
 // another map allows them, and maps the shapes again around the job.
 func (v *view) fitBeside(j *request, before order) []seat {
-	if j.lent || v.unmet && !v.tight || v.searches >= remapSearches {
+	if j.lent || v.unmet && !v.tight || v.searches > mapWork/len(v.nodes) {
 		return nil
 	}
 	free := *j
--- a/place/main.go
+++ b/place/main.go
@@ -56,7 +56,7 @@
 	if !s.InService {
 		return nil
 	}
-	d := &decision{view: newView(s, now), options: &m.options}
+	d := &decision{view: newView(s, now), options: &m.options, refuse: newRefuser(s), failed: make(map[fitKey]bool)}
 	d.slack, d.gangSize = m.options.Slack, m.options.GangSize
 	for i := range d.tallies {
 		d.used += d.tallies[i].usage
@@ -71,6 +71,8 @@
 	*view
 	options *Options
 	actions []Action
+	refuse  *refuser
+	failed  map[fitKey]bool
 	moves   int // tries in this decision
 	// used and weights are sums over the customers.
 	used    int
@@ -80,10 +82,9 @@
 // queue returns the jobs that can run, in the order of service.
 func (d *decision) queue() []request {
 	requests := make([]request, 0, len(d.state.Queue))
-	refuse := refuser{view: d.view}
 	for i := range d.state.Queue {
 		j := d.request(&d.state.Queue[i])
-		if reason := refuse.reason(&j); reason != "" {
+		if reason := d.refuse.size(&j); reason != "" {
 			d.actions = append(d.actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
@@ -112,14 +113,34 @@
 	}
 }
 
+// fitKey identifies jobs that fit the same places. What is free only shrinks
+// during a decision, so that a job need not be tried after an equal one.
+type fitKey struct {
+	sizeKey
+	lent, idempotent, checkpointable bool
+	left                             time.Duration
+}
+
+func (r *request) fitKey() fitKey {
+	return fitKey{r.sizeKey(), r.lent, r.Idempotent, r.Checkpointable, r.remaining()}
+}
+
 // serve places the job or frees room for it, and reports whether it did.
 func (d *decision) serve(j *request) bool {
 	if !d.permitted(j) {
 		return false
 	}
-	if seats := d.fit(j, d.bestFit); seats != nil {
-		d.actions = append(d.actions, d.book(j, seats))
-		return true
+	key := j.fitKey()
+	if !d.failed[key] || len(j.Avoid) > 0 {
+		if seats := d.fit(j, d.bestFit); seats != nil {
+			d.actions = append(d.actions, d.book(j, seats))
+			return true
+		}
+		if reason := d.refuse.guarantees(j); reason != "" {
+			d.actions = append(d.actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
+			return true
+		}
+		d.failed[key] = len(j.Avoid) == 0
 	}
 	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
 		return true
--- a/place/preempt.go
+++ b/place/preempt.go
@@ -37,11 +37,7 @@
 		}
 		return best, found
 	default:
-		all := make([]int, len(v.nodes))
-		for i := range all {
-			all[i] = i
-		}
-		return v.planNodes(j, all, may)
+		return v.planNodes(j, v.all, may)
 	}
 }
 
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -45,31 +45,46 @@
 
 const besideReason = "guarantees of other customers leave no place for a job that cannot be stopped in time"
 
-// refuser finds the jobs of one decision that can never run.
+// refuser finds the jobs of one decision that can never run. It keeps what it
+// found, since many queued jobs have the same size.
 type refuser struct {
-	view  *view
-	known map[sizeKey]bool // whether guarantees exclude the job
+	state  *State
+	sizes  map[sizeKey]string // reasons by size, "" if there is none
+	beside map[sizeKey]bool   // whether guarantees exclude the job
+	empty  *view              // the data centre without running work
 }
 
-// reason returns why the job can never run, or "".
-func (r *refuser) reason(j *request) string {
-	if reason := refusal(r.view.state, j.Job); reason != "" || j.lent {
-		return reason
-	}
+func newRefuser(s *State) *refuser {
+	return &refuser{state: s, sizes: make(map[sizeKey]string), beside: make(map[sizeKey]bool)}
+}
+
+// size returns why the job is too large for the data centre or quota, or "".
+func (r *refuser) size(j *request) string {
 	if len(j.Avoid) > 0 {
-		if neverBeside(r.view.state, j.Job) {
-			return besideReason
-		}
-		return ""
+		return refusal(r.state, j.Job)
 	}
-	key := sizeKey{j.Customer, j.Service, j.Tasks, j.Accelerators, j.Adjacency}
-	never, ok := r.known[key]
+	key := j.sizeKey()
+	reason, ok := r.sizes[key]
 	if !ok {
-		never = neverBeside(r.view.state, j.Job)
-		if r.known == nil {
-			r.known = make(map[sizeKey]bool)
-		}
-		r.known[key] = never
+		reason = refusal(r.state, j.Job)
+		r.sizes[key] = reason
+	}
+	return reason
+}
+
+// guarantees returns why guarantees keep a job that does not fit now out for
+// ever, or "".
+func (r *refuser) guarantees(j *request) string {
+	if j.lent {
+		return ""
+	}
+	key := j.sizeKey()
+	never, ok := r.beside[key]
+	if !ok || len(j.Avoid) > 0 {
+		never = r.neverBeside(j.Job)
+	}
+	if len(j.Avoid) == 0 {
+		r.beside[key] = never
 	}
 	if never {
 		return besideReason
@@ -77,6 +92,10 @@
 	return ""
 }
 
+func (r *request) sizeKey() sizeKey {
+	return sizeKey{r.Customer, r.Service, r.Tasks, r.Accelerators, r.Adjacency}
+}
+
 // mostTasks is the largest number of tasks that one domain of the job's
 // adjacency holds when empty.
 func mostTasks(s *State, j *Job) int {
@@ -121,32 +140,24 @@
 // which cannot be lent to, from every place of its adjacency even when all
 // known workers are empty and in use. It is certain for jobs within a worker
 // or rack; wider ones are excluded only by their sum.
-func neverBeside(s *State, j *Job) bool {
-	if len(s.Guarantees) == 0 || s.Planned.Workers > len(s.Workers) {
+func (r *refuser) neverBeside(j *Job) bool {
+	if len(r.state.Guarantees) == 0 || r.state.Planned.Workers > len(r.state.Workers) {
 		return false
 	}
-	empty := *s
-	empty.Running = nil
-	empty.CapacityShare = 1
-	empty.Workers = slices.Clone(s.Workers)
-	for i := range empty.Workers {
-		w := &empty.Workers[i]
-		w.Ready, w.SetAside, w.Probing = true, false, false
-	}
-	v := newView(&empty, j.Submitted)
-	r := v.request(j)
-	if v.unmet && !v.tight || v.fit(&r, firstFit) != nil {
+	v := r.emptied(j)
+	q := v.request(j)
+	if v.unmet && !v.tight || v.fit(&q, firstFit) != nil {
 		return false
 	}
 	if j.Adjacency == SameDataCentre && j.Tasks > 1 {
-		return v.exceeds(&r)
+		return v.exceeds(&q)
 	}
-	r.lent = true // looks at free workers alone; the search judges the guarantees
+	q.lent = true // looks at free workers alone; the search judges the guarantees
 	for _, domain := range v.domains(j.Adjacency) {
 		for turn := range domain {
 			nodes := slices.Concat(domain[turn:], domain[:turn])
 			order := func(a, b *node) bool { return slices.Index(nodes, a.index) < slices.Index(nodes, b.index) }
-			if seats := v.fitNodes(&r, nodes, order); seats != nil && v.keeps(v.started(&r, seats)) {
+			if seats := v.fitNodes(&q, nodes, order); seats != nil && v.keeps(v.started(&q, seats)) {
 				return false
 			}
 		}
@@ -154,6 +165,25 @@
 	return true
 }
 
+// emptied is the data centre without running work and with all known workers
+// in use.
+func (r *refuser) emptied(j *Job) *view {
+	if r.empty != nil {
+		r.empty.searches = 0
+		return r.empty
+	}
+	s := *r.state
+	s.Running = nil
+	s.CapacityShare = 1
+	s.Workers = slices.Clone(s.Workers)
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		w.Ready, w.SetAside, w.Probing = true, false, false
+	}
+	r.empty = newView(&s, j.Submitted)
+	return r.empty
+}
+
 // exceeds reports whether the job and the guarantees of others need more
 // accelerators than there are.
 func (v *view) exceeds(j *request) bool {
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -144,17 +144,11 @@
 // ends of running work. It keeps the domain of the present reservation unless
 // another one is sooner by more than the estimates' error.
 func (d *decision) earliest(j *request) (seats []seat, at time.Time, ok bool) {
-	domains := [][]int{nil}
-	if j.Adjacency != SameDataCentre || j.Tasks == 1 {
+	domains := [][]int{d.all}
+	if j.Tasks == 1 {
+		domains = d.domains(SameWorker)
+	} else if j.Adjacency != SameDataCentre {
 		domains = d.domains(j.Adjacency)
-		if j.Tasks == 1 {
-			domains = d.domains(SameWorker)
-		}
-	} else {
-		domains[0] = make([]int, len(d.nodes))
-		for i := range domains[0] {
-			domains[0][i] = i
-		}
 	}
 	kept := ""
 	if held := d.heldFor(j); held != nil && len(held.Workers) > 0 {
--- a/place/shape.go
+++ b/place/shape.go
@@ -98,11 +98,7 @@
 
 func (v *view) mapShape(sh shape) bool {
 	if sh.guarantee.Adjacency != SameRack {
-		all := make([]int, len(v.nodes))
-		for i := range all {
-			all[i] = i
-		}
-		picks, _, ok := v.chunks(sh, all)
+		picks, _, ok := v.chunks(sh, v.all)
 		v.hold(sh, picks, ok)
 		return ok
 	}
@@ -145,20 +141,24 @@
 	if size == 0 || sh.guarantee.Adjacency == SameWorker && left > size {
 		return nil, 0, false
 	}
-	taken := make(map[int]int)
+	defer func() {
+		for _, p := range picks {
+			v.nodes[p.node].taken = 0
+		}
+	}()
 	for left > 0 {
 		chunk := min(left, size)
 		best, bestCost := -1, 0
 		for _, i := range domain {
-			c, fits := v.nodes[i].holdCost(sh.customer, chunk, taken[i])
+			c, fits := v.nodes[i].holdCost(sh.customer, chunk)
 			if fits && (best < 0 || c < bestCost) {
 				best, bestCost = i, c
 			}
 		}
 		if best < 0 {
-			return nil, 0, false
+			return picks, 0, false
 		}
-		taken[best] += chunk
+		v.nodes[best].taken += chunk
 		picks = append(picks, pick{best, chunk})
 		cost += bestCost
 		left -= chunk
@@ -169,8 +169,8 @@
 // holdCost reports whether the node can hold a chunk for the customer beside
 // what is already taken, and the cost of holding it there: accelerators that
 // lent work would give back weigh most, then the room left over.
-func (n *node) holdCost(customer, chunk, taken int) (cost int, ok bool) {
-	p := n.find(customer)
+func (n *node) holdCost(customer, chunk int) (cost int, ok bool) {
+	p, taken := n.find(customer), n.taken
 	extra := 1
 	if taken > 0 {
 		extra = 2
--- a/place/view.go
+++ b/place/view.go
@@ -12,6 +12,7 @@
 	nodes     []node
 	byName    map[string]int
 	racks     []rack
+	all       []int // indexes of all nodes
 	customers map[string]int
 	tallies   []tally
 	// minReclaim and nextReclaim are the two shortest reclaim times by
@@ -49,6 +50,7 @@
 	need        int // accelerators that are locked or held
 	needSlots   int
 	hosted      []hosted
+	taken       int // accelerators of the shape that is being mapped
 	// reserved limits new work to what ends in time or fits into spare.
 	reserved bool
 	spare    int
@@ -131,6 +133,7 @@
 			v.racks = append(v.racks, rack{})
 		}
 		v.byName[w.Name] = i
+		v.all = append(v.all, i)
 		v.racks[r].nodes = append(v.racks[r].nodes, i)
 		usable := w.Ready && !w.SetAside
 		v.nodes[i] = node{worker: w, index: i, rack: r, usable: usable, free: w.Accelerators, slots: w.Slots}
