--- a/place/reserve.go
+++ b/place/reserve.go
@@ -81,18 +81,26 @@
 	return !v.now.Add(left).After(v.reservedFrom)
 }
 
-// release is when a running task is expected to end. A task that has run
-// longer than expected is taken to need as long again as it has run: with
-// heavy tails the time left grows with the time run.
+// release is when a running task is expected to end.
 func (v *view) release(t *task) time.Time {
-	if t.Stopping || t.gone {
+	if t.gone {
 		return v.now.Add(t.Job.StopTime)
 	}
-	ran := max(shortest, t.Job.Done+v.now.Sub(t.Started))
-	if left := t.Job.Expected - ran; left > 0 {
-		return v.now.Add(left)
-	}
-	return v.now.Add(ran)
+	return t.end
+}
+
+// expectedEnd is when a running job ends by its learned run time. A job that
+// has run longer is taken to need as long again as it has run: with heavy
+// tails the time left grows with the time run.
+func expectedEnd(r *Running, now time.Time) time.Time {
+	if r.Stopping {
+		return now.Add(r.Job.StopTime)
+	}
+	ran := max(shortest, r.Job.Done+now.Sub(r.Started))
+	if left := r.Job.Expected - ran; left > 0 {
+		return now.Add(left)
+	}
+	return now.Add(ran)
 }
 
 // freeAt is what the node has free at the given time if no other job starts.
--- a/place/view.go
+++ b/place/view.go
@@ -82,8 +82,9 @@
 	*Running
 	customer int
 	lent     bool
-	gone     bool // preempted in this decision
-	loss     float64
+	gone     bool    // preempted in this decision
+	loss     float64 // accelerator-seconds that a preemption throws away
+	end      time.Time
 }
 
 // tally has the totals of one customer.
@@ -209,6 +210,7 @@
 		t := &v.running[i]
 		*t = task{Running: r, customer: v.customer(r.Job.Customer), lent: v.lendable(&r.Job)}
 		t.loss = lostWork(r, v.now)
+		t.end = expectedEnd(r, v.now)
 		for _, name := range r.Workers {
 			if n, ok := v.byName[name]; ok {
 				v.addRank(&v.nodes[n], t, i)
