place: check share, quota, avoided and probing workers after every action

FirstFit no longer lets a job that waits for its customer's quota block the others, and again blocks behind a job for which it reclaims; both made the baseline weaker than first-fit FIFO has to be.

--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// BenchmarkUnmet measures decisions while lost workers make a shape impossible,
+// which is when the search for another map runs to its limit.
+func BenchmarkUnmet(b *testing.B) {
+	p := place.New(place.Options{})
+	s := fullState(620, 100)
+	for i := range s.Running {
+		s.Running[i].Job.Checkpointable = i >= 620
+	}
+	s.Guarantees = append(s.Guarantees, place.Guarantee{Name: "lost", Customer: "c1", Accelerators: 16, Count: 1, ReclaimWithin: time.Minute})
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Decide(s, start.Add(time.Hour))
+	}
+}
+
 func BenchmarkReclaimable(b *testing.B) {
 	s := fullState(620, 0)
 	b.ReportAllocs()
--- a/place/firstfit.go
+++ b/place/firstfit.go
@@ -33,20 +33,20 @@
 			actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
-		if v.permitted(&j) {
-			if seats := v.fit(&j, firstFit); seats != nil {
-				actions = append(actions, v.book(&j, seats))
-				continue
-			}
-			if v.entitled(&j) {
-				if p, ok := v.planPreempt(&j, v.lentTo(j.customer)); ok {
-					actions = append(actions, v.execute(&j, p, "reclaimed for "+j.Customer)...)
-					continue
-				}
-			}
-			if reason := refuse.guarantees(&j); reason != "" {
-				actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
-				continue
+		if !v.permitted(&j) {
+			continue // a quota of one customer must not block the others
+		}
+		if seats := v.fit(&j, firstFit); seats != nil {
+			actions = append(actions, v.book(&j, seats))
+			continue
+		}
+		if reason := refuse.guarantees(&j); reason != "" {
+			actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
+			continue
+		}
+		if v.entitled(&j) {
+			if p, ok := v.planPreempt(&j, v.lentTo(j.customer)); ok {
+				actions = append(actions, v.execute(&j, p, "reclaimed for "+j.Customer)...)
 			}
 		}
 		if !f.Backfill {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -119,6 +119,44 @@
 	}
 }
 
+// checkPlace fails if a placement breaks a rule of the state before it.
+func checkPlace(t *rapid.T, s *place.State, p *place.Place) {
+	i := slices.IndexFunc(s.Queue, func(j place.Job) bool { return j.ID == p.JobID })
+	if i < 0 || !s.InService {
+		t.Fatalf("job %s is placed: queued at %d, in service %t", p.JobID, i, s.InService)
+	}
+	j := s.Queue[i]
+	need, total, used, own := j.Tasks*j.Accelerators, 0, 0, 0
+	tasks := make(map[string]int)
+	for _, r := range s.Running {
+		used += r.Job.Tasks * r.Job.Accelerators
+		if r.Job.Customer == j.Customer {
+			own += r.Job.Tasks * r.Job.Accelerators
+		}
+		for _, name := range r.Workers {
+			tasks[name]++
+		}
+	}
+	for _, w := range s.Workers {
+		total += w.Accelerators
+		if !slices.Contains(p.Workers, w.Name) {
+			continue
+		}
+		if !w.Ready || w.SetAside || slices.Contains(j.Avoid, w.Name) ||
+			w.Probing && (!j.Idempotent || j.Tasks > 1 || tasks[w.Name] > 0) {
+			t.Fatalf("job %s with Avoid %v must not use worker %+v", j.ID, j.Avoid, w)
+		}
+	}
+	if need > 0 && s.CapacityShare < 1 && float64(used+need) > s.CapacityShare*float64(total) {
+		t.Fatalf("job %s exceeds the share %v: %d of %d in use", j.ID, s.CapacityShare, used, total)
+	}
+	for _, c := range s.Customers {
+		if c.Name == j.Customer && c.Quota > 0 && own+need > c.Quota {
+			t.Fatalf("job %s exceeds the quota of %s", j.ID, c.Name)
+		}
+	}
+}
+
 // TestActions guards against an action that takes a guaranteed shape away,
 // exceeds a worker, splits a gang or depends on more than the state.
 func TestActions(t *testing.T) {
@@ -141,6 +179,9 @@
 			t.Fatalf("two decisions on one state differ: %s", d)
 		}
 		for _, a := range actions {
+			if a.Place != nil {
+				checkPlace(t, s, a.Place)
+			}
 			apply(t, s, a, now)
 			checkLimits(t, s)
 			if err := place.Reclaimable(s); err != nil && before == nil {
@@ -164,12 +205,17 @@
 		s.Running = slices.Delete(s.Running, i, i+1)
 		if r.Stopping {
 			s.Queue = append(s.Queue, r.Job)
+		} else if rapid.IntRange(0, 3).Draw(t, "failed") == 0 {
+			r.Job.Avoid = append(slices.Clone(r.Job.Avoid), r.Workers[0])
+			s.Queue = append(s.Queue, r.Job)
 		}
 	case kind == 9:
 		w := &s.Workers[rapid.IntRange(0, len(s.Workers)-1).Draw(t, "worker")]
 		w.Ready = rapid.Bool().Draw(t, "ready")
 		w.SetAside = rapid.IntRange(0, 3).Draw(t, "set_aside") == 0
 		w.Probing = !w.SetAside && rapid.IntRange(0, 3).Draw(t, "probing") == 0
+		s.InService = rapid.IntRange(0, 3).Draw(t, "in_service") > 0
+		s.CapacityShare = rapid.SampledFrom([]float64{0.25, 0.5, 1, 1}).Draw(t, "share")
 	}
 }
 
