--- a/trace/report.go
+++ b/trace/report.go
@@ -61,6 +61,69 @@
 	return outcomes, g.Wait()
 }
 
+// Average replays every scenario with further seeds under each policy and
+// returns the mean outcomes in the order of the scenarios and policies.
+func Average(policies []place.Policy, seeds int) ([]*Outcome, error) {
+	scenarios := Scenarios()
+	outcomes := make([]*Outcome, len(scenarios)*len(policies)*seeds)
+	var g errgroup.Group
+	g.SetLimit(4)
+	for i, s := range scenarios {
+		for n := range seeds {
+			s.Seed = scenarios[i].Seed + uint64(n)*seedStep
+			t := Generate(s)
+			for k, p := range policies {
+				g.Go(func() error {
+					o, err := Replay(t, p)
+					outcomes[(i*len(policies)+k)*seeds+n] = o
+					return err
+				})
+			}
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	var means []*Outcome
+	for i := 0; i < len(outcomes); i += seeds {
+		means = append(means, average(outcomes[i:i+seeds]))
+	}
+	return means, nil
+}
+
+// seedStep keeps the seeds of the scenarios apart.
+const seedStep = 1000
+
+// average returns the mean of outcomes, with the largest of their maxima.
+func average(all []*Outcome) *Outcome {
+	n := len(all)
+	sum := &Outcome{Trace: all[0].Trace, Policy: all[0].Policy}
+	for _, o := range all {
+		sum.Done += o.Done
+		sum.Refused += o.Refused
+		sum.Failed += o.Failed
+		sum.Cancelled += o.Cancelled
+		sum.Stuck += o.Stuck
+		sum.Mean += o.Mean / time.Duration(n)
+		sum.P95 += o.P95 / time.Duration(n)
+		sum.Bound += o.Bound / time.Duration(n)
+		sum.Makespan += o.Makespan / time.Duration(n)
+		sum.MakespanBound += o.MakespanBound / time.Duration(n)
+		sum.Stranded += o.Stranded / float64(n)
+		sum.StrandedMean += o.StrandedMean / float64(n)
+		sum.Gangs += o.Gangs
+		sum.GangsOver += o.GangsOver
+		sum.GangMean += o.GangMean / time.Duration(n)
+		sum.GangMost = max(sum.GangMost, o.GangMost)
+		sum.LeaveWork += o.LeaveWork / float64(n)
+		sum.Thrown += o.Thrown / float64(n)
+		sum.Preemptions += o.Preemptions
+		sum.Held += o.Held
+		sum.HeldMost = max(sum.HeldMost, o.HeldMost)
+	}
+	return sum
+}
+
 // Report replays the recorded traces under all policies and writes a table.
 func Report(w io.Writer) error {
 	outcomes, err := Compare(Names(), Policies())
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -11,6 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 )
 
+var seeds = flag.Int("seeds", 0, "also print the mean outcomes over this many seeds")
+
 var record = flag.Bool("record", false, "write the generated traces to testdata")
 
 // TestRecorded guards against a recorded trace that its seed does not give,
@@ -50,6 +52,18 @@
 		t.Fatal(err)
 	}
 	t.Logf("\n%s", b.String())
+	if *seeds > 0 {
+		means, err := trace.Average(trace.Policies(), *seeds)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Reset()
+		if err := trace.Table(&b, means); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("mean over %d seeds, counts as sums\n%s", *seeds, b.String())
+		outcomes = append(outcomes, means...)
+	}
 	for _, o := range outcomes {
 		if o.Stuck > 0 {
 			t.Errorf("%s under %s: %d jobs never ended", o.Trace, o.Policy, o.Stuck)
