--- a/place/main.go
+++ b/place/main.go
@@ -56,7 +56,7 @@
 	if !s.InService {
 		return nil
 	}
-	d := &decision{view: newView(s, now), options: &m.options, refuse: newRefuser(s), failed: make(map[fitKey]bool)}
+	d := &decision{view: newView(s, now), options: &m.options, refuse: newRefuser(s), failed: make(map[fitKey]bool), reclaiming: make(map[int]bool)}
 	d.slack, d.gangSize = m.options.Slack, m.options.GangSize
 	for i := range d.tallies {
 		d.used += d.tallies[i].usage
@@ -73,7 +73,9 @@
 	actions []Action
 	refuse  *refuser
 	failed  map[fitKey]bool
-	moves   int // tries in this decision
+	// reclaiming has the customers with a job that waits for lent work to stop.
+	reclaiming map[int]bool
+	moves      int // tries in this decision
 	// used and weights are sums over the customers.
 	used    int
 	weights float64
@@ -127,7 +129,9 @@
 
 // serve places the job or frees room for it, and reports whether it did.
 func (d *decision) serve(j *request) bool {
-	if !d.permitted(j) {
+	// Other work of a customer that waits for a reclaim would count towards
+	// its guarantee, and the waiting job would lose its claim.
+	if !d.permitted(j) || j.rank == otherRank && d.reclaiming[j.customer] {
 		return false
 	}
 	key := j.fitKey()
@@ -143,6 +147,7 @@
 		d.failed[key] = len(j.Avoid) == 0
 	}
 	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
+		d.reclaiming[j.customer] = true
 		return true
 	}
 	if j.Urgent {
