--- a/place/main.go
+++ b/place/main.go
@@ -8,7 +8,7 @@
 	// a reservation (default 8).
 	GangSize int
 	// StarveRatio is the wait over the expected run time from which it gets
-	// one (default 3). A lower ratio shortens the wait of
+	// one (default 2). A lower ratio shortens the wait of
 	// large jobs and lengthens the mean completion time.
 	StarveRatio float64
 	// Slack is the factor by which a backfilled job may exceed its expected
@@ -32,7 +32,7 @@
 		o.GangSize = 8
 	}
 	if o.StarveRatio == 0 {
-		o.StarveRatio = 3
+		o.StarveRatio = 2
 	}
 	if o.Slack == 0 {
 		o.Slack = 1.5
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -7,10 +7,10 @@
 )
 
 // starving returns the index of the large job that gets the reservation, or
-// -1: the one that has it already, else the one that has waited longest for
-// its run time.
+// -1: the one that has it already, else the starving one that goes first by
+// score.
 func (d *decision) starving(queue []request) int {
-	best, most := -1, d.options.StarveRatio
+	best, least := -1, 0.0
 	for i := range queue {
 		r := &queue[i]
 		if r.rank != otherRank || r.Tasks*r.Accelerators < d.options.GangSize || !d.permitted(r) {
@@ -20,8 +20,8 @@
 			return i
 		}
 		ratio := d.now.Sub(r.Submitted).Seconds() / r.remaining().Seconds()
-		if ratio >= most {
-			best, most = i, ratio
+		if ratio >= d.options.StarveRatio && (best < 0 || r.score < least) {
+			best, least = i, r.score
 		}
 	}
 	return best
--- a/place/state.go
+++ b/place/state.go
@@ -112,6 +112,11 @@
 }
 
 // Action is a decision; exactly one field is set.
+//
+// The owner of the State carries actions out in order before the next call:
+// a placed job moves from Queue to Running, a preempted one is marked
+// Stopping, a refused one leaves Queue, and a reservation is kept in
+// Reservation until the next one replaces it.
 type Action struct {
 	Place   *Place
 	Preempt *Preempt
