--- a/place/firstfit.go
+++ b/place/firstfit.go
@@ -25,23 +25,28 @@
 		return nil
 	}
 	v := newView(s, now)
-	refuse := refuser{view: v}
+	refuse := newRefuser(s)
 	var actions []Action
 	for i := range s.Queue {
 		j := v.request(&s.Queue[i])
-		if reason := refuse.reason(&j); reason != "" {
+		if reason := refuse.size(&j); reason != "" {
 			actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
-		if v.permitted(&j) {
-			if seats := v.fit(&j, firstFit); seats != nil {
-				actions = append(actions, v.book(&j, seats))
-				continue
-			}
-			if v.entitled(&j) {
-				if p, ok := v.planPreempt(&j, v.lentTo(j.customer)); ok {
-					actions = append(actions, v.execute(&j, p, "reclaimed for "+j.Customer)...)
-				}
+		if !v.permitted(&j) {
+			continue // a quota of one customer must not block the others
+		}
+		if seats := v.fit(&j, firstFit); seats != nil {
+			actions = append(actions, v.book(&j, seats))
+			continue
+		}
+		if reason := refuse.guarantees(&j); reason != "" {
+			actions = append(actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
+			continue
+		}
+		if v.entitled(&j) {
+			if p, ok := v.planPreempt(&j, v.lentTo(j.customer)); ok {
+				actions = append(actions, v.execute(&j, p, "reclaimed for "+j.Customer)...)
 			}
 		}
 		if !f.Backfill {
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -7,10 +7,10 @@
 )
 
 // starving returns the index of the large job that gets the reservation, or
-// -1: the one that has it already, else the one that has waited longest for
-// its run time.
+// -1: the one that has it already, else the starving one that goes first by
+// score.
 func (d *decision) starving(queue []request) int {
-	best, most := -1, d.options.StarveRatio
+	best, least := -1, 0.0
 	for i := range queue {
 		r := &queue[i]
 		if r.rank != otherRank || r.Tasks*r.Accelerators < d.options.GangSize || !d.permitted(r) {
@@ -20,8 +20,8 @@
 			return i
 		}
 		ratio := d.now.Sub(r.Submitted).Seconds() / r.remaining().Seconds()
-		if ratio >= most {
-			best, most = i, ratio
+		if ratio >= d.options.StarveRatio && (best < 0 || r.score < least) {
+			best, least = i, r.score
 		}
 	}
 	return best
@@ -35,13 +35,15 @@
 	return nil
 }
 
-// forStarving allows the preemption of checkpointable work that is neither
-// urgent, nor large itself, nor within another customer's guarantee.
-func (d *decision) forStarving(j *request) allow {
-	urgent := d.forUrgent(j.customer)
-	return func(n *node, t *task) bool {
-		return t.Job.Tasks*t.Job.Accelerators < d.options.GangSize && urgent(n, t)
-	}
+// leastRun is the number of stop times that a job runs before a starving job
+// may preempt it, which bounds the share of time that goes into stopping.
+const leastRun = 20
+
+// forStarving allows the preemption of work that is neither urgent nor large
+// itself and runs beside the guarantees.
+func (d *decision) forStarving(_ *node, t *task) bool {
+	return t.Job.Tasks*t.Job.Accelerators < d.options.GangSize && !t.Job.Urgent && d.beyond(t) &&
+		d.now.Sub(t.Started) >= leastRun*t.Job.StopTime
 }
 
 // reserve holds the workers on which the job can start first.
@@ -79,18 +81,26 @@
 	return !v.now.Add(left).After(v.reservedFrom)
 }
 
-// release is when a running task is expected to end. A task that has run
-// longer than expected is taken to need as long again as it has run: with
-// heavy tails the time left grows with the time run.
+// release is when a running task is expected to end.
 func (v *view) release(t *task) time.Time {
-	if t.Stopping || t.gone {
+	if t.gone {
 		return v.now.Add(t.Job.StopTime)
 	}
-	ran := max(shortest, t.Job.Done+v.now.Sub(t.Started))
-	if left := t.Job.Expected - ran; left > 0 {
-		return v.now.Add(left)
-	}
-	return v.now.Add(ran)
+	return t.end
+}
+
+// expectedEnd is when a running job ends by its learned run time. A job that
+// has run longer is taken to need as long again as it has run: with heavy
+// tails the time left grows with the time run.
+func expectedEnd(r *Running, now time.Time) time.Time {
+	if r.Stopping {
+		return now.Add(r.Job.StopTime)
+	}
+	ran := max(shortest, r.Job.Done+now.Sub(r.Started))
+	if left := r.Job.Expected - ran; left > 0 {
+		return now.Add(left)
+	}
+	return now.Add(ran)
 }
 
 // freeAt is what the node has free at the given time if no other job starts.
@@ -142,17 +152,11 @@
 // ends of running work. It keeps the domain of the present reservation unless
 // another one is sooner by more than the estimates' error.
 func (d *decision) earliest(j *request) (seats []seat, at time.Time, ok bool) {
-	domains := [][]int{nil}
-	if j.Adjacency != SameDataCentre || j.Tasks == 1 {
+	domains := [][]int{d.all}
+	if j.Tasks == 1 {
+		domains = d.domains(SameWorker)
+	} else if j.Adjacency != SameDataCentre {
 		domains = d.domains(j.Adjacency)
-		if j.Tasks == 1 {
-			domains = d.domains(SameWorker)
-		}
-	} else {
-		domains[0] = make([]int, len(d.nodes))
-		for i := range domains[0] {
-			domains[0][i] = i
-		}
 	}
 	kept := ""
 	if held := d.heldFor(j); held != nil && len(held.Workers) > 0 {
