sched: never run without the body, never tell not run after a run, leave no record committed

Causes, each shown by a test that failed before: - A job known from its record only (takeover) had no body, and its repeated attempt was prepared with an empty one. It is now given back until a submission brings the body. - A job whose attempt had run (failed, or preempted) was told not_run when it was cancelled or refused while waiting. The fate of earlier attempts is now kept in the job and in its record. - The record was rebuilt from the job at submission, so the commit lost the parts of the body and the accepting entry. The submission carries the record. - A cancellation during the commit ended the record at the old revision, which conflicted with the scheduler's own commit and left it committed for good. - A conflict with an adoption, or with a late commit of a former scheduler, ended the job here without anybody carrying it. - Jobs that waited again after the data centre had left stayed there. - A non-idempotent preempted task that ended without a checkpoint ran again. - A cancellation was dropped while a preempted job's record was written back. Attempt ids now come from a sequence of the scheduler: a job that was given back and came again reused ids whose tombstones refuse it at the agents.

Ruled out: waiting for the commit before every stop; it would hold back cancellations while the store is slow.

--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -15,8 +15,10 @@
 func (s *Scheduler) begin(c *control, j *job, workers []string, now time.Time) {
 	c.queue.Take(j.spec.GetId())
 	j.number++
+	c.sequence++
 	a := &attempt{
-		id:     fmt.Sprintf("%s.%d.%d", j.spec.GetId(), s.opts.Epoch, j.number),
+		// Agents remember ids for longer than this process remembers jobs.
+		id:     fmt.Sprintf("%s.%d.%d", j.spec.GetId(), s.opts.Epoch, c.sequence),
 		job:    j,
 		coord:  gang.NewCoordinator(len(workers), j.recorded()),
 		placed: now,
@@ -90,25 +92,50 @@
 	c.dirty = true
 	klog.V(1).Infof("sched: Attempt %s ended: %+v.", a.id, v)
 	s.judgeWorkers(c, a, v)
+	j.noteEarlier(v)
 	switch {
 	case v.AllDone:
 		s.finish(c, j, s.doneOutcome(a))
 	case j.stopReason != "":
-		s.finish(c, j, &wire.Outcome{Fate: v.Fate(), Reason: j.stopReason})
-	case a.preempted && a.stoppedForCertain():
+		s.finish(c, j, j.stopOutcome(v.Fate()))
+	case a.preempted && a.mayResume(v):
 		s.requeuePreempted(c, a)
 	case s.mayRepeat(j, v):
 		j.notUntil = time.Now().Add(callRetry)
+		j.tries++
 		s.enqueue(c, j)
 	default:
-		s.finish(c, j, &wire.Outcome{Fate: v.Fate(), Reason: v.Reason, Worker: a.workerOf(v)})
+		outcome := &wire.Outcome{Fate: v.Fate(), Reason: v.Reason, Worker: a.workerOf(v)}
+		if outcome.GetFate() == wire.Fate_NOT_RUN {
+			outcome.RetryAfterMs = retryAfter.Milliseconds()
+		}
+		s.finish(c, j, outcome)
+	}
+}
+
+// noteEarlier keeps what the attempt left behind, for the fate of the job.
+func (j *job) noteEarlier(v gang.Verdict) {
+	switch {
+	case v.Started:
+		j.earlier = wire.Fate_FAILED
+	case v.MayHaveStarted && j.earlier == wire.Fate_FATE_UNSPECIFIED:
+		j.earlier = wire.Fate_UNKNOWN
+	}
+}
+
+// FateAfter is the fate of a job whose last attempt or record has the given
+// fate: a job of which an earlier attempt ran is never told to be not run.
+func FateAfter(earlier, fate wire.Fate) wire.Fate {
+	if fate == wire.Fate_NOT_RUN && earlier != wire.Fate_FATE_UNSPECIFIED {
+		return earlier
 	}
+	return fate
 }
 
 // mayRepeat says whether the job is tried again after the verdict.
 func (s *Scheduler) mayRepeat(j *job, v gang.Verdict) bool {
 	l := s.opts.Limits
-	return v.Repeatable(j.spec.GetIdempotent()) && j.number < l.Attempts && !j.atFault
+	return v.Repeatable(j.spec.GetIdempotent()) && j.tries+1 < l.Attempts && !j.atFault
 }
 
 // judgeWorkers learns from the attempt which workers and which jobs fail, and
@@ -141,6 +168,24 @@
 	return true
 }
 
+// mayResume says whether the preempted job may go on in another attempt. Work
+// that must run once needs a checkpoint of every member, since a member that
+// ended without one would run again from its start.
+func (a *attempt) mayResume(v gang.Verdict) bool {
+	if !a.stoppedForCertain() {
+		return false
+	}
+	if a.job.spec.GetIdempotent() || v.Proved() {
+		return true
+	}
+	for rank, m := range a.coord.Members {
+		if m.State != wire.TaskState_TASK_STOPPED || a.saved[rank] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // requeuePreempted lets a preempted job go on later from its checkpoint.
 func (s *Scheduler) requeuePreempted(c *control, a *attempt) {
 	j := a.job
@@ -149,7 +194,7 @@
 		saved = min(saved, d)
 	}
 	j.resume = max(j.resume, saved)
-	if !j.recorded() {
+	if !j.recorded() || !j.bodyHere {
 		s.enqueue(c, j)
 		return
 	}
--- a/sched/control.go
+++ b/sched/control.go
@@ -32,6 +32,7 @@
 	health      *place.Health
 	reservation *place.Reservation
 
+	sequence   int64 // of attempts, so that no id is used twice
 	dirty      bool
 	lastDecide time.Time
 	scheduled  bool // a delayed decision is on its way
@@ -73,13 +74,24 @@
 	revision int64
 	deadline time.Time // zero means none
 
-	number   int // of the last attempt
-	current  *attempt
+	// bodyHere is false for a job that is known from its record only.
+	bodyHere bool
+
+	number  int // of the last attempt
+	tries   int // attempts that were repeated
+	current *attempt
+	// earlier is FAILED once an attempt ran, UNKNOWN once one may have run.
+	earlier  wire.Fate
 	atFault  bool // the job failed on several workers that serve others well
 	resume   time.Duration
 	notUntil time.Time // pause before the next attempt
 
 	stopReason string // set once the job was cancelled or given up
+	stopRetry  time.Duration
+	// commitSent says that the record may name an attempt although no answer told so.
+	commitSent bool
+	releasing  bool // the record is being written back to accepted
+	moved      bool // the record was changed by another process
 	outcome    *wire.Outcome
 	reroute    bool
 	endedAt    time.Time
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -54,12 +54,14 @@
 	if p.InService && c.seenState && !c.inService {
 		c.returned = now
 	}
-	left := !p.InService && (c.inService || !c.seenState)
+	if !p.InService && (c.inService || !c.seenState) {
+		klog.Infof("sched: Data centre %s is out of service.", s.opts.DataCentre)
+	}
 	c.inService, c.seenState = p.InService, true
-	if !left {
+	if p.InService {
 		return
 	}
-	klog.Infof("sched: Data centre %s is out of service.", s.opts.DataCentre)
+	// Also jobs that wait again after an attempt go to other data centres.
 	for _, item := range slices.Collect(c.queue.All()) {
 		s.finish(c, item.Value, refused(errOutOfService))
 	}
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -46,10 +46,11 @@
 		return
 	}
 	mine := record.GetDataCentre() == s.opts.DataCentre && record.GetPhase() == wire.JobRecord_COMMITTED
-	if _, known := c.jobs[record.GetJob().GetId()]; known || !mine {
+	if known, ok := c.jobs[record.GetJob().GetId()]; ok && !known.left() || !mine {
 		return
 	}
 	j := &job{
+		earlier:  record.GetEarlier(),
 		spec:     record.GetJob(),
 		record:   record,
 		revision: item.Revision,
--- a/sched/record.go
+++ b/sched/record.go
@@ -27,6 +27,9 @@
 // inlineBytes is the largest result that is kept in the record itself.
 const inlineBytes = 256 << 10
 
+// errBehind means that the record holds an earlier commit of this scheduler.
+var errBehind = Error.New("the job record names an earlier attempt of this scheduler")
+
 // errMoved means that the record belongs to a later attempt or has ended.
 var errMoved = Error.New("the job record was changed by another scheduler")
 
@@ -61,6 +64,8 @@
 		return 0, fmt.Errorf("resolving write: %w: %w", store.ErrUnknown, err)
 	case string(item.Value) == string(data):
 		return item.Revision, nil
+	case s.isOwnCommit(item, data):
+		return item.Revision, fmt.Errorf("resolving write: %w", errBehind)
 	case item.Revision == revision && errors.Is(cause, store.ErrUnknown):
 		// Not there yet; the lost write may still arrive.
 		return 0, fmt.Errorf("resolving write: %w", store.ErrUnknown)
@@ -68,6 +73,23 @@
 	return 0, fmt.Errorf("resolving write: %w", errMoved)
 }
 
+// isOwnCommit says whether the record holds a commit of this scheduler that is
+// older than what data holds. Its answer was lost or is on its way, and its
+// attempt has ended.
+func (s *Scheduler) isOwnCommit(item store.Item, data []byte) bool {
+	stored, wanted := new(wire.JobRecord), new(wire.JobRecord)
+	if proto.Unmarshal(item.Value, stored) != nil || proto.Unmarshal(data, wanted) != nil {
+		return false
+	}
+	if stored.GetPhase() != wire.JobRecord_COMMITTED || stored.GetEpoch() != s.opts.Epoch || stored.GetDataCentre() != s.opts.DataCentre {
+		return false
+	}
+	if wanted.GetPhase() == wire.JobRecord_COMMITTED {
+		return stored.GetAttempt() < wanted.GetAttempt()
+	}
+	return stored.GetAttempt() <= wanted.GetAttempt()
+}
+
 // commit writes the attempt into the job record, which makes it the only one
 // that may start.
 func (s *Scheduler) commit(a *attempt) {
@@ -78,24 +100,28 @@
 	record.Epoch = s.opts.Epoch
 	record.Attempt = int32(j.number)
 	record.Members = a.members
+	record.Earlier = j.earlier
 	record.UpdatedUnixMs = time.Now().UnixMilli()
 	revision := j.revision
+	j.commitSent = true
 	s.traffic.Go(func() {
 		next, err := s.persist(record, revision, func() bool { return a.coord.Phase == gang.Committing })
 		s.post(func(c *control) {
 			if err != nil {
-				s.commitFailed(c, a, err)
+				s.commitFailed(c, a, revision, err)
 				return
 			}
-			j.record, j.revision = record, next
+			if next > j.revision {
+				j.record, j.revision = record, next
+			}
 			s.step(c, a, gang.Event{Kind: gang.EventCommitted})
 		})
 	})
 }
 
-func (s *Scheduler) commitFailed(c *control, a *attempt, err error) {
+func (s *Scheduler) commitFailed(c *control, a *attempt, revision int64, err error) {
 	klog.Warningf("sched: Attempt %s was not committed: %v.", a.id, err)
-	if errors.Is(err, errMoved) {
+	if errors.Is(err, errMoved) && a.job.revision <= revision && a.job.current == a {
 		// The record tells the job's outcome; this scheduler gives it up.
 		a.job.stopReason = "another scheduler has taken the job"
 		if s.opts.Superseded != nil {
@@ -118,6 +144,12 @@
 		if err == nil || errors.Is(err, errMoved) {
 			return next, err
 		}
+		if errors.Is(err, errBehind) {
+			revision = next
+			if record.GetPhase() != wire.JobRecord_COMMITTED {
+				continue
+			}
+		}
 		again := false
 		if doErr := s.control.Do(s.life, func(*control) { again = wanted() }); doErr != nil {
 			return 0, fmt.Errorf("persisting record: %w", doErr)
@@ -140,6 +172,7 @@
 		outcome.ResultBytes = int64(len(outcome.GetResult()))
 	}
 	j.reroute = outcome.GetFate() == wire.Fate_NOT_RUN && j.stopReason == ""
+	outcome.Fate = FateAfter(j.earlier, outcome.GetFate())
 	if !j.recorded() {
 		s.answer(j, outcome)
 		return
@@ -155,6 +188,7 @@
 	}
 	record := proto.CloneOf(j.record)
 	record.Phase = wire.JobRecord_ENDED
+	record.Attempt = int32(j.number)
 	record.UpdatedUnixMs = time.Now().UnixMilli()
 	revision := j.revision
 	first := true
@@ -233,13 +267,22 @@
 	c.dirty = true
 	if errors.Is(err, errMoved) {
 		klog.Warningf("sched: The record of job %s was changed by another scheduler.", j.spec.GetId())
-		outcome = &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "another scheduler has taken the job"}
+		s.leave(j)
+		return
 	} else if err != nil {
 		return // this scheduler has ended; its successor reads the record
 	}
 	s.answer(j, outcome)
 }
 
+// leave gives up a job whose record another process has changed. If a former
+// scheduler of this data centre has committed it late, it is continued here.
+func (s *Scheduler) leave(j *job) {
+	j.moved = true
+	s.answer(j, &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "another scheduler has taken the job"})
+	s.lookUp(j.spec.GetId())
+}
+
 // release writes the record back to accepted, so that the job can be placed
 // again: here after a preemption (outcome is nil), or by another data centre
 // after the caller got outcome.
@@ -247,10 +290,13 @@
 	record := proto.CloneOf(j.record)
 	record.Phase = wire.JobRecord_ACCEPTED
 	record.Members = nil
+	record.Attempt = int32(j.number)
+	record.Earlier = j.earlier
 	record.ResumeMs = j.resume.Milliseconds()
 	record.UpdatedUnixMs = time.Now().UnixMilli()
 	revision := j.revision
-	unchanged := j.record.GetPhase() != wire.JobRecord_COMMITTED && j.reroute
+	unchanged := j.record.GetPhase() != wire.JobRecord_COMMITTED && j.reroute && !j.commitSent
+	j.releasing = true
 	s.traffic.Go(func() {
 		next, err := revision, error(nil)
 		if !unchanged {
@@ -261,18 +307,21 @@
 }
 
 func (s *Scheduler) released(c *control, j *job, record *wire.JobRecord, revision int64, outcome *wire.Outcome, err error) {
+	j.releasing = false
 	switch {
 	case errors.Is(err, errMoved):
-		s.answer(j, &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "another scheduler has taken the job"})
+		s.leave(j)
+		return
 	case err != nil:
 		return // this scheduler has ended
+	}
+	j.record, j.revision, j.commitSent = record, revision, false
+	switch {
+	case j.stopReason != "":
+		s.finish(c, j, j.stopOutcome(wire.Fate_NOT_RUN))
 	case j.reroute:
 		s.answer(j, outcome)
-	case j.stopReason != "":
-		j.record, j.revision = record, revision
-		s.finish(c, j, &wire.Outcome{Fate: wire.Fate_FAILED, Reason: j.stopReason})
 	default:
-		j.record, j.revision = record, revision
 		s.enqueue(c, j)
 	}
 }
--- a/sched/submit.go
+++ b/sched/submit.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"catkinpoint/admit"
 	"catkinpoint/wire"
 )
@@ -45,17 +47,13 @@
 func (s *Scheduler) accept(c *control, request *wire.SubmitRequest, done chan struct{}) *job {
 	now := time.Now()
 	id := request.GetJob().GetId()
-	if j, ok := c.jobs[id]; ok && !(j.phase == ended && j.reroute) {
+	if j, ok := c.jobs[id]; ok && !j.left() {
+		j.refresh(request, now)
 		j.wait(done)
 		return j
 	}
-	j := &job{spec: request.GetJob(), body: request.GetBody(), revision: request.GetRecordRevision()}
-	if j.revision > 0 {
-		j.record = &wire.JobRecord{Job: j.spec, Phase: wire.JobRecord_ACCEPTED}
-	}
-	if ms := request.GetRemainingMs(); ms > 0 {
-		j.deadline = now.Add(time.Duration(ms) * time.Millisecond)
-	}
+	j := &job{spec: request.GetJob()}
+	j.refresh(request, now)
 	j.wait(done)
 	if err := s.push(c, j, now); err != nil {
 		// The job has left no trace, so it may be submitted elsewhere.
@@ -69,6 +67,38 @@
 	return j
 }
 
+// left says whether the job is not this scheduler's any more, so that a new
+// submission counts.
+func (j *job) left() bool { return j.phase == ended && (j.reroute || j.moved) }
+
+// refresh takes from a submission what the job lacks: the body and the deadline
+// of a job that is known from its record only, and the record as an entry that
+// adopted the job has changed it.
+func (j *job) refresh(request *wire.SubmitRequest, now time.Time) {
+	if !j.bodyHere && j.phase != ended {
+		j.body, j.bodyHere = request.GetBody(), true
+		if ms := request.GetRemainingMs(); ms > 0 {
+			j.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+		}
+	}
+	waits := j.record == nil || j.record.GetPhase() == wire.JobRecord_ACCEPTED
+	if revision := request.GetRecordRevision(); revision > j.revision && waits && !j.releasing {
+		j.revision, j.record = revision, &wire.JobRecord{Phase: wire.JobRecord_ACCEPTED}
+		if request.GetRecord() != nil {
+			j.record = proto.CloneOf(request.GetRecord())
+		}
+		j.record.Job = j.spec
+		j.number = max(j.number, int(j.record.GetAttempt()))
+		j.resume = max(j.resume, time.Duration(j.record.GetResumeMs())*time.Millisecond)
+		if j.earlier == wire.Fate_FATE_UNSPECIFIED {
+			j.earlier = j.record.GetEarlier()
+		}
+	}
+}
+
+// errNoBody gives a job back that is known from its record only.
+var errNoBody = Error.New("the body is not here any more")
+
 // errOutOfService refuses jobs while operators have the data centre out.
 var errOutOfService = Error.New("the data centre is out of service")
 
@@ -112,9 +142,14 @@
 	j.waiters = append(j.waiters, done)
 }
 
-// enqueue lets a job wait again that was taken before.
+// enqueue lets a job wait again that was taken before. A job without its body
+// is given back to the entry that has it, or that adopts it.
 func (s *Scheduler) enqueue(c *control, j *job) {
 	j.phase, j.current = queued, nil
+	if !j.bodyHere {
+		s.finish(c, j, refused(errNoBody))
+		return
+	}
 	_ = c.queue.Return(c.item(j)) // the only error is that it waits already
 	c.dirty = true
 }
