entry: carry each accepted job to its end, and answer at the deadline

There is now a grace of 3 s. - not_run after a run in another data centre, or by adoption or cancellation of a released record. - A key with other tasks, accelerators or parameters got the first request's answer. - Callers could set p.lease_ms, p.resume_ms and p.accelerators. - The answer at the deadline waited up to 1 s for a silent scheduler.

Ruled out: a shorter deadline at the scheduler; it does not help when the scheduler is silent.

--- a/entry/adopt.go
+++ b/entry/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,11 +21,19 @@
 	// configuration. Each lists all parts, so it runs seldom; at 27,000 changes
 	// a day about 1,100 parts come together in an hour.
 	headSweepPeriod = time.Hour
+	// adoptionGrace is how long an entry may lack its registration: after an
+	// outage of the store living entries register again one after another.
+	adoptionGrace = 3 * time.Second
 )
 
 // adoption remembers which entries were there at the last refresh.
 type adoption struct {
 	known map[string]bool // by boot id
+	// due is when the records are read, after an entry has gone; zero for never.
+	due time.Time
+	// begun lists jobs whose record may name this entry already, because the
+	// answer to the adopting write was lost.
+	begun map[string]bool
 }
 
 // adoptJobs takes over the accepted jobs of entries that have gone. It reads
@@ -38,8 +47,11 @@
 	for boot := range e.adopted.known {
 		gone = gone || !present[boot]
 	}
-	if !gone || e.leaving.Load() {
-		e.adopted.known = present
+	e.adopted.known = present
+	if gone && e.adopted.due.IsZero() {
+		e.adopted.due = time.Now().Add(adoptionGrace)
+	}
+	if e.adopted.due.IsZero() || time.Now().Before(e.adopted.due) || e.leaving.Load() {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, 5*storeTimeout)
@@ -48,14 +60,15 @@
 	if err != nil {
 		return // the next refresh tries again
 	}
-	e.adopted.known = present
+	e.adopted.due = time.Time{}
 	for _, item := range items {
 		record := new(wire.JobRecord)
 		if err := proto.Unmarshal(item.Value, record); err != nil {
 			klog.Errorf("entry: Record %s cannot be read: %v.", item.Key, err)
 			continue
 		}
-		if record.GetPhase() == wire.JobRecord_ACCEPTED && !present[record.GetAcceptedBy()] {
+		ownerless := !present[record.GetAcceptedBy()] || e.adopted.begun[record.GetJob().GetId()]
+		if record.GetPhase() == wire.JobRecord_ACCEPTED && ownerless {
 			e.adoptJob(ctx, record, item.Revision)
 		}
 	}
@@ -66,15 +79,18 @@
 func (e *Entry) adoptJob(ctx context.Context, record *wire.JobRecord, revision int64) {
 	id := record.GetJob().GetId()
 	if !record.GetJob().GetDetached() {
-		e.endNotRun(ctx, id, notRun("the entry that accepted the job has gone"))
+		_, _ = e.endNotRun(ctx, id, notRun("the entry that accepted the job has gone"))
 		return
 	}
 	body, err := e.readBlobs(ctx, id, "body", record.GetBodyParts())
 	if err != nil {
 		klog.Warningf("entry: Job %s cannot be adopted: %v.", id, err)
-		e.adopted.known = nil // try again
+		e.adopted.due = time.Now() // try again
 		return
 	}
+	if e.adopted.begun == nil {
+		e.adopted.begun = make(map[string]bool)
+	}
 	record.AcceptedBy = e.bootID
 	data, err := proto.Marshal(record)
 	if err != nil {
@@ -85,9 +101,12 @@
 	defer cancel()
 	next, err := e.opts.Store.Put(callCtx, sched.RecordKey(id), data, revision, 0)
 	if err != nil {
-		e.adopted.known = nil // after a lost answer the record names this entry
+		// After a lost answer the record may name this entry.
+		e.adopted.begun[id] = errors.Is(err, store.ErrUnknown)
+		e.adopted.due = time.Now()
 		return
 	}
+	delete(e.adopted.begun, id)
 	klog.Infof("entry: Adopts job %s of an entry that has gone.", id)
 	e.carryDetached(&jobRequest{job: record.GetJob(), body: body, recorded: true}, &claim{record: record, revision: next})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	life      context.Context // ends with Run
 	bootID    string
 	adopted   adoption
+	ender     *ender
 	headSwept time.Time
 }
 
@@ -70,6 +71,7 @@
 	e.view.Store(new(view))
 	e.permits = newIssuer(e)
 	e.duties = newDuties(e)
+	e.ender = newEnder(e)
 	if err := server.Register("Sched", sched.NewService(e.host)); err != nil {
 		return nil, fmt.Errorf("creating entry: %w", err)
 	}
@@ -107,6 +109,7 @@
 	group.Go(func() error { return e.refreshLoop(inner) })
 	group.Go(func() error { return e.register(inner) })
 	group.Go(func() error { return e.loop(inner, sweepPeriod, e.sweep) })
+	group.Go(func() error { return e.loop(inner, endPeriod, e.ender.step) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -69,9 +69,10 @@
 // runUnrecorded runs an idempotent single task; when the caller leaves, the
 // scheduler is told.
 func (e *Entry) runUnrecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
-	outcome := e.dispatch(ctx, r, 0)
+	outcome := e.dispatch(ctx, r, nil)
 	if ctx.Err() != nil {
-		e.cancelAt(r.sentTo, r.job.GetId(), "the caller left or its deadline passed")
+		// The answer does not wait for the scheduler.
+		e.traffic.Go(func() { e.cancelAt(r.sentTo, r.job.GetId(), "the caller left or its deadline passed") })
 	}
 	return outcome
 }
@@ -79,85 +80,24 @@
 func (e *Entry) runRecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
 	found, err := e.accept(ctx, r)
 	if err != nil {
-		return acceptOutcome(err)
+		return e.acceptOutcome(r, err)
 	}
 	return e.carry(ctx, r, found)
 }
 
 // acceptOutcome is the outcome of a job whose record was not written for certain.
-func acceptOutcome(err error) *wire.Outcome {
+func (e *Entry) acceptOutcome(r *jobRequest, err error) *wire.Outcome {
 	klog.V(1).Infof("entry: A job was not accepted: %v.", err)
 	switch {
 	case errors.Is(err, errKeyReused):
 		return &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: errKeyReused.Error()}
 	case errors.Is(err, errUndecided):
+		e.ender.add(r.job, notRun("the store's answer was lost"))
 		return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: err.Error(), RetryAfterMs: retryAfter.Milliseconds()}
 	}
 	return notRun("the store cannot be reached: " + err.Error())
 }
 
-// carry takes an accepted job to its outcome.
-func (e *Entry) carry(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
-	id := r.job.GetId()
-	if found.existing {
-		return e.followRecord(ctx, id)
-	}
-	outcome := e.dispatch(ctx, r, found.revision)
-	switch outcome.GetFate() {
-	case wire.Fate_NOT_RUN:
-		return e.endNotRun(context.WithoutCancel(ctx), id, outcome)
-	case wire.Fate_UNKNOWN:
-		if ctx.Err() == nil {
-			return e.followRecord(ctx, id)
-		}
-	}
-	return outcome
-}
-
-// runDetached accepts the job and answers before it has run.
-func (e *Entry) runDetached(ctx context.Context, r *jobRequest) *wire.Outcome {
-	acceptCtx, cancel := context.WithTimeout(ctx, acceptTries*storeTimeout+time.Second)
-	defer cancel()
-	defer e.admission.leave(r.job.GetCustomer())
-	found, err := e.accept(acceptCtx, r)
-	if err != nil {
-		return acceptOutcome(err)
-	}
-	if !found.existing {
-		e.carryDetached(r, found)
-	}
-	return accepted()
-}
-
-// carryDetached carries a job without a caller. When this process ends first,
-// another entry adopts the job.
-func (e *Entry) carryDetached(r *jobRequest, found *claim) {
-	e.traffic.Go(func() {
-		ctx, cancel := context.WithCancel(e.life)
-		defer cancel()
-		if r.timeout > 0 {
-			ctx, cancel = context.WithTimeout(ctx, r.timeout)
-			defer cancel()
-		}
-		outcome := e.dispatchDetached(ctx, r, found.revision)
-		if e.life.Err() == nil && outcome.GetFate() == wire.Fate_NOT_RUN {
-			e.endNotRun(e.life, r.job.GetId(), outcome)
-		}
-	})
-}
-
-// dispatchDetached dispatches until the job was taken: an accepted job that was
-// refused for lack of room waits here.
-func (e *Entry) dispatchDetached(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
-	for {
-		outcome := e.dispatch(ctx, r, revision)
-		noRoom := outcome.GetFate() == wire.Fate_NOT_RUN && outcome.GetRetryAfterMs() > 0
-		if !noRoom || !sleep(ctx, refusedPause) {
-			return outcome
-		}
-	}
-}
-
 // accepted is the answer to a caller that does not wait.
 func accepted() *wire.Outcome {
 	return &wire.Outcome{Fate: wire.Fate_FATE_UNSPECIFIED, Reason: "accepted"}
--- a/entry/record.go
+++ b/entry/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,6 +20,8 @@
 	acceptTries = 3
 	// followPeriod is the time between two reads of a record that is waited for.
 	followPeriod = 300 * time.Millisecond
+	// detachedFollowPeriod is the same for jobs without a caller that waits.
+	detachedFollowPeriod = 5 * time.Second
 )
 
 var (
@@ -57,16 +60,21 @@
 		return nil, fmt.Errorf("encoding record: %w", err)
 	}
 	key := sched.RecordKey(r.job.GetId())
-	unknown := false
+	unknown, base := false, int64(0)
 	for range acceptTries {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		revision, err := e.opts.Store.Put(callCtx, key, data, 0, 0)
+		revision, err := e.opts.Store.Put(callCtx, key, data, base, 0)
 		cancel()
 		switch {
 		case err == nil:
 			return &claim{record: record, revision: revision}, nil
 		case errors.Is(err, store.ErrConflict):
-			return e.findClaim(ctx, r, unknown)
+			found, err := e.findClaim(ctx, r, unknown)
+			if err != nil || !found.existing || !mayComeAgain(found.record) {
+				return found, err
+			}
+			base = found.revision
+			continue
 		case errors.Is(err, store.ErrUnknown):
 			// Creating the same record again is safe: it succeeds once.
 			unknown = true
@@ -80,6 +88,20 @@
 	return nil, fmt.Errorf("writing record: %w", errUndecided)
 }
 
+// mayComeAgain says whether the record is of a job that was given up before it
+// ran: its caller was told to come again, and does so under the same key.
+func mayComeAgain(record *wire.JobRecord) bool {
+	outcome := record.GetOutcome()
+	return record.GetPhase() == wire.JobRecord_ENDED && outcome.GetFate() == wire.Fate_NOT_RUN && outcome.GetRetryAfterMs() > 0
+}
+
+// sameRequest says whether two jobs are the same request of the same customer.
+func sameRequest(a, b *wire.Job) bool {
+	return a.GetBodyDigest() == b.GetBodyDigest() && a.GetJobClass() == b.GetJobClass() &&
+		a.GetCustomer() == b.GetCustomer() && a.GetTasks() == b.GetTasks() &&
+		a.GetAccelerators() == b.GetAccelerators() && maps.Equal(a.GetParameters(), b.GetParameters())
+}
+
 // findClaim reads the record that exists already. After a lost answer it can
 // be the one that this request wrote.
 func (e *Entry) findClaim(ctx context.Context, r *jobRequest, unknown bool) (*claim, error) {
@@ -88,7 +110,7 @@
 		return nil, fmt.Errorf("reading record: %w: %w", errUndecided, err)
 	}
 	job := found.record.GetJob()
-	if job.GetBodyDigest() != r.job.GetBodyDigest() || job.GetJobClass() != r.job.GetJobClass() || job.GetCustomer() != r.job.GetCustomer() {
+	if !sameRequest(job, r.job) {
 		return nil, errKeyReused
 	}
 	own := unknown && found.record.GetAcceptedBy() == e.bootID && job.GetSubmittedUnixMs() == r.job.GetSubmittedUnixMs()
@@ -187,8 +209,8 @@
 }
 
 // endNotRun ends the record of a job that no scheduler has taken, so that none
-// takes it later, and returns what is then true.
-func (e *Entry) endNotRun(ctx context.Context, id string, outcome *wire.Outcome) *wire.Outcome {
+// takes it later, and returns what is then true, and whether that is certain.
+func (e *Entry) endNotRun(ctx context.Context, id string, outcome *wire.Outcome) (*wire.Outcome, bool) {
 	undecided := &wire.Outcome{
 		Fate:         wire.Fate_UNKNOWN,
 		Reason:       "the record could not be ended: " + outcome.GetReason(),
@@ -196,40 +218,23 @@
 	}
 	found, err := e.readRecord(ctx, id)
 	if err != nil {
-		return undecided
+		return undecided, false
 	}
-	switch found.record.GetPhase() {
-	case wire.JobRecord_ENDED:
-		if ended, err := e.outcomeOf(ctx, found.record); err == nil {
-			return ended
+	if found.record.GetPhase() == wire.JobRecord_ACCEPTED {
+		if ended, err := e.writeEnd(ctx, found, outcome); err == nil {
+			return ended, true
+		}
+		// The write may have taken effect, or another one has.
+		if found, err = e.readRecord(ctx, id); err != nil {
+			return undecided, false
 		}
-		return undecided
-	case wire.JobRecord_COMMITTED:
-		return undecided
-	}
-	record := proto.CloneOf(found.record)
-	record.Phase, record.Outcome, record.UpdatedUnixMs = wire.JobRecord_ENDED, outcome, time.Now().UnixMilli()
-	data, err := proto.Marshal(record)
-	if err != nil {
-		return undecided
-	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if _, err := e.opts.Store.Put(callCtx, sched.RecordKey(id), data, found.revision, 0); err == nil {
-		return outcome
 	}
-	return e.readEnded(ctx, id, undecided)
-}
-
-// readEnded reads the record once more after a write with unknown outcome.
-func (e *Entry) readEnded(ctx context.Context, id string, undecided *wire.Outcome) *wire.Outcome {
-	found, err := e.readRecord(ctx, id)
-	if err != nil || found.record.GetPhase() != wire.JobRecord_ENDED {
-		return undecided
+	if found.record.GetPhase() != wire.JobRecord_ENDED {
+		return undecided, false
 	}
-	outcome, err := e.outcomeOf(ctx, found.record)
+	ended, err := e.outcomeOf(ctx, found.record)
 	if err != nil {
-		return undecided
+		return undecided, false
 	}
-	return outcome
+	return ended, true
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -33,6 +33,8 @@
 	recorded bool
 	// sentTo is the data centre to which the job was sent last.
 	sentTo string
+	// earlier is what attempts in data centres that gave the job back left.
+	earlier wire.Fate
 }
 
 // readJob checks a request against the configuration in force.
@@ -121,6 +123,9 @@
 	}
 	for name, values := range c.QueryParams() {
 		if rest, ok := strings.CutPrefix(name, parameterPrefix); ok && len(values) > 0 {
+			if reservedParameter(rest) {
+				return nil, fmt.Errorf("parameter %s is set by the system: %w", name, ErrBadRequest)
+			}
 			j.Parameters[rest] = values[0]
 			continue
 		}
@@ -145,6 +150,15 @@
 	return false
 }
 
+// reservedParameter says whether the agent sets the endpoint's parameter.
+func reservedParameter(name string) bool {
+	switch name {
+	case "accelerators", "lease_ms", "resume_ms":
+		return true
+	}
+	return false
+}
+
 func readInto(c echo.Context, name string, lowest, highest int, target *int32) error {
 	text := c.QueryParam(name)
 	if text == "" {
--- a/entry/route.go
+++ b/entry/route.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/decl"
@@ -34,8 +35,12 @@
 )
 
 // dispatch sends the job to schedulers, nearest first, until one gives a final
-// outcome or ctx ends.
-func (e *Entry) dispatch(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
+// outcome or ctx ends. Found is nil for a job without a record.
+func (e *Entry) dispatch(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
+	return r.later(e.send(ctx, r, found))
+}
+
+func (e *Entry) send(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
 	refused := make(map[string]*wire.Outcome) // by data centre
 	sent := ""                                // data centre that may have the job
 	giveUp := time.Now().Add(noDutyPatience)
@@ -50,10 +55,16 @@
 		if dc == "" {
 			return combine(refused)
 		}
-		response, err := e.submit(ctx, dc, r, revision)
+		response, err := e.submit(ctx, dc, r, found)
 		switch {
 		case err == nil && response.GetReroute():
 			refused[dc], sent = response.GetOutcome(), ""
+			if fate := response.GetOutcome().GetFate(); fate != wire.Fate_NOT_RUN {
+				r.earlier = fate
+			}
+			if outcome := e.reread(ctx, found); outcome != nil {
+				return outcome
+			}
 		case err == nil:
 			return response.GetOutcome()
 		case ctx.Err() != nil:
@@ -122,7 +133,7 @@
 }
 
 // submit sends the job to the scheduler of the data centre and waits.
-func (e *Entry) submit(ctx context.Context, dc string, r *jobRequest, revision int64) (*wire.SubmitResponse, error) {
+func (e *Entry) submit(ctx context.Context, dc string, r *jobRequest, found *claim) (*wire.SubmitResponse, error) {
 	addr, ok := e.view.Load().address(dc)
 	if e.host.Get(dc) != nil {
 		addr, ok = e.opts.RPCAddress, true
@@ -130,7 +141,11 @@
 	if !ok {
 		return nil, link.ErrNotSent
 	}
-	request := &wire.SubmitRequest{Job: r.job, Body: r.body, DataCentre: dc, RecordRevision: revision}
+	request := &wire.SubmitRequest{Job: r.job, Body: r.body, DataCentre: dc}
+	if found != nil {
+		request.RecordRevision, request.Record = found.revision, proto.CloneOf(found.record)
+		request.Record.Job = nil // it is in the request already
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		// The scheduler answers before this process gives up.
 		left := time.Until(deadline) - answerMargin
--- a/entry/status.go
+++ b/entry/status.go
@@ -122,7 +122,8 @@
 	if found.record.GetPhase() == wire.JobRecord_ACCEPTED {
 		// A scheduler that has the job ends the record itself; this ends that of
 		// a job that none has.
-		return writeOutcome(c, id, e.endNotRun(ctx, id, &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: reason}))
+		outcome, _ := e.endNotRun(ctx, id, &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: reason})
+		return writeOutcome(c, id, outcome)
 	}
 	return writeOutcome(c, id, e.followRecord(ctx, id))
 }
