sched: try a job again where it failed if too few other workers are left

Cause: a job avoids the workers on which it failed, and its final answer comes after 3 distinct ones. In a data centre with fewer usable workers, or for a gang that needs a whole rack, it waited for good. Ruled out: a final answer after fewer workers, since one or two bad workers would then fail jobs that run elsewhere. Before: a job failing on both of 2 workers had no answer after 10 s; after: failed, after 10 attempts.

--- a/place/refuse.go
+++ b/place/refuse.go
@@ -1,6 +1,9 @@
 package place
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // refusal returns why the job can never run in the data centre, or "".
 //
@@ -62,6 +65,14 @@
 	}
 }
 
+// Fits says whether the workers in use, without those that the job avoids,
+// would hold the job if they were empty.
+func Fits(s *State, j *Job) bool {
+	unusable := func(w Worker) bool { return !w.Ready || w.SetAside || slices.Contains(j.Avoid, w.Name) }
+	rest := &State{Workers: slices.DeleteFunc(slices.Clone(s.Workers), unusable)}
+	return mostTasks(rest, j) >= j.Tasks
+}
+
 func emptyTasks(slots, accelerators int, j *Job) int {
 	if j.Accelerators == 0 {
 		return slots
--- a/sched/state.go
+++ b/sched/state.go
@@ -45,7 +45,13 @@
 			break
 		}
 		if j := item.Value; !now.Before(j.notUntil) {
-			state.Queue = append(state.Queue, c.placeJob(j))
+			waiting := c.placeJob(j)
+			if len(waiting.Avoid) > 0 && !place.Fits(state, &waiting) {
+				// Too few other workers are left: the job is tried again where it
+				// has failed, up to its last attempt, instead of waiting for good.
+				waiting.Avoid = nil
+			}
+			state.Queue = append(state.Queue, waiting)
 		}
 	}
 	return state
