sched: bound the memory of ended jobs, stop stale tasks, find late commits

The tick does not visit ended jobs to forget them any more. - Each question for a job's status left a waiter until the job ended. - A running task of a job whose record has ended, or names other tasks, held its accelerators until its own end if this scheduler did not know the job. - The record of an orphan was looked up once. A former scheduler's commit that took effect later was never found: the job hung, and its result was dropped. Ruled out: stopping orphans without a record after a time; an entry that is cut off may still carry their job.

--- a/sched/control.go
+++ b/sched/control.go
@@ -22,6 +22,11 @@
 	tasks    map[string]taskRef // by the id that agents know
 	orphans  map[string]*orphan // by attempt
 
+	// ended lists the jobs that have ended, in that order, and endedBytes is the
+	// size of their results.
+	ended      []*job
+	endedBytes int
+
 	customersVersion int64 // of the configuration that the queue follows
 
 	guarantees        []place.Guarantee
@@ -95,7 +100,7 @@
 	outcome    *wire.Outcome
 	reroute    bool
 	endedAt    time.Time
-	waiters    []chan struct{}
+	waiters    map[chan struct{}]struct{}
 }
 
 // recorded says whether the job has a record in the store.
@@ -123,10 +128,13 @@
 
 // orphan is a task of an earlier scheduler that no known job accounts for.
 type orphan struct {
-	status  *wire.TaskStatus
-	worker  string
-	seen    time.Time
-	checked bool // its job record was looked up
+	status *wire.TaskStatus
+	worker string
+	seen   time.Time
+	// checked is the state of the task when its job record was looked up last.
+	checked wire.TaskState
+	// stale says that the record names other tasks or has ended.
+	stale bool
 	// stopping is set while a Stop is on its way, because its job is served elsewhere.
 	stopping bool
 }
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -44,6 +44,8 @@
 	stops    int
 	// refuseStart makes every Start end as a refusal.
 	refuseStart bool
+	// end, if it is there, tells the state in which a started task ends at once.
+	end func(job string) wire.TaskState
 	// checkpoint is what a Stop with a checkpoint saves, in milliseconds.
 	checkpoint int64
 }
@@ -84,6 +86,10 @@
 	case task.State == wire.TaskState_TASK_PREPARED:
 		task.State, task.Started = wire.TaskState_TASK_RUNNING, true
 		a.starts++
+		if a.end != nil {
+			task.State = a.end(task.JobId)
+			task.HasResult = true
+		}
 	}
 	a.answer(response, request.GetEpoch(), task)
 	return nil
@@ -169,6 +175,7 @@
 	t      *testing.T
 	store  *fakekv.Server
 	policy *placeAll
+	real   place.Policy // used instead, if it is there
 	agents []*fakeAgent
 	out    bool // the data centre is out of service
 	mu     sync.Mutex
@@ -210,8 +217,12 @@
 		at := netip.MustParseAddrPort(addr)
 		return w.agents[at.Port()-1000].listener.Dial(ctx, network, addr)
 	})
+	policy := place.Policy(w.policy)
+	if w.real != nil {
+		policy = w.real
+	}
 	w.s = New(Options{
-		DataCentre: "dc", Epoch: epoch, Holder: "entry", Store: w.store, Pool: pool, Policy: w.policy,
+		DataCentre: "dc", Epoch: epoch, Holder: "entry", Store: w.store, Pool: pool, Policy: policy,
 		Config: func() *decl.Set { return new(decl.Set) },
 		Permit: func() permit.Permit {
 			w.mu.Lock()
--- a/sched/options.go
+++ b/sched/options.go
@@ -76,6 +76,9 @@
 	orphanRetention = 30 * time.Second
 	// endedRetention is how long an ended job is remembered in memory.
 	endedRetention = 5 * time.Minute
+	// maxEnded and maxEndedBytes bound the memory of ended jobs and their results.
+	maxEnded      = 20_000
+	maxEndedBytes = 128 << 20
 	// retryAfter is told to callers whose request was refused for lack of room.
 	retryAfter = time.Second
 )
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -105,6 +106,10 @@
 	o, ok := c.orphans[status.GetAttempt()]
 	if !ok {
 		if gang.Final(status.GetState()) && !status.GetStarted() {
+			if c.loaded && !known {
+				// A former scheduler may have committed the attempt late.
+				s.lookUp(status.GetJobId())
+			}
 			return
 		}
 		o = &orphan{worker: report.GetWorker(), seen: now}
@@ -126,8 +131,13 @@
 		s.stopOrphan(c, o, status.GetAttempt())
 		return
 	}
-	if c.loaded && !o.checked {
-		o.checked = true
+	if o.stale && !gang.Final(status.GetState()) {
+		s.stopOrphan(c, o, status.GetAttempt())
+		return
+	}
+	if c.loaded && o.checked != status.GetState() {
+		// A record can be committed late, so each state is looked up anew.
+		o.checked = status.GetState()
 		s.lookUp(status.GetJobId())
 	}
 }
@@ -164,7 +174,10 @@
 				return
 			}
 			if err == nil {
-				s.post(func(c *control) { s.loadRecord(c, item) })
+				s.post(func(c *control) {
+					s.loadRecord(c, item)
+					s.judgeOrphans(c, item)
+				})
 				return
 			}
 			if !sleep(s.life, storeRetry) {
@@ -174,6 +187,28 @@
 	})
 }
 
+// judgeOrphans marks the tasks that the job's record does not name. Without it
+// a task whose job has ended, as by a cancellation while its worker was out of
+// reach, would hold its accelerators until its own end.
+func (s *Scheduler) judgeOrphans(c *control, item store.Item) {
+	record := new(wire.JobRecord)
+	if err := proto.Unmarshal(item.Value, record); err != nil {
+		return // loadRecord reports it
+	}
+	for id, o := range c.orphans {
+		// A task that was prepared only can still be committed.
+		if o.status.GetJobId() == record.GetJob().GetId() && o.status.GetStarted() {
+			o.stale = o.stale || !names(record, id)
+		}
+	}
+}
+
+// names says whether the record lets the task run.
+func names(record *wire.JobRecord, task string) bool {
+	return record.GetPhase() == wire.JobRecord_COMMITTED &&
+		slices.ContainsFunc(record.GetMembers(), func(m *wire.Member) bool { return m.GetAttempt() == task })
+}
+
 // adoptOrphan attaches a job without a record to its task that an earlier
 // scheduler has started, so that it is not run twice.
 func (s *Scheduler) adoptOrphan(c *control, j *job) {
--- a/sched/record.go
+++ b/sched/record.go
@@ -174,7 +174,7 @@
 	j.reroute = outcome.GetFate() == wire.Fate_NOT_RUN && j.stopReason == ""
 	outcome.Fate = FateAfter(j.earlier, outcome.GetFate())
 	if !j.recorded() {
-		s.answer(j, outcome)
+		s.answer(c, j, outcome)
 		return
 	}
 	j.phase = ending
@@ -267,19 +267,19 @@
 	c.dirty = true
 	if errors.Is(err, errMoved) {
 		klog.Warningf("sched: The record of job %s was changed by another scheduler.", j.spec.GetId())
-		s.leave(j)
+		s.leave(c, j)
 		return
 	} else if err != nil {
 		return // this scheduler has ended; its successor reads the record
 	}
-	s.answer(j, outcome)
+	s.answer(c, j, outcome)
 }
 
 // leave gives up a job whose record another process has changed. If a former
 // scheduler of this data centre has committed it late, it is continued here.
-func (s *Scheduler) leave(j *job) {
+func (s *Scheduler) leave(c *control, j *job) {
 	j.moved = true
-	s.answer(j, &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "another scheduler has taken the job"})
+	s.answer(c, j, &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "another scheduler has taken the job"})
 	s.lookUp(j.spec.GetId())
 }
 
@@ -310,7 +310,7 @@
 	j.releasing = false
 	switch {
 	case errors.Is(err, errMoved):
-		s.leave(j)
+		s.leave(c, j)
 		return
 	case err != nil:
 		return // this scheduler has ended
@@ -320,7 +320,7 @@
 	case j.stopReason != "":
 		s.finish(c, j, j.stopOutcome(wire.Fate_NOT_RUN))
 	case j.reroute:
-		s.answer(j, outcome)
+		s.answer(c, j, outcome)
 	default:
 		s.enqueue(c, j)
 	}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -69,8 +69,14 @@
 			delete(c.workers, name)
 		}
 	}
+	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > endedRetention {
+		c.forgetFirst()
+	}
 	for _, j := range c.jobs {
-		s.tickJob(c, j, now)
+		if j.phase != ended && !j.deadline.IsZero() && now.After(j.deadline) {
+			j.deadline = time.Time{}
+			s.expire(c, j)
+		}
 	}
 	for id, o := range c.orphans {
 		if now.Sub(o.seen) > orphanRetention {
@@ -80,17 +86,6 @@
 	c.dirty = true
 }
 
-func (s *Scheduler) tickJob(c *control, j *job, now time.Time) {
-	switch {
-	case j.phase == ended && now.Sub(j.endedAt) > endedRetention:
-		delete(c.jobs, j.spec.GetId())
-		c.health.Forget(j.spec.GetId())
-	case j.phase != ended && !j.deadline.IsZero() && now.After(j.deadline):
-		j.deadline = time.Time{}
-		s.expire(c, j)
-	}
-}
-
 // loseWorker tells the coordinators that nothing is known of their tasks there.
 func (s *Scheduler) loseWorker(c *control, name string) {
 	for _, a := range c.attempts {
--- a/sched/stop.go
+++ b/sched/stop.go
@@ -52,8 +52,5 @@
 		return
 	}
 	j.outcome = outcome
-	for _, done := range j.waiters {
-		close(done)
-	}
-	j.waiters = nil
+	j.closeWaiters()
 }
--- a/sched/submit.go
+++ b/sched/submit.go
@@ -58,7 +58,7 @@
 	if err := s.push(c, j, now); err != nil {
 		// The job has left no trace, so it may be submitted elsewhere.
 		j.reroute = true
-		s.answer(j, refused(err))
+		s.answer(c, j, refused(err))
 		return j
 	}
 	c.jobs[id] = j
@@ -139,7 +139,10 @@
 		close(done)
 		return
 	}
-	j.waiters = append(j.waiters, done)
+	if j.waiters == nil {
+		j.waiters = make(map[chan struct{}]struct{})
+	}
+	j.waiters[done] = struct{}{}
 }
 
 // enqueue lets a job wait again that was taken before. A job without its body
@@ -155,13 +158,41 @@
 }
 
 // answer gives the outcome to every caller that waits.
-func (s *Scheduler) answer(j *job, outcome *wire.Outcome) {
+func (s *Scheduler) answer(c *control, j *job, outcome *wire.Outcome) {
 	j.phase, j.outcome, j.endedAt, j.body = ended, outcome, time.Now(), nil
-	for _, done := range j.waiters {
+	j.closeWaiters()
+	c.remember(j)
+	s.stats.count(outcome.GetFate())
+}
+
+func (j *job) closeWaiters() {
+	for done := range j.waiters {
 		close(done)
 	}
 	j.waiters = nil
-	s.stats.count(outcome.GetFate())
+}
+
+// remember keeps the ended job for callers that ask again, for a time and
+// within bounds. A job that is forgotten early is known by its record, or is
+// idempotent.
+func (c *control) remember(j *job) {
+	c.ended = append(c.ended, j)
+	c.endedBytes += len(j.outcome.GetResult())
+	for len(c.ended) > maxEnded || c.endedBytes > maxEndedBytes && len(c.ended) > 1 {
+		c.forgetFirst()
+	}
+}
+
+// forgetFirst forgets the job that ended first.
+func (c *control) forgetFirst() {
+	j := c.ended[0]
+	c.ended[0] = nil
+	c.ended = c.ended[1:]
+	c.endedBytes -= len(j.outcome.GetResult())
+	if id := j.spec.GetId(); c.jobs[id] == j {
+		delete(c.jobs, id)
+		c.health.Forget(id)
+	}
 }
 
 // Cancel stops a job; its callers get the outcome that is then true.
@@ -207,7 +238,13 @@
 	case <-ctx.Done():
 	case <-s.life.Done():
 	}
-	if err := s.control.Do(ctx, fill); err != nil {
+	err = s.control.Do(ctx, func(c *control) {
+		fill(c)
+		if j, ok := c.jobs[id]; ok {
+			delete(j.waiters, done)
+		}
+	})
+	if err != nil {
 		return nil, fmt.Errorf("reading job %s: %w", id, err)
 	}
 	return response, nil
