--- a/place/main.go
+++ b/place/main.go
@@ -1,12 +1,25 @@
 package place
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // Options tunes Main; a zero field takes its default.
-type Options struct{}
+type Options struct {
+	// GangSize is the number of accelerators from which a waiting job may get
+	// a reservation (default 8).
+	GangSize int
+	// StarveRatio is the wait over the expected run time from which it gets
+	// one (default 3). A lower ratio shortens the wait of
+	// large jobs and lengthens the mean completion time.
+	StarveRatio float64
+	// Slack is the factor by which a backfilled job may exceed its expected
+	// run time without delaying a reservation (default 1.5).
+	Slack float64
+	// Margin is the factor by which the gain of a preemption must exceed its
+	// cost, since both rest on learned run times (default 8).
+	Margin float64
+	// Stretch bounds the weight that a long wait gives to a job (default 4).
+	Stretch float64
+}
 
 // Main is the policy in use.
 type Main struct {
@@ -15,6 +28,21 @@
 
 // New returns the policy with the given options.
 func New(o Options) *Main {
+	if o.GangSize == 0 {
+		o.GangSize = 8
+	}
+	if o.StarveRatio == 0 {
+		o.StarveRatio = 3
+	}
+	if o.Slack == 0 {
+		o.Slack = 1.5
+	}
+	if o.Margin == 0 {
+		o.Margin = 8
+	}
+	if o.Stretch == 0 {
+		o.Stretch = 4
+	}
 	return &Main{options: o}
 }
 
@@ -28,50 +56,78 @@
 	if !s.InService {
 		return nil
 	}
-	d := &decision{view: newView(s, now)}
-	for _, j := range d.queue() {
-		d.serve(&j)
+	d := &decision{view: newView(s, now), options: &m.options}
+	d.slack, d.gangSize = m.options.Slack, m.options.GangSize
+	for i := range d.tallies {
+		d.used += d.tallies[i].usage
+		d.weights += d.tallies[i].weight
 	}
+	d.serveAll(d.queue())
 	return d.actions
 }
 
 // decision collects the actions of one call.
 type decision struct {
 	*view
+	options *Options
 	actions []Action
+	moves   int // tries in this decision
+	// used and weights are sums over the customers.
+	used    int
+	weights float64
 }
 
-// queue returns the jobs that can run, urgent ones first.
+// queue returns the jobs that can run, in the order of service.
 func (d *decision) queue() []request {
 	requests := make([]request, 0, len(d.state.Queue))
+	refuse := refuser{view: d.view}
 	for i := range d.state.Queue {
-		j := &d.state.Queue[i]
-		if reason := refusal(d.state, j); reason != "" {
+		j := d.request(&d.state.Queue[i])
+		if reason := refuse.reason(&j); reason != "" {
 			d.actions = append(d.actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
-		requests = append(requests, d.request(j))
+		requests = append(requests, j)
 	}
-	sort.SliceStable(requests, func(a, b int) bool {
-		return requests[a].Urgent && !requests[b].Urgent
-	})
+	d.sorted(requests)
 	return requests
 }
 
-func (d *decision) serve(j *request) {
+// serveAll serves the queue in order. The starving job comes before other
+// work that is neither urgent nor within a guarantee.
+func (d *decision) serveAll(queue []request) {
+	starving := d.starving(queue)
+	tried := starving < 0
+	for i := range queue {
+		if queue[i].rank == otherRank && !tried {
+			tried = true
+			j := &queue[starving]
+			if !d.serve(j) && !d.preempt(j, d.forStarving(j), "job "+j.ID+" starves") {
+				d.reserve(j)
+			}
+		}
+		if i != starving {
+			d.serve(&queue[i])
+		}
+	}
+}
+
+// serve places the job or frees room for it, and reports whether it did.
+func (d *decision) serve(j *request) bool {
 	if !d.permitted(j) {
-		return
+		return false
 	}
 	if seats := d.fit(j, d.bestFit); seats != nil {
 		d.actions = append(d.actions, d.book(j, seats))
-		return
+		return true
 	}
-	if d.entitled(j) && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
-		return
+	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
+		return true
 	}
 	if j.Urgent {
-		d.preempt(j, d.forUrgent(j.customer), "urgent job "+j.ID)
+		return d.preempt(j, d.forUrgent(j.customer), "urgent job "+j.ID)
 	}
+	return d.move(j)
 }
 
 func (d *decision) preempt(j *request, may allow, reason string) bool {
