sched: keep a job's record and body right across schedulers

A job given back by a data centre after a commit was sent elsewhere with the revision it had before; the next commit lost its CAS and the record stayed accepted for ever (start/cut agent: no final answer). While a record is accepted no attempt may run, so a commit now goes on from the found revision; an end and a release also pass a commit of the same epoch whose answer was lost (commit/store slow: the job ran 30 s after its cancellation). 2. A scheduler that took over repeated an unstarted job with an empty body, which it did not have (commit/kill entry: done with 0 bytes). It now waits for the entry, reads a stored body, or ends the job as not run. Records keep their body parts and their entry, which each commit dropped. 3. A task whose job nobody asked for was reported for ever, because the report after its expiry brought it back (run/kill scheduler: drain did not end). Ruled out: the gang protocol; all attempts in question ended as proved not run.

--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"time"
@@ -99,12 +100,50 @@
 		s.requeuePreempted(c, a)
 	case s.mayRepeat(j, v):
 		j.notUntil = time.Now().Add(callRetry)
-		s.enqueue(c, j)
+		s.repeat(c, j, v)
 	default:
 		s.finish(c, j, &wire.Outcome{Fate: v.Fate(), Reason: v.Reason, Worker: a.workerOf(v)})
 	}
 }
 
+// repeat places the job again. A job of an earlier scheduler has no body here
+// unless its entry has sent it again or it is in the store.
+func (s *Scheduler) repeat(c *control, j *job, v gang.Verdict) {
+	switch {
+	case !j.bodyless:
+		s.enqueue(c, j)
+	case j.record.GetBodyParts() > 0:
+		s.fetchBody(j)
+	default:
+		j.stopReason = "the scheduler was replaced before the job ran"
+		s.finish(c, j, &wire.Outcome{Fate: v.Fate(), Reason: j.stopReason, RetryAfterMs: retryAfter.Milliseconds()})
+	}
+}
+
+// fetchBody reads the body of a job that outlives its call and places it again.
+func (s *Scheduler) fetchBody(j *job) {
+	j.phase = ending // a cancellation waits until the job is queued
+	id, parts := j.spec.GetId(), j.record.GetBodyParts()
+	s.traffic.Go(func() {
+		var body []byte
+		for part := int32(0); part < parts; {
+			ctx, cancel := context.WithTimeout(s.life, storeTimeout)
+			item, err := s.opts.Store.Get(ctx, BlobKey(id, "body", int(part)))
+			cancel()
+			if err == nil {
+				body = append(body, item.Value...)
+				part++
+			} else if !sleep(s.life, storeRetry) {
+				return
+			}
+		}
+		s.post(func(c *control) {
+			j.body, j.bodyless = body, false
+			s.enqueue(c, j)
+		})
+	})
+}
+
 // mayRepeat says whether the job is tried again after the verdict.
 func (s *Scheduler) mayRepeat(j *job, v gang.Verdict) bool {
 	l := s.opts.Limits
--- a/sched/control.go
+++ b/sched/control.go
@@ -66,8 +66,10 @@
 
 // job is one job at this scheduler.
 type job struct {
-	spec     *wire.Job
-	body     []byte
+	spec *wire.Job
+	body []byte
+	// bodyless says that the body is not known here: an earlier scheduler had it.
+	bodyless bool
 	phase    phase
 	record   *wire.JobRecord // nil for a job without a record
 	revision int64
@@ -115,6 +117,9 @@
 	worker  string
 	seen    time.Time
 	checked bool // its job record was looked up
+	// expired means that nobody has asked for the result in time, so the agent
+	// may forget the task.
+	expired bool
 	// stopping is set while a Stop is on its way, because its job is served elsewhere.
 	stopping bool
 }
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -55,6 +55,7 @@
 		revision: item.Revision,
 		number:   int(record.GetAttempt()),
 		resume:   time.Duration(record.GetResumeMs()) * time.Millisecond,
+		bodyless: true,
 	}
 	s.resume(c, j, record.GetMembers())
 }
--- a/sched/record.go
+++ b/sched/record.go
@@ -81,7 +81,7 @@
 	record.UpdatedUnixMs = time.Now().UnixMilli()
 	revision := j.revision
 	s.traffic.Go(func() {
-		next, err := s.persist(record, revision, func() bool { return a.coord.Phase == gang.Committing })
+		next, err := s.persistOwn(record, revision, func() bool { return a.coord.Phase == gang.Committing })
 		s.post(func(c *control) {
 			if err != nil {
 				s.commitFailed(c, a, err)
@@ -93,6 +93,54 @@
 	})
 }
 
+// persistOwn persists a record that this scheduler may change whatever its
+// revision: while it is accepted, no attempt of it may run; and a commit of this
+// epoch is its own, though its answer was lost. A record that was given back by
+// another data centre, or adopted by another entry, has a newer revision than
+// this scheduler was told.
+func (s *Scheduler) persistOwn(record *wire.JobRecord, revision int64, wanted func() bool) (int64, error) {
+	for {
+		next, err := s.persist(record, revision, wanted)
+		if !errors.Is(err, errMoved) {
+			return next, err
+		}
+		found, newer, readErr := s.readRecord(record.GetJob().GetId())
+		switch {
+		case readErr != nil && sleep(s.life, storeRetry):
+			continue
+		case readErr != nil || newer == revision || !s.owns(found):
+			return 0, err
+		}
+		record.AcceptedBy, record.BodyParts = found.GetAcceptedBy(), found.GetBodyParts()
+		revision = newer
+	}
+}
+
+func (s *Scheduler) owns(record *wire.JobRecord) bool {
+	here := record.GetDataCentre() == s.opts.DataCentre
+	switch record.GetPhase() {
+	case wire.JobRecord_ACCEPTED:
+		return !here || record.GetEpoch() <= s.opts.Epoch // not released by a successor
+	case wire.JobRecord_COMMITTED:
+		return here && record.GetEpoch() == s.opts.Epoch
+	}
+	return false
+}
+
+func (s *Scheduler) readRecord(id string) (*wire.JobRecord, int64, error) {
+	ctx, cancel := context.WithTimeout(s.life, storeTimeout)
+	defer cancel()
+	item, err := s.opts.Store.Get(ctx, RecordKey(id))
+	if err != nil {
+		return nil, 0, fmt.Errorf("reading record of %s: %w", id, err)
+	}
+	record := new(wire.JobRecord)
+	if err := proto.Unmarshal(item.Value, record); err != nil {
+		return nil, 0, fmt.Errorf("decoding record of %s: %w", id, err)
+	}
+	return record, item.Revision, nil
+}
+
 func (s *Scheduler) commitFailed(c *control, a *attempt, err error) {
 	klog.Warningf("sched: Attempt %s was not committed: %v.", a.id, err)
 	if errors.Is(err, errMoved) {
@@ -194,7 +242,7 @@
 		record.ResultParts, stored.Result = parts, nil
 	}
 	record.Outcome = stored
-	_, err := s.persist(record, revision, wanted)
+	_, err := s.persistOwn(record, revision, wanted)
 	return err
 }
 
@@ -254,7 +302,7 @@
 	s.traffic.Go(func() {
 		next, err := revision, error(nil)
 		if !unchanged {
-			next, err = s.persist(record, revision, func() bool { return true })
+			next, err = s.persistOwn(record, revision, func() bool { return true })
 		}
 		s.post(func(c *control) { s.released(c, j, record, next, outcome, err) })
 	})
@@ -273,6 +321,6 @@
 		s.finish(c, j, &wire.Outcome{Fate: wire.Fate_FAILED, Reason: j.stopReason})
 	default:
 		j.record, j.revision = record, revision
-		s.enqueue(c, j)
+		s.repeat(c, j, gang.Verdict{Started: true})
 	}
 }
--- a/sched/report.go
+++ b/sched/report.go
@@ -90,7 +90,8 @@
 		}
 		id := status.GetAttempt()
 		_, waits := c.tasks[id]
-		_, kept := c.orphans[id]
+		o, kept := c.orphans[id]
+		kept = kept && !o.expired
 		if !waits && !kept && !c.isEnding(status.GetJobId()) && c.loaded {
 			settled = append(settled, id)
 		}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -73,7 +73,10 @@
 		s.tickJob(c, j, now)
 	}
 	for id, o := range c.orphans {
-		if now.Sub(o.seen) > orphanRetention {
+		// An expired orphan stays until its agent has been told, or the next
+		// report would bring it back.
+		o.expired = now.Sub(o.seen) > orphanRetention
+		if now.Sub(o.seen) > 2*orphanRetention {
 			delete(c.orphans, id)
 		}
 	}
--- a/sched/submit.go
+++ b/sched/submit.go
@@ -46,12 +46,20 @@
 	now := time.Now()
 	id := request.GetJob().GetId()
 	if j, ok := c.jobs[id]; ok && !(j.phase == ended && j.reroute) {
+		if j.bodyless {
+			j.body, j.bodyless = request.GetBody(), false
+		}
 		j.wait(done)
 		return j
 	}
 	j := &job{spec: request.GetJob(), body: request.GetBody(), revision: request.GetRecordRevision()}
 	if j.revision > 0 {
-		j.record = &wire.JobRecord{Job: j.spec, Phase: wire.JobRecord_ACCEPTED}
+		j.record = &wire.JobRecord{
+			Job:        j.spec,
+			Phase:      wire.JobRecord_ACCEPTED,
+			AcceptedBy: request.GetAcceptedBy(),
+			BodyParts:  request.GetBodyParts(),
+		}
 	}
 	if ms := request.GetRemainingMs(); ms > 0 {
 		j.deadline = now.Add(time.Duration(ms) * time.Millisecond)
