entry: do not take a successor's refusal as proof that a job did not run

Cause: after the answer of one scheduler was lost, the refusal of its successor ended an idempotent job without a record as not_run, although the first one had started it (publish/two at once: told not_run, started at 20.01 s). The outcome is unknown now; jobs with a record are proved by the CAS of its end.

--- a/entry/adopt.go
+++ b/entry/adopt.go
@@ -82,7 +82,8 @@
 		return
 	}
 	klog.Infof("entry: Adopts job %s of an entry that has gone.", id)
-	e.carryDetached(&jobRequest{job: record.GetJob(), body: body, recorded: true}, &claim{record: record, revision: next})
+	r := &jobRequest{job: record.GetJob(), body: body, recorded: true, bodyParts: record.GetBodyParts()}
+	e.carryDetached(r, &claim{record: record, revision: next})
 }
 
 // sweep removes records that ended longer ago than the retention. Each entry
--- a/entry/record.go
+++ b/entry/record.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		record.BodyParts = parts
+		record.BodyParts, r.bodyParts = parts, parts
 	}
 	data, err := proto.Marshal(record)
 	if err != nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,6 +31,8 @@
 	timeout time.Duration // zero means none
 	// recorded says that the job needs a record in the store.
 	recorded bool
+	// bodyParts is the number of parts of the body in the store.
+	bodyParts int32
 	// sentTo is the data centre to which the job was sent last.
 	sentTo string
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -36,6 +36,18 @@
 // dispatch sends the job to schedulers, nearest first, until one gives a final
 // outcome or ctx ends.
 func (e *Entry) dispatch(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
+	outcome, lost := e.route(ctx, r, revision)
+	if lost && !r.recorded && outcome.GetFate() == wire.Fate_NOT_RUN {
+		// Only the scheduler whose answer was lost knows whether it started the
+		// job; the refusal of its successor proves nothing.
+		return unknown("a scheduler's answer was lost; then: " + outcome.GetReason())
+	}
+	return outcome
+}
+
+// route is dispatch; lost says that some scheduler had the job and its answer
+// was lost.
+func (e *Entry) route(ctx context.Context, r *jobRequest, revision int64) (outcome *wire.Outcome, lost bool) {
 	refused := make(map[string]*wire.Outcome) // by data centre
 	sent := ""                                // data centre that may have the job
 	giveUp := time.Now().Add(noDutyPatience)
@@ -48,27 +60,27 @@
 			dc = e.choose(r.job, refused)
 		}
 		if dc == "" {
-			return combine(refused)
+			return combine(refused), lost
 		}
 		response, err := e.submit(ctx, dc, r, revision)
 		switch {
 		case err == nil && response.GetReroute():
 			refused[dc], sent = response.GetOutcome(), ""
 		case err == nil:
-			return response.GetOutcome()
+			return response.GetOutcome(), lost
 		case ctx.Err() != nil:
-			return outOfTime(sent, err)
+			return outOfTime(sent, err), lost
 		case !errors.Is(err, link.ErrNotSent):
 			// The scheduler may have taken the job. Its successor is asked with
 			// the same id: it knows a started job by its record or by its task.
 			// The first repetition is free, further ones have a budget.
 			again := sent != ""
-			sent = dc
+			sent, lost = dc, true
 			if again && !e.admission.mayRetry() {
-				return unknown("the scheduler's answer was lost")
+				return unknown("the scheduler's answer was lost"), true
 			}
 		case sent == "" && time.Now().After(giveUp):
-			return notRun("no scheduler could be reached")
+			return notRun("no scheduler could be reached"), lost
 		case sent == "" && e.hasOther(r.job, refused, dc):
 			refused[dc] = notRun("no scheduler could be reached")
 		}
@@ -76,7 +88,7 @@
 			klog.V(1).Infof("entry: Job %s was not answered by %s: %v.", r.job.GetId(), dc, err)
 			e.refreshSoon()
 			if !sleep(ctx, pause.NextBackOff()) {
-				return outOfTime(sent, err)
+				return outOfTime(sent, err), lost
 			}
 		}
 	}
@@ -130,7 +142,10 @@
 	if !ok {
 		return nil, link.ErrNotSent
 	}
-	request := &wire.SubmitRequest{Job: r.job, Body: r.body, DataCentre: dc, RecordRevision: revision}
+	request := &wire.SubmitRequest{
+		Job: r.job, Body: r.body, DataCentre: dc,
+		RecordRevision: revision, AcceptedBy: e.bootID, BodyParts: r.bodyParts,
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		// The scheduler answers before this process gives up.
 		left := time.Until(deadline) - answerMargin
