--- a/matrix/record.go
+++ b/matrix/record.go
@@ -54,9 +54,10 @@
 func newPiece(worker string, event fakeep.Event) *piece {
 	p := &piece{worker: worker, start: event.Time}
 	p.job, _, _ = strings.Cut(event.Attempt, ".")
-	p.attempt = event.Attempt
 	if dash := strings.LastIndexByte(event.Attempt, '-'); dash >= 0 {
-		p.attempt = event.Attempt[:dash]
+		// Schedulers of two data centres can give the same id to two attempts.
+		dc, _, _ := strings.Cut(worker, "-0")
+		p.attempt = dc + "/" + event.Attempt[:dash]
 		p.rank, _ = strconv.Atoi(event.Attempt[dash+1:])
 	}
 	return p
