entry: send an accepted job again after a lost answer, and end its record for certain

Cause: after an answer was lost and the budget for retries was used up, the entry waited for the end of a record that no scheduler had (publish/freeze scheduler: no final answer in 120 s; the record stayed accepted while its entry lived). The same happened when the store did not answer while a record was to be ended as not run. Ruled out: adoption, which is for records whose entry has gone.

--- a/entry/adopt.go
+++ b/entry/adopt.go
@@ -59,7 +59,10 @@
 func (e *Entry) adoptJob(ctx context.Context, record *wire.JobRecord, revision int64) {
 	id := record.GetJob().GetId()
 	if !record.GetJob().GetDetached() {
-		e.endNotRun(ctx, id, notRun("the entry that accepted the job has gone"))
+		ended := e.endNotRun(ctx, id, notRun("the entry that accepted the job has gone"))
+		if ended.GetFate() == wire.Fate_UNKNOWN {
+			e.adopted.known = nil // try again
+		}
 		return
 	}
 	body, err := e.readBlobs(ctx, id, "body", record.GetBodyParts())
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/store"
 	"catkinpoint/wire"
 )
 
@@ -22,6 +23,9 @@
 	FateHeader = "Catkinpoint-Fate"
 )
 
+// endRetry is the time between two tries to end a record.
+const endRetry = 2 * time.Second
+
 // defaultTimeout bounds a request whose caller and class name no deadline.
 const defaultTimeout = 10 * time.Minute
 
@@ -102,10 +106,10 @@
 	if found.existing {
 		return e.followRecord(ctx, id)
 	}
-	outcome := e.dispatch(ctx, r, found.revision)
+	outcome := e.deliver(ctx, r, found.revision)
 	switch outcome.GetFate() {
 	case wire.Fate_NOT_RUN:
-		return e.endNotRun(context.WithoutCancel(ctx), id, outcome)
+		return e.endFor(context.WithoutCancel(ctx), id, outcome)
 	case wire.Fate_UNKNOWN:
 		if ctx.Err() == nil {
 			return e.followRecord(ctx, id)
@@ -114,6 +118,42 @@
 	return outcome
 }
 
+// deliver dispatches a job with a record. As long as the record is accepted, no
+// attempt may run, so after a lost answer the job is sent again; nobody else
+// would take it while this process lives.
+func (e *Entry) deliver(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
+	for {
+		outcome := e.dispatch(ctx, r, revision)
+		if outcome.GetFate() != wire.Fate_UNKNOWN || !sleep(ctx, retryAfter) {
+			return outcome
+		}
+		found, err := e.readRecord(ctx, r.job.GetId())
+		switch {
+		case errors.Is(err, store.ErrNotFound), err == nil && found.record.GetPhase() != wire.JobRecord_ACCEPTED:
+			return outcome
+		case err == nil:
+			revision = found.revision
+		}
+	}
+}
+
+// endFor ends the record of a job that has not run. If the store does not
+// answer now, it goes on in the background, because no other process would.
+func (e *Entry) endFor(ctx context.Context, id string, outcome *wire.Outcome) *wire.Outcome {
+	ended := e.endNotRun(ctx, id, outcome)
+	if ended.GetFate() != wire.Fate_UNKNOWN {
+		return ended
+	}
+	e.traffic.Go(func() {
+		for sleep(e.life, endRetry) {
+			if e.endNotRun(e.life, id, outcome).GetFate() != wire.Fate_UNKNOWN {
+				return
+			}
+		}
+	})
+	return ended
+}
+
 // runDetached accepts the job and answers before it has run.
 func (e *Entry) runDetached(ctx context.Context, r *jobRequest) *wire.Outcome {
 	acceptCtx, cancel := context.WithTimeout(ctx, acceptTries*storeTimeout+time.Second)
@@ -141,7 +181,7 @@
 		}
 		outcome := e.dispatchDetached(ctx, r, found.revision)
 		if e.life.Err() == nil && outcome.GetFate() == wire.Fate_NOT_RUN {
-			e.endNotRun(e.life, r.job.GetId(), outcome)
+			e.endFor(e.life, r.job.GetId(), outcome)
 		}
 	})
 }
@@ -150,7 +190,7 @@
 // refused for lack of room waits here.
 func (e *Entry) dispatchDetached(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
 	for {
-		outcome := e.dispatch(ctx, r, revision)
+		outcome := e.deliver(ctx, r, revision)
 		noRoom := outcome.GetFate() == wire.Fate_NOT_RUN && outcome.GetRetryAfterMs() > 0
 		if !noRoom || !sleep(ctx, refusedPause) {
 			return outcome
--- a/matrix/judge.go
+++ b/matrix/judge.go
@@ -57,6 +57,7 @@
 	// Proof counts what the verdicts rest on.
 	Starts, Calls int
 
+	records  []string // of jobs that have not ended, for the search for causes
 	world    *World
 	script   *Script
 	list     []*piece
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -73,6 +73,9 @@
 						for _, p := range r.list {
 							t.Logf("%s-%d %s from %s to %s %s", p.attempt, p.rank, p.worker, r.at(p.start), r.at(p.end), p.how)
 						}
+						for _, line := range r.records {
+							t.Log(line)
+						}
 						for _, told := range r.script.told {
 							t.Logf("%s %s %s broken %d refused %v, %s to %s: %.150q", told.Title, told.Job, told.Fate, told.Broken, told.Refused, r.at(told.Sent), r.at(told.Final), told.Result)
 						}
--- a/matrix/run.go
+++ b/matrix/run.go
@@ -38,6 +38,7 @@
 	close(ended)
 	<-over
 	r.judge()
+	r.records = w.openRecords()
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("ending run: %w", err)
 	}
--- a/matrix/script.go
+++ b/matrix/script.go
@@ -67,8 +67,8 @@
 	entryLeaves = 20100 * time.Millisecond
 	outOfDC     = 9 * time.Second
 	trickleEnd  = 32 * time.Second
-	trickleGap  = 400 * time.Millisecond
-	watchGap    = 250 * time.Millisecond
+	trickleGap  = 700 * time.Millisecond
+	watchGap    = 500 * time.Millisecond
 	// drainPatience is above the run time of all work.
 	drainPatience = time.Minute
 )
@@ -284,12 +284,14 @@
 	}
 	s.drainedAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, drainPatience)
-	s.group.Go(func() {
-		time.Sleep(drainPatience)
-		cancel()
-	})
+	defer cancel()
 	if s.twice {
-		s.group.Go(func() { _ = s.world.System.Process(s.drained).Agent.Drain(ctx) })
+		again := make(chan struct{})
+		defer func() { <-again }()
+		go func() {
+			defer close(again)
+			_ = s.world.System.Process(s.drained).Agent.Drain(ctx) // judged by the other call
+		}()
 	}
 	if err := s.world.System.Process(s.drained).Drain(ctx); err == nil {
 		s.left = time.Now()
--- a/matrix/world.go
+++ b/matrix/world.go
@@ -214,6 +214,22 @@
 	return err == nil && proto.Unmarshal(item.Value, m) == nil
 }
 
+// openRecords describes the job records that have not ended.
+func (w *World) openRecords() []string {
+	items, err := w.System.Store.WithCaller(observer).List(context.Background(), "job/")
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var lines []string
+	for _, item := range items {
+		record := new(wire.JobRecord)
+		if w.read(item.Key, record) && record.GetPhase() != wire.JobRecord_ENDED {
+			lines = append(lines, fmt.Sprintf("record %s %s epoch %d attempt %d", item.Key, record.GetPhase(), record.GetEpoch(), record.GetAttempt()))
+		}
+	}
+	return lines
+}
+
 func cloneObject(o *wire.Object) *wire.Object { return proto.CloneOf(o) }
 
 // holder returns the entry that schedules the data centre.
--- a/stand/pipe/network.go
+++ b/stand/pipe/network.go
@@ -157,7 +157,7 @@
 	defer n.mu.Unlock()
 	h.ports++
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, h.number}), 7000+h.ports)
-	l := &hostListener{host: h, addr: addr}
+	l := &hostListener{host: h, addr: addr, woken: make(chan struct{})}
 	n.listeners[addr] = l
 	return l, addr, nil
 }
@@ -201,7 +201,7 @@
 	client.local = server.remote
 	n.conns[client], n.conns[server] = struct{}{}, struct{}{}
 	l.backlog = append(l.backlog, server)
-	n.wake()
+	l.wake()
 	return client
 }
 
@@ -211,6 +211,13 @@
 	addr    netip.AddrPort
 	backlog []net.Conn
 	closed  bool
+	// woken is closed and replaced with every new connection, and at the end.
+	woken chan struct{}
+}
+
+func (l *hostListener) wake() {
+	close(l.woken)
+	l.woken = make(chan struct{})
 }
 
 // Accept implements net.Listener.
@@ -228,9 +235,9 @@
 			n.mu.Unlock()
 			return c, nil
 		}
-		changed := n.changed
+		woken, changed := l.woken, n.changed
 		n.mu.Unlock()
-		<-changed
+		pause(0, woken, changed)
 	}
 }
 
@@ -246,8 +253,9 @@
 	for _, c := range l.backlog {
 		c.(*hostConn).reset = true
 		c.(*hostConn).peer.reset = true
+		c.(*hostConn).peer.wake()
 	}
-	n.wake()
+	l.wake()
 	return nil
 }
 
