--- a/sched/control.go
+++ b/sched/control.go
@@ -135,6 +135,9 @@
 	checked wire.TaskState
 	// stale says that the record names other tasks or has ended.
 	stale bool
+	// expired means that nobody has asked for the result in time, so the agent
+	// may forget the task.
+	expired bool
 	// stopping is set while a Stop is on its way, because its job is served elsewhere.
 	stopping bool
 }
