agent: stop without a checkpoint that fails, bound reports, check the epoch first

The stop now goes on once the job's stop time (2 s at least) has passed since the first request. - That checkpoint was taken before the epoch was checked, so a replaced scheduler still reached the endpoint. - A report carried all new results. Several large ones are above the largest message (80 MiB), and one that takes 3 s keeps pings from the link; such a report never arrived. Reports now carry up to 1 MiB of results; the scheduler fetches the others, each once at a time and within a minute. Ruled out: the header of the request to the endpoint leaving before the last permit check (a handler that logged its call saw none after a refused check).

--- a/agent/commands.go
+++ b/agent/commands.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"catkinpoint/gang"
 	"catkinpoint/wire"
 )
@@ -12,6 +14,9 @@
 // ErrStaleEpoch means that the command came from a scheduler that was replaced.
 var ErrStaleEpoch = Error.New("epoch is below the highest one seen")
 
+// leastPatience is how long a checkpoint that fails is repeated at least.
+const leastPatience = 2 * time.Second
+
 // commands are the calls that a scheduler and other agents make.
 type commands struct{ agent *Agent }
 
@@ -121,8 +126,8 @@
 func (c *commands) Stop(request *wire.StopRequest, response *wire.TaskResponse) error {
 	a := c.agent
 	if request.GetCheckpoint() {
-		if err := a.checkpoint(request.GetAttempt()); err != nil {
-			return fmt.Errorf("checkpointing %s: %w", request.GetAttempt(), err)
+		if err := c.saveBeforeStop(request); err != nil {
+			return err
 		}
 	}
 	return c.withEpoch(request.GetEpoch(), func(s *state) {
@@ -134,6 +139,35 @@
 	})
 }
 
+// saveBeforeStop checkpoints a running task. Once the job's stop time has passed
+// in vain, the stop goes on without it: others wait for the accelerators.
+func (c *commands) saveBeforeStop(request *wire.StopRequest) error {
+	runs, late := false, false
+	err := c.withEpoch(request.GetEpoch(), func(s *state) {
+		t, ok := s.tasks[request.GetAttempt()]
+		runs = ok && t.member.State == wire.TaskState_TASK_RUNNING
+		if !runs {
+			return
+		}
+		if t.stopAsked.IsZero() {
+			t.stopAsked = time.Now()
+		}
+		patience := time.Duration(t.job.GetStopMs()) * time.Millisecond
+		late = time.Since(t.stopAsked) >= max(patience, leastPatience)
+	})
+	if err != nil || !runs {
+		return err
+	}
+	err = c.agent.checkpoint(request.GetAttempt())
+	if err != nil && !late {
+		return fmt.Errorf("checkpointing %s: %w", request.GetAttempt(), err)
+	}
+	if err != nil {
+		klog.Warningf("agent: Task %s is stopped without a checkpoint: %v.", request.GetAttempt(), err)
+	}
+	return nil
+}
+
 // Query tells the state of an attempt with its result.
 func (c *commands) Query(request *wire.QueryRequest, response *wire.TaskResponse) error {
 	return c.withEpoch(request.GetEpoch(), func(s *state) {
--- a/agent/launch.go
+++ b/agent/launch.go
@@ -158,7 +158,7 @@
 // checkpoint saves the work of a running task before it is stopped.
 func (a *Agent) checkpoint(attempt string) error {
 	saved, err := a.endpoint.checkpoint(a.life, attempt)
-	if errors.Is(err, errNoTask) {
+	if errors.Is(err, errNoTask) || errors.Is(err, errTaskStopped) {
 		return nil
 	}
 	if err != nil {
--- a/agent/state.go
+++ b/agent/state.go
@@ -15,6 +15,11 @@
 // about it are refused. A link ends after 3 s of silence, so none is older.
 const retention = 10 * time.Minute
 
+// reportResultBytes bounds the results in one report. The scheduler fetches
+// larger ones: a report that takes long keeps pings from the link, and one above
+// the largest message would never arrive.
+const reportResultBytes = 1 << 20
+
 // task is one attempt at this agent.
 type task struct {
 	attempt string
@@ -32,6 +37,7 @@
 	checkpoint time.Duration
 	launchedAt time.Time
 	endedAt    time.Time
+	stopAsked  time.Time          // when a stop with a checkpoint was asked for first
 	cancel     context.CancelFunc // ends the request to the endpoint
 
 	settled bool
@@ -112,10 +118,15 @@
 		Draining:     s.draining,
 		Sequence:     s.sequence,
 	}
+	room := reportResultBytes
 	for _, t := range s.tasks {
-		if t.reportable() {
-			r.Tasks = append(r.Tasks, t.status(t.delivered < s.epoch))
+		if !t.reportable() {
+			continue
 		}
+		fits := len(t.result) <= room
+		status := t.status(fits && t.delivered < s.epoch)
+		room -= len(status.GetResult())
+		r.Tasks = append(r.Tasks, status)
 	}
 	slices.SortFunc(r.Tasks, func(a, b *wire.TaskStatus) int { return strings.Compare(a.GetAttempt(), b.GetAttempt()) })
 	return r
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -213,6 +213,7 @@
 func (a *attempt) allocate(tasks int) {
 	a.results = make([][]byte, tasks)
 	a.received = make([]bool, tasks)
+	a.fetching = make([]bool, tasks)
 	a.saved = make([]time.Duration, tasks)
 }
 
--- a/sched/calls.go
+++ b/sched/calls.go
@@ -69,14 +69,19 @@
 
 // fetchResult asks an agent for the result of a task that is done.
 func (s *Scheduler) fetchResult(a *attempt, rank int) {
+	if a.fetching[rank] {
+		return
+	}
+	a.fetching[rank] = true
 	request := &wire.QueryRequest{Epoch: s.opts.Epoch, Attempt: a.members[rank].GetAttempt()}
 	addr := a.address(rank)
 	s.traffic.Go(func() {
 		response := new(wire.TaskResponse)
-		ctx, cancel := context.WithTimeout(s.life, prepareTimeout)
+		ctx, cancel := context.WithTimeout(s.life, fetchTimeout)
 		defer cancel()
 		err := s.opts.Pool.Call(ctx, addr, "Agent.Query", request, response)
 		s.post(func(c *control) {
+			a.fetching[rank] = false
 			switch {
 			case err != nil:
 				// The next report of the task asks again.
--- a/sched/control.go
+++ b/sched/control.go
@@ -113,6 +113,7 @@
 	coord     *gang.Coordinator
 	members   []*wire.Member
 	results   [][]byte
+	fetching  []bool          // whether the result is on its way
 	received  []bool          // whether the result of the member is here
 	saved     []time.Duration // checkpoint of each member
 	placed    time.Time
--- a/sched/options.go
+++ b/sched/options.go
@@ -61,6 +61,9 @@
 	callTimeout = 2 * time.Second
 	// prepareTimeout bounds a Prepare, which carries the body.
 	prepareTimeout = 5 * time.Second
+	// fetchTimeout bounds the fetch of one result, also over the link between
+	// regions: 64 MB take 18 s at 30 Mbit/s.
+	fetchTimeout = time.Minute
 	// callRetry is the time between two calls of the same command.
 	callRetry = 200 * time.Millisecond
 	// storeTimeout bounds one call to the store.
