agent: leave a scheduler without a permit for one of a higher epoch

Cause: an entry that is cut off from the store keeps its scheduler and names it to agents. Agents that ask it first stayed there, without permits, while another entry held the duty; and after a failed report they came back to it for good. The duty that an entry names now carries its epoch. Ruled out: dropping the duty when the claim's lease is lost; then running work could not be commanded during an outage of the store.

entry: readers of one record pause up to 3 s, so that hundreds of callers that wait for long jobs do not use up the store's 2,000 reads a second.

--- a/agent/report.go
+++ b/agent/report.go
@@ -21,6 +21,9 @@
 	locateTimeout = time.Second
 	// locateRetry is the time between two questions.
 	locateRetry = 200 * time.Millisecond
+	// relocatePeriod is the time between two questions to all entries while the
+	// scheduler has no valid permit.
+	relocatePeriod = 5 * time.Second
 	// reportGap collects the ends of several tasks into one report.
 	reportGap = 2 * time.Millisecond
 )
@@ -30,6 +33,7 @@
 	ticker := time.NewTicker(a.opts.ReportPeriod)
 	defer ticker.Stop()
 	var scheduler netip.AddrPort
+	asked := time.Now()
 	for {
 		if !scheduler.IsValid() {
 			scheduler = a.locate(ctx)
@@ -41,6 +45,13 @@
 			}
 			continue
 		}
+		if time.Since(asked) >= relocatePeriod && a.permitLapsed(ctx) {
+			asked = time.Now()
+			if newest := a.locateNewest(ctx); newest.IsValid() {
+				scheduler = newest
+				continue
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -55,24 +66,59 @@
 
 // locate asks the entries in turn for the scheduler of this data centre.
 func (a *Agent) locate(ctx context.Context) netip.AddrPort {
+	epoch := a.epoch(ctx)
 	for _, entry := range a.opts.Entries {
-		request := &wire.LocateRequest{DataCentre: a.opts.DataCentre}
-		response := new(wire.LocateResponse)
-		callCtx, cancel := context.WithTimeout(ctx, locateTimeout)
-		err := a.pool.Call(callCtx, entry, "Entry.Locate", request, response)
-		cancel()
-		if err != nil {
-			klog.V(1).Infof("agent: Entry %s did not answer: %v.", entry, err)
-			continue
-		}
-		addr, err := netip.ParseAddrPort(response.GetDuty().GetAddress())
-		if err == nil {
+		duty := a.ask(ctx, entry)
+		if addr, err := netip.ParseAddrPort(duty.GetAddress()); err == nil && duty.GetEpoch() >= epoch {
 			return addr
 		}
 	}
 	return netip.AddrPort{}
 }
 
+// permitLapsed says whether the scheduler's reports bring no valid permit.
+func (a *Agent) permitLapsed(ctx context.Context) bool {
+	lapsed := false
+	_ = a.control.Do(ctx, func(s *state) { lapsed = s.permit.Left(time.Now(), a.opts.PermitAge) <= 0 })
+	return lapsed // false at the end of the agent
+}
+
+// epoch is the highest epoch that the agent has seen.
+func (a *Agent) epoch(ctx context.Context) int64 {
+	epoch := int64(0)
+	_ = a.control.Do(ctx, func(s *state) { epoch = s.epoch }) // at the end nothing is asked
+	return epoch
+}
+
+// locateNewest asks all entries for a scheduler of a higher epoch. An entry that
+// is cut off from the store goes on naming its own scheduler, although another
+// entry has taken the duty.
+func (a *Agent) locateNewest(ctx context.Context) netip.AddrPort {
+	var newest netip.AddrPort
+	epoch := a.epoch(ctx)
+	for _, entry := range a.opts.Entries {
+		if duty := a.ask(ctx, entry); duty.GetEpoch() > epoch {
+			if addr, err := netip.ParseAddrPort(duty.GetAddress()); err == nil {
+				newest, epoch = addr, duty.GetEpoch()
+			}
+		}
+	}
+	return newest
+}
+
+// ask asks one entry for the duty of this data centre.
+func (a *Agent) ask(ctx context.Context, entry netip.AddrPort) *wire.Duty {
+	request := &wire.LocateRequest{DataCentre: a.opts.DataCentre}
+	response := new(wire.LocateResponse)
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	if err := a.pool.Call(ctx, entry, "Entry.Locate", request, response); err != nil {
+		klog.V(1).Infof("agent: Entry %s did not answer: %v.", entry, err)
+		return nil
+	}
+	return response.GetDuty()
+}
+
 // report sends one report and applies the answer; false means that another
 // scheduler must be located.
 func (a *Agent) report(ctx context.Context, scheduler netip.AddrPort) bool {
--- a/entry/record.go
+++ b/entry/record.go
@@ -20,6 +20,9 @@
 	acceptTries = 3
 	// followPeriod is the time between two reads of a record that is waited for.
 	followPeriod = 300 * time.Millisecond
+	// longestFollow bounds the growing pauses, so that hundreds of callers that
+	// wait for long jobs leave the store's reads to others.
+	longestFollow = 3 * time.Second
 	// detachedFollowPeriod is the same for jobs without a caller that waits.
 	detachedFollowPeriod = 5 * time.Second
 )
@@ -187,7 +190,7 @@
 
 // followRecord waits until the job's record has ended.
 func (e *Entry) followRecord(ctx context.Context, id string) *wire.Outcome {
-	for {
+	for pause := followPeriod; ; pause = min(pause*3/2, longestFollow) {
 		found, err := e.readRecord(ctx, id)
 		if errors.Is(err, store.ErrNotFound) {
 			return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the job has no record any more"}
@@ -202,8 +205,8 @@
 		if err != nil {
 			klog.V(1).Infof("entry: Waiting for job %s: %v.", id, err)
 		}
-		if !sleep(ctx, followPeriod) {
-			return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the job has not ended yet; ask again by its id"}
+		if !sleep(ctx, pause) {
+			return unknown("the job has not ended yet")
 		}
 	}
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -13,7 +13,7 @@
 func (v *service) Locate(request *wire.LocateRequest, response *wire.LocateResponse) error {
 	if held := v.entry.host.Get(request.GetDataCentre()); held != nil {
 		// The duty is here, even if the store's list was not read since.
-		response.Duty = &wire.Duty{Holder: v.entry.opts.ID, Address: v.entry.opts.RPCAddress.String()}
+		response.Duty = &wire.Duty{Epoch: held.Epoch(), Holder: v.entry.opts.ID, Address: v.entry.opts.RPCAddress.String()}
 		return nil
 	}
 	if d, ok := v.entry.view.Load().duties[request.GetDataCentre()]; ok {
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -141,6 +141,9 @@
 	return c.loaded && now.Sub(c.taken) >= s.opts.Limits.Settle
 }
 
+// Epoch is the epoch of the duty.
+func (s *Scheduler) Epoch() int64 { return s.opts.Epoch }
+
 // DataCentre is the data centre of the duty.
 func (s *Scheduler) DataCentre() string { return s.opts.DataCentre }
 
