--- a/place/main.go
+++ b/place/main.go
@@ -8,7 +8,7 @@
 	// a reservation (default 8).
 	GangSize int
 	// StarveRatio is the wait over the expected run time from which it gets
-	// one (default 3). A lower ratio shortens the wait of
+	// one (default 2). A lower ratio shortens the wait of
 	// large jobs and lengthens the mean completion time.
 	StarveRatio float64
 	// Slack is the factor by which a backfilled job may exceed its expected
@@ -32,7 +32,7 @@
 		o.GangSize = 8
 	}
 	if o.StarveRatio == 0 {
-		o.StarveRatio = 3
+		o.StarveRatio = 2
 	}
 	if o.Slack == 0 {
 		o.Slack = 1.5
@@ -56,7 +56,7 @@
 	if !s.InService {
 		return nil
 	}
-	d := &decision{view: newView(s, now), options: &m.options}
+	d := &decision{view: newView(s, now), options: &m.options, refuse: newRefuser(s), failed: make(map[fitKey]bool), reclaiming: make(map[int]bool)}
 	d.slack, d.gangSize = m.options.Slack, m.options.GangSize
 	for i := range d.tallies {
 		d.used += d.tallies[i].usage
@@ -71,7 +71,11 @@
 	*view
 	options *Options
 	actions []Action
-	moves   int // tries in this decision
+	refuse  *refuser
+	failed  map[fitKey]bool
+	// reclaiming has the customers with a job that waits for lent work to stop.
+	reclaiming map[int]bool
+	moves      int // tries in this decision
 	// used and weights are sums over the customers.
 	used    int
 	weights float64
@@ -80,10 +84,9 @@
 // queue returns the jobs that can run, in the order of service.
 func (d *decision) queue() []request {
 	requests := make([]request, 0, len(d.state.Queue))
-	refuse := refuser{view: d.view}
 	for i := range d.state.Queue {
 		j := d.request(&d.state.Queue[i])
-		if reason := refuse.reason(&j); reason != "" {
+		if reason := d.refuse.size(&j); reason != "" {
 			d.actions = append(d.actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
 			continue
 		}
@@ -102,7 +105,7 @@
 		if queue[i].rank == otherRank && !tried {
 			tried = true
 			j := &queue[starving]
-			if !d.serve(j) && !d.preempt(j, d.forStarving(j), "job "+j.ID+" starves") {
+			if !d.serve(j) && !d.preempt(j, d.forStarving, "job "+j.ID+" starves") {
 				d.reserve(j)
 			}
 		}
@@ -112,16 +115,39 @@
 	}
 }
 
+// fitKey identifies jobs that fit the same places. What is free only shrinks
+// during a decision, so that a job need not be tried after an equal one.
+type fitKey struct {
+	sizeKey
+	lent, idempotent, checkpointable bool
+	left                             time.Duration
+}
+
+func (r *request) fitKey() fitKey {
+	return fitKey{r.sizeKey(), r.lent, r.Idempotent, r.Checkpointable, r.remaining()}
+}
+
 // serve places the job or frees room for it, and reports whether it did.
 func (d *decision) serve(j *request) bool {
-	if !d.permitted(j) {
+	// Other work of a customer that waits for a reclaim would count towards
+	// its guarantee, and the waiting job would lose its claim.
+	if !d.permitted(j) || j.rank == otherRank && d.reclaiming[j.customer] {
 		return false
 	}
-	if seats := d.fit(j, d.bestFit); seats != nil {
-		d.actions = append(d.actions, d.book(j, seats))
-		return true
+	key := j.fitKey()
+	if !d.failed[key] || len(j.Avoid) > 0 {
+		if seats := d.fit(j, d.bestFit); seats != nil {
+			d.actions = append(d.actions, d.book(j, seats))
+			return true
+		}
+		if reason := d.refuse.guarantees(j); reason != "" {
+			d.actions = append(d.actions, Action{Refuse: &Refuse{JobID: j.ID, Reason: reason}})
+			return true
+		}
+		d.failed[key] = len(j.Avoid) == 0
 	}
 	if j.rank <= entitledRank && d.preempt(j, d.lentTo(j.customer), "reclaimed for "+j.Customer) {
+		d.reclaiming[j.customer] = true
 		return true
 	}
 	if j.Urgent {
@@ -142,10 +168,13 @@
 // other customers run within their guarantees: they would reclaim it.
 func (v *view) forUrgent(customer int) allow {
 	return func(_ *node, t *task) bool {
-		if t.Job.Urgent {
-			return false
-		}
-		o := &v.tallies[t.customer]
-		return t.customer == customer || o.usage > o.guaranteed
+		return !t.Job.Urgent && (t.customer == customer || v.beyond(t))
 	}
 }
+
+// beyond reports whether the task runs beside its customer's guarantees, so
+// that it is not entitled to start again at once when it is preempted.
+func (v *view) beyond(t *task) bool {
+	o := &v.tallies[t.customer]
+	return o.usage-t.Job.Tasks*t.Job.Accelerators >= o.guaranteed
+}
--- a/place/view.go
+++ b/place/view.go
@@ -12,6 +12,7 @@
 	nodes     []node
 	byName    map[string]int
 	racks     []rack
+	all       []int // indexes of all nodes
 	customers map[string]int
 	tallies   []tally
 	// minReclaim and nextReclaim are the two shortest reclaim times by
@@ -49,6 +50,7 @@
 	need        int // accelerators that are locked or held
 	needSlots   int
 	hosted      []hosted
+	taken       int // accelerators of the shape that is being mapped
 	// reserved limits new work to what ends in time or fits into spare.
 	reserved bool
 	spare    int
@@ -80,8 +82,9 @@
 	*Running
 	customer int
 	lent     bool
-	gone     bool // preempted in this decision
-	loss     float64
+	gone     bool    // preempted in this decision
+	loss     float64 // accelerator-seconds that a preemption throws away
+	end      time.Time
 }
 
 // tally has the totals of one customer.
@@ -131,6 +134,7 @@
 			v.racks = append(v.racks, rack{})
 		}
 		v.byName[w.Name] = i
+		v.all = append(v.all, i)
 		v.racks[r].nodes = append(v.racks[r].nodes, i)
 		usable := w.Ready && !w.SetAside
 		v.nodes[i] = node{worker: w, index: i, rack: r, usable: usable, free: w.Accelerators, slots: w.Slots}
@@ -206,6 +210,7 @@
 		t := &v.running[i]
 		*t = task{Running: r, customer: v.customer(r.Job.Customer), lent: v.lendable(&r.Job)}
 		t.loss = lostWork(r, v.now)
+		t.end = expectedEnd(r, v.now)
 		for _, name := range r.Workers {
 			if n, ok := v.byName[name]; ok {
 				v.addRank(&v.nodes[n], t, i)
