--- a/sched/control.go
+++ b/sched/control.go
@@ -40,6 +40,7 @@
 	sequence   int64 // of attempts, so that no id is used twice
 	dirty      bool
 	lastDecide time.Time
+	lastTick   time.Time
 	scheduled  bool // a delayed decision is on its way
 	returned   time.Time
 	inService  bool
@@ -113,6 +114,7 @@
 	coord     *gang.Coordinator
 	members   []*wire.Member
 	results   [][]byte
+	fetching  []bool          // whether the result is on its way
 	received  []bool          // whether the result of the member is here
 	saved     []time.Duration // checkpoint of each member
 	placed    time.Time
