--- a/slope/codec.go
+++ b/slope/codec.go
@@ -22,6 +22,8 @@
 	Runs int
 	// Objects are the counts at which memory is measured, default 2,000 to 32,000.
 	Objects []int
+	// Small limits all sizes, to try the measurement itself.
+	Small bool
 }
 
 func (o Options) withDefaults() Options {
--- a/slope/message.go
+++ b/slope/message.go
@@ -20,8 +20,8 @@
 // Messages returns the messages of the control traffic between processes.
 func Messages() []Message {
 	return []Message{
-		{"Report", "tasks", []int{0, 8, 16}, func(n int) proto.Message { return newReport(0, n) }},
-		{"ReportResponse with permit", "settled attempts", []int{0, 8, 16}, newReportResponse},
+		{"Report", "tasks", []int{0, 4, 8, 16}, func(n int) proto.Message { return newReport(0, n) }},
+		{"ReportResponse with permit", "settled attempts", []int{0, 4, 8, 16}, newReportResponse},
 		{"PrepareRequest", "body bytes", []int{0, 1 << 10, 16 << 10, 64 << 10}, newPrepare},
 		{"StartRequest", "members", []int{1, 8, 64, 256}, newStart},
 		{"JoinRequest", "", []int{1}, newJoin},
--- a/slope/table.go
+++ b/slope/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"strconv"
 	"strings"
 )
@@ -12,6 +13,18 @@
 type Table struct {
 	Title  string
 	Series []Series
+	// Load is the load average of the machine before and after the measurement.
+	Load string
+}
+
+// LoadAverage returns the load average of the machine over 1, 5 and 15 minutes.
+func LoadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	fields := strings.Fields(string(data))
+	if err != nil || len(fields) < 3 {
+		return "unknown"
+	}
+	return strings.Join(fields[:3], " ")
 }
 
 // MeasureTables measures all messages and held objects.
@@ -56,6 +69,9 @@
 func (t Table) markdown(command string) (string, error) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "### %s\n\n`%s`\n\n", t.Title, command)
+	if t.Load != "" {
+		fmt.Fprintf(&b, "Load average: %s.\n\n", t.Load)
+	}
 	b.WriteString("| subject | y | x | measured (x: y) | a | b | largest residual | R² |\n")
 	b.WriteString("|---|---|---|---|---:|---:|---:|---:|\n")
 	for _, s := range t.Series {
