slope: measure many agents against a scheduler in another process

A rig holds the agents in this process, with one stand-in for all endpoints, and runs an entry with its scheduler and the stand-in store in a process of its own (this test binary, asked by the environment), so that getrusage tells the CPU times apart. Bytes are counted at the agents' connections.

--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
+	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"k8s.io/klog/v2"
 
 	"catkinpoint/stand/fakekv"
 	"catkinpoint/store"
@@ -23,6 +28,43 @@
 // small bounds the measurements of the usual run.
 var small = Options{Run: time.Millisecond, Runs: 1, Objects: []int{100, 200}, Small: true}
 
+// entryWorkers asks a process of this binary to run ServeEntry.
+const entryWorkers = "SLOPE_ENTRY_WORKERS"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	if text := os.Getenv(entryWorkers); text != "" {
+		workers, err := strconv.Atoi(text)
+		if err == nil {
+			err = ServeEntry(context.Background(), os.Stdin, os.Stdout, workers)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// startEntry starts this binary as the entry's process.
+func startEntry(workers int) (Process, error) {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), fmt.Sprint(entryWorkers, "=", workers))
+	c.Stderr = os.Stderr
+	in, err := c.StdinPipe()
+	if err != nil {
+		return Process{}, err
+	}
+	out, err := c.StdoutPipe()
+	if err != nil {
+		return Process{}, err
+	}
+	return Process{In: in, Out: out, Wait: c.Wait}, c.Start()
+}
+
 func newStore() store.KV { return fakekv.New() }
 
 // measure measures a table at small sizes, or in full with -tables, and checks
@@ -101,6 +143,27 @@
 	})
 }
 
+func TestFleet(t *testing.T) {
+	measure(t, len(fleetOutputs)+5, func(o Options) ([]Table, error) {
+		idle, bursts, err := MeasureFleet(startEntry, o)
+		return []Table{{Title: "Agents and a scheduler", Series: idle}, {Title: "All agents at once", Series: bursts}}, err
+	})
+}
+
+func TestWaiting(t *testing.T) {
+	measure(t, 1, func(o Options) ([]Table, error) {
+		series, err := MeasureWaiting(startEntry, o)
+		return []Table{{Title: "A scheduler with a queue", Series: series}}, err
+	})
+}
+
+func TestGang(t *testing.T) {
+	measure(t, 5, func(o Options) ([]Table, error) {
+		series, err := MeasureGang(startEntry, o)
+		return []Table{{Title: "A running gang", Series: series}}, err
+	})
+}
+
 // Guards against a wrong formula; the second case was worked out by hand.
 func TestLeastSquares(t *testing.T) {
 	for _, c := range []struct {
