slope: measure gangs, waiting jobs and heads in rigs of the target's shape

Rigs now declare 300 customers and guarantees for half of the accelerators, so that decisions cost what they cost at the target. The first run of TestWaiting started all agents at once; their reports came together ever after and cost few decisions (112 ms a second with 100 jobs waiting), which a real fleet does not do, so its agents start over one second. The heap of this process is counted from before the agents: earlier rigs had left 1.6 MB for each agent of the next.

Members of StartRequest carry their attempt, as the scheduler sends them. New messages: StatusResponse, EntryRegistration, JobRecord.

--- a/slope/fleet.go
+++ b/slope/fleet.go
@@ -25,7 +25,7 @@
 }
 
 // newFleet starts agents that report to the entry at the given address.
-func newFleet(entry netip.AddrPort, workers int) (*Fleet, error) {
+func newFleet(entry netip.AddrPort, workers int, spread time.Duration) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	f := &Fleet{group: group, cancel: cancel, web: &http.Server{Handler: http.HandlerFunc(serveEndpoint)}}
@@ -41,6 +41,7 @@
 			_ = f.stop() // the first error counts
 			return nil, err
 		}
+		time.Sleep(spread / time.Duration(workers))
 	}
 	return f, nil
 }
--- a/slope/message.go
+++ b/slope/message.go
@@ -26,6 +26,9 @@
 		{"StartRequest", "members", []int{1, 8, 64, 256}, newStart},
 		{"JoinRequest", "", []int{1}, newJoin},
 		{"JoinResponse", "", []int{1}, func(int) proto.Message { return &wire.JoinResponse{Go: true} }},
+		{"StatusResponse", "duties", []int{0, 1, 2, 4}, newStatus},
+		{"EntryRegistration", "", []int{1}, newRegistration},
+		{"JobRecord", "members", []int{1, 8, 64, 256}, newRecord},
 	}
 }
 
@@ -141,11 +144,17 @@
 			AgentAddress: address(i),
 			BootId:       id("boot", i),
 			Accelerators: 8,
+			Attempt:      attemptOf(0, i),
 		})
 	}
 	return r
 }
 
+// attemptOf is the id of one task as the scheduler makes it.
+func attemptOf(job, rank int) string {
+	return fmt.Sprintf("%s.%d.1-%d", id("job", job), sampleEpoch, rank)
+}
+
 func newJoin(int) proto.Message {
 	return &wire.JoinRequest{
 		Attempt:      attempt(0),
@@ -156,6 +165,26 @@
 	}
 }
 
+func newStatus(duties int) proto.Message {
+	r := &wire.StatusResponse{Id: "entry-sainte-foy-0", Version: sampleVersion, StoreReachable: true}
+	for i := range duties {
+		r.Duties = append(r.Duties, &wire.DutyStatus{
+			DataCentre: dataCentre(i), Epoch: sampleEpoch, Workers: sampleWorkers, Accelerators: sampleWorkers * sampleAccelerators,
+			FreeAccelerators: 1860, Queued: 123, Running: 161, LowestAgentVersion: sampleVersion, Ready: true,
+		})
+	}
+	return r
+}
+
+func newRegistration(int) proto.Message {
+	return &wire.EntryRegistration{
+		Id: "entry-sainte-foy-0", RpcAddress: address(0), HttpAddress: address(1),
+		DataCentre: "sainte-foy", Region: "quebec-capitale", BootId: id("boot", 0),
+	}
+}
+
+func newRecord(members int) proto.Message { return recordOf(0, members) }
+
 // newObject returns one of the kinds of configuration objects in turn.
 func newObject(i int) proto.Message {
 	o := &wire.Object{Name: fmt.Sprintf("object-%05d", i), Revision: sampleVersion}
--- a/slope/process.go
+++ b/slope/process.go
@@ -122,11 +122,10 @@
 const (
 	fleetDataCentre = "sainte-foy"
 	fleetService    = "planrestauro"
-	fleetCustomer   = "team-000"
 )
 
 func fleetDeclarations(workers int) []byte {
-	return fmt.Appendf(nil, `
+	text := fmt.Appendf(nil, `
 [data_centre %s]
 region = quebec-capitale
 workers = %d
@@ -136,7 +135,17 @@
 [service %s]
 slots = %d
 
-[customer %s]
-queue_limit = 20000
-`, fleetDataCentre, workers, sampleAccelerators, sampleRack, fleetService, sampleSlots, fleetCustomer)
+`, fleetDataCentre, workers, sampleAccelerators, sampleRack, fleetService, sampleSlots)
+	for i := range sampleTeams {
+		text = fmt.Appendf(text, "\n[customer %s]\nqueue_limit = 20000\n", team(i))
+	}
+	// As in NewState, guarantees take half of the accelerators.
+	count := workers * sampleAccelerators / 2 / guaranteedPerWorker / sampleGuarantees
+	for i := range sampleGuarantees {
+		if count > 0 {
+			text = fmt.Appendf(text, "\n[guarantee g%d]\ncustomer = %s\naccelerators = %d\ncount = %d\ndata_centres = %s\n",
+				i, team(i), guaranteedPerWorker, count, fleetDataCentre)
+		}
+	}
+	return text
 }
--- a/slope/publish.go
+++ b/slope/publish.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -23,7 +22,7 @@
 	if options.Small {
 		sizes, rounds = []int{10, 20}, 2
 	}
-	series := make([]Series, 8)
+	series := make([]Series, 9)
 	for i, v := range []struct{ subject, output string }{
 		{"publish", "us"},
 		{"publish", "bytes read"},
@@ -33,6 +32,7 @@
 		{"poll that finds a change", "bytes read"},
 		{"poll without a change", "us"},
 		{"first poll of a process", "bytes read"},
+		{"poll without a change", "bytes read"},
 	} {
 		series[i] = Series{Subject: v.subject, Input: "objects", Output: v.output}
 	}
@@ -63,7 +63,7 @@
 		return nil, fmt.Errorf("first poll: %w", err)
 	}
 	cold := float64(reading.count().bytesRead)
-	values := make([][]float64, 8)
+	values := make([][]float64, 9)
 	add := func(i int, y float64) { values[i] = append(values[i], y) }
 	revision := int64(1)
 	for round := range rounds {
@@ -80,15 +80,18 @@
 		add(2, float64(used.bytesWritten))
 		add(3, float64(used.reads+used.writes))
 		revision = result.Version
-		before = reading.count()
 		for _, i := range []int{4, 6} { // the second poll finds no change
+			before = reading.count()
 			began = time.Now()
 			if err := follower.Poll(ctx); err != nil {
 				return nil, fmt.Errorf("poll %d: %w", round, err)
 			}
 			add(i, us(time.Since(began)))
+			read := float64(reading.count().minus(before).bytesRead)
 			if i == 4 {
-				add(5, float64(reading.count().minus(before).bytesRead))
+				add(5, read)
+			} else {
+				add(8, read)
 			}
 		}
 	}
@@ -125,28 +128,3 @@
 		Operations: []*wire.Operation{{Object: next, BaseRevision: revision}},
 	}
 }
-
-// NewRecords returns records of committed jobs of 50 tasks, one in nine of them
-// of data centre 0.
-func NewRecords(count int) []*wire.JobRecord {
-	records := make([]*wire.JobRecord, count)
-	members := newStart(sampleGangTasks).(*wire.StartRequest).GetMembers()
-	for i := range records {
-		job := newJob(i)
-		job.Tasks = sampleGangTasks
-		records[i] = &wire.JobRecord{
-			Job: job, Phase: wire.JobRecord_COMMITTED, DataCentre: dataCentre(i % sampleDataCentres),
-			Epoch: sampleEpoch, Attempt: 1, UpdatedUnixMs: sampleUnixMS, AcceptedBy: id("entry", 0),
-		}
-		for _, m := range members {
-			m := proto.CloneOf(m)
-			m.Attempt = fmt.Sprintf("%s.%d.1-%d", job.GetId(), sampleEpoch, m.GetRank())
-			records[i].Members = append(records[i].Members, m)
-		}
-	}
-	return slices.Clip(records)
-}
-
-// sampleGangTasks is the mean of 73,000 tasks of about 1,467 jobs, which are
-// 4,400 jobs a day of 8 h each.
-const sampleGangTasks = 50
--- a/slope/records.go
+++ b/slope/records.go
@@ -14,6 +14,7 @@
 	"catkinpoint/place"
 	"catkinpoint/sched"
 	"catkinpoint/store"
+	"catkinpoint/wire"
 )
 
 // MeasureRecords measures a scheduler that has just taken its duty until it has
@@ -97,3 +98,33 @@
 	after, err := meter.ReadUsage()
 	return wall, after.CPU - before.CPU, err
 }
+
+// NewRecords returns records of committed jobs of 50 tasks, one in nine of them
+// of data centre 0.
+func NewRecords(count int) []*wire.JobRecord {
+	records := make([]*wire.JobRecord, count)
+	for i := range records {
+		records[i] = recordOf(i, sampleGangTasks)
+	}
+	return records
+}
+
+// sampleGangTasks is the mean of 73,000 tasks of about 1,467 jobs, which are
+// 4,400 jobs a day of 8 h each.
+const sampleGangTasks = 50
+
+func recordOf(i, members int) *wire.JobRecord {
+	job := newJob(i)
+	job.Tasks = int32(members)
+	record := &wire.JobRecord{
+		Job: job, Phase: wire.JobRecord_COMMITTED, DataCentre: dataCentre(i % sampleDataCentres),
+		Epoch: sampleEpoch, Attempt: 1, UpdatedUnixMs: sampleUnixMS, AcceptedBy: id("entry", 0),
+	}
+	for rank := range members {
+		record.Members = append(record.Members, &wire.Member{
+			Rank: int32(rank), Worker: workerName(rank), AgentAddress: address(rank), BootId: id("boot", rank),
+			Accelerators: 8, Attempt: attemptOf(i, rank),
+		})
+	}
+	return record
+}
--- a/slope/rig.go
+++ b/slope/rig.go
@@ -34,6 +34,7 @@
 	cancel  context.CancelFunc
 	jobs    int // submitted
 	running int
+	ownHeap uint64 // of this process before the agents
 	// startBurst is the time and the CPU time of the entry's process, in ms, from
 	// the start of the agents until all were heard.
 	startBurst [2]float64
@@ -42,10 +43,12 @@
 // readyTimeout bounds the start of a rig and the start of its tasks.
 const readyTimeout = 90 * time.Second
 
-// NewRig starts the agents of a rig and waits until the scheduler has them all.
-func NewRig(process Process, workers int) (*Rig, error) {
+// NewRig starts the agents of a rig within the given time and waits until the
+// scheduler has them all. Agents that start at once also report at once later.
+func NewRig(process Process, workers int, spread time.Duration) (*Rig, error) {
 	r := &Rig{process: process, decoder: json.NewDecoder(process.Out), pool: link.NewPool(nil)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.ownHeap = liveHeap()
 	state, err := r.ask(commandState)
 	if err == nil {
 		r.entry, err = netip.ParseAddrPort(state.Address)
@@ -54,7 +57,7 @@
 		err = r.await((*wire.DutyStatus).GetReady)
 	}
 	if err == nil {
-		err = r.startFleet(workers)
+		err = r.startFleet(workers, spread)
 	}
 	if err != nil {
 		_ = r.Close() // the first error counts
@@ -63,14 +66,13 @@
 	return r, nil
 }
 
-// startFleet starts all agents at once.
-func (r *Rig) startFleet(workers int) error {
+func (r *Rig) startFleet(workers int, spread time.Duration) error {
 	before, err := r.ask(commandState)
 	if err != nil {
 		return err
 	}
 	began := time.Now()
-	if r.fleet, err = newFleet(r.entry, workers); err != nil {
+	if r.fleet, err = newFleet(r.entry, workers, spread); err != nil {
 		return err
 	}
 	if err := r.await(func(s *wire.DutyStatus) bool { return int(s.GetWorkers()) == workers }); err != nil {
@@ -155,7 +157,7 @@
 // submit sends a job whose tasks never end; Close breaks the call off.
 func (r *Rig) submit(tasks, accelerators int) {
 	request := &wire.SubmitRequest{DataCentre: fleetDataCentre, Job: &wire.Job{
-		Id: id("job", r.jobs), Customer: fleetCustomer, JobClass: "training-large", Service: fleetService,
+		Id: id("job", r.jobs), Customer: team(r.jobs % sampleTeams), JobClass: "training-large", Service: fleetService,
 		Tasks: int32(tasks), Accelerators: int32(accelerators), Adjacency: "data_centre",
 		Idempotent: true, Checkpointable: true, ExpectedRunMs: sampleRunMS, StopMs: 5000, SubmittedUnixMs: time.Now().UnixMilli(),
 	}}
@@ -174,7 +176,7 @@
 	reads   int64         // of the store
 	writes  int64
 	counts  []TrafficCount // of each agent
-	ownHeap uint64
+	ownHeap uint64         // grown in this process
 }
 
 // measure watches a rig for a period.
@@ -201,7 +203,7 @@
 	if s.state, err = r.ask(commandHeap); err != nil {
 		return sample{}, err
 	}
-	s.entry, s.agents, s.ownHeap = after.CPU-before.CPU, ownAfter.CPU-own.CPU, ownAfter.Heap
+	s.entry, s.agents, s.ownHeap = after.CPU-before.CPU, ownAfter.CPU-own.CPU, ownAfter.Heap-r.ownHeap
 	s.reads, s.writes = after.Reads-before.Reads, after.Writes-before.Writes
 	for i := range s.counts {
 		s.counts[i] = s.counts[i].minus(counts[i])
--- a/slope/scale.go
+++ b/slope/scale.go
@@ -9,6 +9,9 @@
 // StartProcess starts a process that runs ServeEntry for a number of workers.
 type StartProcess func(workers int) (Process, error)
 
+// sampleGang divides the tasks of all rigs, and is near the mean of 50.
+const sampleGang = 52
+
 // fleetOutputs are the quantities of one rig.
 var fleetOutputs = []struct {
 	output string
@@ -29,10 +32,10 @@
 	{"one agent with its stand-in endpoint, reachable heap bytes", func(f fleetSize, s sample) float64 { return float64(s.ownHeap) / float64(f.workers) }},
 }
 
-// fleetSize has the running tasks of each worker, and the jobs that wait
-// because each needs all workers whole. Placement packs the tasks, so the
-// running ones are a mean.
-type fleetSize struct{ workers, tasks, waiting int }
+// fleetSize has the running tasks of each worker, the tasks of each job, and the
+// jobs that wait because each needs all workers whole. Placement packs the
+// tasks, so the running ones are a mean.
+type fleetSize struct{ workers, tasks, gang, waiting int }
 
 // value is the size that the input names.
 func (f fleetSize) value(input string) float64 {
@@ -46,16 +49,18 @@
 }
 
 // MeasureFleet measures idle intervals of rigs: against the number of agents
-// with 13 running tasks each, and against the tasks of each of 160 agents. The
+// with 13 running tasks each, alone or in gangs, and against the tasks of each
+// of 160 agents. The
 // second result has the time from the start of all agents at once, and from a
 // lapse of the duty, until the scheduler has heard of all workers again.
 func MeasureFleet(start StartProcess, options Options) (idle, bursts []Series, err error) {
-	byAgents := []fleetSize{{40, sampleTasks, 0}, {160, sampleTasks, 0}, {320, sampleTasks, 0}, {sampleWorkers, sampleTasks, 0}}
-	byTasks := []fleetSize{{160, 0, 0}, {160, 4, 0}, {160, 8, 0}, {160, sampleTasks, 0}}
+	byAgents := []fleetSize{{40, sampleTasks, 1, 0}, {160, sampleTasks, 1, 0}, {320, sampleTasks, 1, 0}, {sampleWorkers, sampleTasks, 1, 0}}
+	byTasks := []fleetSize{{160, 0, 1, 0}, {160, 4, 1, 0}, {160, 8, 1, 0}, {160, sampleTasks, 1, 0}}
+	byGangs := []fleetSize{{40, sampleTasks, sampleGang, 0}, {80, sampleTasks, sampleGang, 0}, {160, sampleTasks, sampleGang, 0}, {320, sampleTasks, sampleGang, 0}}
 	period := 10 * time.Second
 	input := "agents"
 	if options.Small {
-		byAgents, byTasks, period, input = []fleetSize{{3, 1, 0}}, nil, time.Second, ""
+		byAgents, byTasks, byGangs, period, input = []fleetSize{{3, 1, 1, 0}}, nil, nil, time.Second, ""
 	}
 	for _, group := range []struct {
 		subject, input string
@@ -63,6 +68,7 @@
 	}{
 		{"agents with 13 tasks each", input, byAgents},
 		{"160 agents", "tasks on each", byTasks},
+		{"agents with 13 tasks each, in gangs of 52", "agents", byGangs},
 	} {
 		series := make([]Series, len(fleetOutputs))
 		for i, o := range fleetOutputs {
@@ -71,7 +77,7 @@
 		burst := newBurstSeries(group.subject, group.input)
 		for _, size := range group.sizes {
 			x := size.value(group.input)
-			s, b, err := measureRig(start, size, period)
+			s, b, err := measureRig(start, size, 0, period)
 			if err != nil {
 				return nil, nil, Error.New("%d agents with %d tasks: %w", size.workers, size.tasks, err)
 			}
@@ -89,17 +95,17 @@
 	return idle, bursts, nil
 }
 
-// MeasureWaiting measures rigs of 160 agents with 13 tasks each whose scheduler
-// has jobs that wait.
+// MeasureWaiting measures rigs of 620 agents with 13 tasks each whose scheduler
+// has jobs that wait. The reports are spread over the second.
 func MeasureWaiting(start StartProcess, options Options) ([]Series, error) {
-	sizes, period, input := []int{0, 10, 100, 300}, 10*time.Second, "waiting jobs"
-	agents, tasks := 160, sampleTasks
+	sizes, period, input := []int{0, 1, 10, 100}, 10*time.Second, "waiting jobs"
+	agents, tasks := sampleWorkers, sampleTasks
 	if options.Small {
 		sizes, period, input, agents, tasks = []int{2}, time.Second, "", 2, 1
 	}
-	cpu := Series{Subject: "160 agents with 13 tasks each", Input: input, Output: "entry process, CPU ms a second"}
+	cpu := Series{Subject: "620 agents with 13 tasks each", Input: input, Output: "entry process, CPU ms a second"}
 	for _, waiting := range sizes {
-		s, _, err := measureRig(start, fleetSize{agents, tasks, waiting}, period)
+		s, _, err := measureRig(start, fleetSize{agents, tasks, 1, waiting}, time.Second, period)
 		if err != nil {
 			return nil, Error.New("%d waiting jobs: %w", waiting, err)
 		}
@@ -123,12 +129,12 @@
 }
 
 // measureRig runs one rig; the bursts are in the order of newBurstSeries.
-func measureRig(start StartProcess, size fleetSize, period time.Duration) (sample, []float64, error) {
+func measureRig(start StartProcess, size fleetSize, spread, period time.Duration) (sample, []float64, error) {
 	process, err := start(size.workers)
 	if err != nil {
 		return sample{}, nil, err
 	}
-	r, err := NewRig(process, size.workers)
+	r, err := NewRig(process, size.workers, spread)
 	if err != nil {
 		return sample{}, nil, err
 	}
@@ -140,7 +146,7 @@
 }
 
 func (r *Rig) run(size fleetSize, period time.Duration) (sample, []float64, error) {
-	if err := r.Submit(size.workers*size.tasks, 1, 1); err != nil {
+	if err := r.Submit(size.workers*size.tasks/size.gang, size.gang, 1); err != nil {
 		return sample{}, nil, err
 	}
 	if err := r.submitWaiting(size.waiting); err != nil {
@@ -214,7 +220,7 @@
 	if err != nil {
 		return sample{}, err
 	}
-	r, err := NewRig(process, tasks)
+	r, err := NewRig(process, tasks, time.Second)
 	if err != nil {
 		return sample{}, err
 	}
--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -130,7 +130,7 @@
 }
 
 func TestPublish(t *testing.T) {
-	measure(t, 8, func(o Options) ([]Table, error) {
+	measure(t, 9, func(o Options) ([]Table, error) {
 		series, err := MeasurePublish(newStore, o)
 		return []Table{{Title: "Change of the configuration", Series: series}}, err
 	})
