slope: let the stand-in endpoint notice the end of its agent

net/http watches a connection only after the body was read, so each task left a goroutine behind when its rig ended: 100 of 102 after a rig of 100 tasks.

--- a/slope/fleet.go
+++ b/slope/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -110,6 +111,8 @@
 	started := r.Method == http.MethodPost && strings.Count(r.URL.Path, "/") == 2
 	switch {
 	case started:
+		// The context notices the end of the connection only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	case r.Method == http.MethodGet:
 		_, _ = w.Write([]byte("[]")) // an agent that has gone needs no answer
