--- a/slope/scale.go
+++ b/slope/scale.go
@@ -122,6 +122,7 @@
 		"duty lapses: ms until all are heard",
 		"duty lapses: entry process, CPU ms",
 		"duty lapses: bytes in and out of the entry process",
+		"duty lapses: store reads",
 	} {
 		list = append(list, Series{Subject: subject, Input: input, Output: output})
 	}
@@ -181,7 +182,7 @@
 	took := time.Since(began)
 	used := sample{counts: r.fleet.counts()}.total().minus(counts)
 	after, err := r.ask(commandState)
-	return []float64{us(took) / 1000, us(after.CPU-before.CPU) / 1000, float64(used.In + used.Out)}, err
+	return []float64{us(took) / 1000, us(after.CPU-before.CPU) / 1000, float64(used.In + used.Out), float64(after.Reads - before.Reads)}, err
 }
 
 // MeasureGang measures a running gang at the agent of its leader, against its
--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -144,7 +144,7 @@
 }
 
 func TestFleet(t *testing.T) {
-	measure(t, len(fleetOutputs)+5, func(o Options) ([]Table, error) {
+	measure(t, len(fleetOutputs)+6, func(o Options) ([]Table, error) {
 		idle, bursts, err := MeasureFleet(startEntry, o)
 		return []Table{{Title: "Agents and a scheduler", Series: idle}, {Title: "All agents at once", Series: bursts}}, err
 	})
