--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	life      context.Context // ends with Run
 	bootID    string
 	adopted   adoption
+	headSwept time.Time
 }
 
 // New returns an entry; Run starts it.
@@ -61,6 +62,7 @@
 		meter:     m,
 		admission: newAdmission(opts),
 		start:     time.Now(),
+		headSwept: time.Now(),
 		poked:     make(chan struct{}, 1),
 		bootID:    uuid.NewString(),
 	}
@@ -204,3 +206,11 @@
 		return true
 	}
 }
+
+// Hold keeps the control goroutines of all duties busy until the channel is
+// closed, as a paused process would; tests of freezes use it.
+func (e *Entry) Hold(until <-chan struct{}) {
+	for _, s := range e.host.All() {
+		s.Hold(until)
+	}
+}
--- a/place/view.go
+++ b/place/view.go
@@ -26,6 +26,10 @@
 	unmet          bool // a guaranteed shape has no place in the map
 	tight          bool // the map misses an assignment that exists
 	placed         []Running
+	searches       int
+	reservedFrom   time.Time
+	slack          float64
+	gangSize       int
 	running        []task
 }
 
@@ -45,6 +49,9 @@
 	need        int // accelerators that are locked or held
 	needSlots   int
 	hosted      []hosted
+	// reserved limits new work to what ends in time or fits into spare.
+	reserved bool
+	spare    int
 }
 
 // part is the claim of one customer on a node.
@@ -91,6 +98,8 @@
 	*Job
 	customer int
 	lent     bool
+	rank     rank
+	score    float64
 }
 
 const noLimit = math.MaxInt / 4
@@ -231,6 +240,9 @@
 	n.free -= count
 	n.slots -= tasks
 	n.tasks += tasks
+	if n.reserved && !v.endsBefore(j) {
+		n.spare -= count
+	}
 	if n.usable {
 		v.racks[n.rack].free -= count
 	}
