--- a/slope/scale.go
+++ b/slope/scale.go
@@ -20,8 +20,8 @@
 	{"entry process, CPU ms a second", func(_ fleetSize, s sample) float64 { return 1000 * s.entry.Seconds() / s.period.Seconds() }},
 	{"entry process, reachable heap bytes", func(_ fleetSize, s sample) float64 { return float64(s.state.Heap) }},
 	{"entry process, runtime memory bytes", func(_ fleetSize, s sample) float64 { return float64(s.state.Memory) }},
-	{"entry process, bytes in a second", func(_ fleetSize, s sample) float64 { return perSecond(s.total().Out, s.period) }},
-	{"entry process, bytes out a second", func(_ fleetSize, s sample) float64 { return perSecond(s.total().In, s.period) }},
+	{"all agents, bytes out a second", func(_ fleetSize, s sample) float64 { return perSecond(s.total().Out, s.period) }},
+	{"all agents, bytes in a second", func(_ fleetSize, s sample) float64 { return perSecond(s.total().In, s.period) }},
 	{"entry process, store reads a second", func(_ fleetSize, s sample) float64 { return perSecond(s.reads, s.period) }},
 	{"one agent, bytes out a second", func(f fleetSize, s sample) float64 { return perSecond(s.total().Out, s.period) / float64(f.workers) }},
 	{"one agent, bytes in a second", func(f fleetSize, s sample) float64 { return perSecond(s.total().In, s.period) / float64(f.workers) }},
@@ -121,7 +121,7 @@
 		"all agents start: entry process, CPU ms",
 		"duty lapses: ms until all are heard",
 		"duty lapses: entry process, CPU ms",
-		"duty lapses: bytes in and out of the entry process",
+		"duty lapses: bytes out of and into all agents",
 		"duty lapses: store reads",
 	} {
 		list = append(list, Series{Subject: subject, Input: input, Output: output})
