--- a/slope/rig.go
+++ b/slope/rig.go
@@ -220,11 +220,12 @@
 	return t
 }
 
-// busiest is the agent with the most bytes, which is the leader of a single gang.
+// busiest is the agent that receives the most bytes, which is the leader of a
+// single gang; of two agents, a member sends about as much as the leader.
 func (s sample) busiest() TrafficCount {
 	var most TrafficCount
 	for _, c := range s.counts {
-		if c.In+c.Out > most.In+most.Out {
+		if c.In > most.In {
 			most = c
 		}
 	}
