--- a/verbs/cli.go
+++ b/verbs/cli.go
@@ -28,6 +28,7 @@
 	Serve    Serve    `cmd:"" help:"Run an entry."`
 	Agent    Agent    `cmd:"" help:"Run the agent beside an endpoint."`
 	Local    Local    `cmd:"" help:"Run an example of the whole system in this process."`
+	Replay   Replay   `cmd:"" help:"Replay recorded traces through the placement policies and compare them."`
 	Settings Settings `cmd:"" help:"Print the reference page of settings and declarations."`
 }
 
