--- a/verbs/status.go
+++ b/verbs/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -36,7 +37,8 @@
 	}
 	set, _, err := v.fetch(ctx)
 	if err != nil {
-		return err
+		// During an outage of the store the operator still sees the schedulers.
+		return errors.Join(printSystem(out, system), err)
 	}
 	if err := printStatus(out, set, system); err != nil {
 		return err
@@ -77,3 +79,18 @@
 	}
 	return nil
 }
+
+// printSystem prints what an entry knows without the store.
+func printSystem(out *Output, system *wire.SystemStatus) error {
+	fmt.Fprintf(out.Stdout, "version %d as entry %s last read it\n", system.GetVersion(), system.GetId())
+	table := tabwriter.NewWriter(out.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "data centre\tscheduler\tworkers\tfree accelerators\tqueued\trunning")
+	for _, d := range system.GetDuties() {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d of %d\t%d\t%d\n", d.GetDataCentre(),
+			d.GetHolder(), d.GetWorkers(), d.GetFreeAccelerators(), d.GetAccelerators(), d.GetQueued(), d.GetRunning())
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("print table: %w", err)
+	}
+	return nil
+}
