--- a/gang/model_state_test.go
+++ b/gang/model_state_test.go
@@ -26,6 +26,7 @@
 	idempotent bool
 	faults     uint8 // faults in one run
 	cancels    uint8
+	depth      int  // most steps of one run; 0 means no limit
 	retries    bool // whether the first scheduler may make a second attempt
 	unit       time.Duration
 	timers     Timers
