--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -150,6 +150,13 @@
 	})
 }
 
+func TestLinks(t *testing.T) {
+	measure(t, 4, func(o Options) ([]Table, error) {
+		series, err := MeasureLinks(o)
+		return []Table{{Title: "Idle links", Series: series}}, err
+	})
+}
+
 func TestWaiting(t *testing.T) {
 	measure(t, 1, func(o Options) ([]Table, error) {
 		series, err := MeasureWaiting(startEntry, o)
