--- a/slope/bench_test.go
+++ b/slope/bench_test.go
@@ -6,30 +6,12 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
-	"catkinpoint/place"
 	"catkinpoint/wire"
 )
 
-// The benchmarks guard against a slow growth of the costs that the capacity
-// page counts on, at the size of one data centre of the target. That of the
-// whole-set check is BenchmarkCheck in package decl.
-
-func BenchmarkDecide(b *testing.B) {
-	for _, c := range []struct {
-		name string
-		full bool
-	}{{"room", false}, {"no_room", true}} {
-		b.Run(c.name, func(b *testing.B) {
-			state := NewState(DecideShape{Workers: sampleWorkers, Tasks: sampleTasks, Queued: 100}, c.full)
-			policy := place.New(place.Options{})
-			b.ReportAllocs()
-			for b.Loop() {
-				policy.Decide(state, sampleNow)
-			}
-		})
-	}
-}
-
+// BenchmarkReport guards against a slow growth of the cost of the most frequent
+// message, with the tasks of one worker at the target size. The decision has
+// its benchmark in package place, the whole-set check in package decl.
 func BenchmarkReport(b *testing.B) {
 	report := newReport(0, sampleTasks)
 	var frame bytes.Buffer
