sched: judge the cancellation wave by its time

With a scan of the queue for each cancelled job 10,000 jobs took 9.2 s (tried by switching one on), without 30 ms, and 100 ms under the race detector; the ratio of two small times, which the test compared before, depends on the collector.

--- a/sched/limits_test.go
+++ b/sched/limits_test.go
@@ -54,8 +54,7 @@
 	})
 }
 
-// Guards against a scan for each job in a wave of cancellations: ten times the
-// jobs may cost about ten times the time, not a hundred times.
+// Guards against a scan for each job in a wave of cancellations.
 func TestCancellationWave(t *testing.T) {
 	wave := func(jobs int) time.Duration {
 		s := New(Options{
@@ -80,18 +79,12 @@
 		}
 		return took
 	}
-	// The best of several runs is little disturbed by other processes.
-	best := func(jobs int) time.Duration {
-		took := wave(jobs)
-		for range 6 {
-			took = min(took, wave(jobs))
-		}
-		return took
-	}
-	few, many := best(1000), best(10_000)
-	t.Logf("1,000 jobs: %s, 10,000 jobs: %s", few, many)
-	if many > 50*few {
-		t.Errorf("10,000 jobs took %s, 1,000 took %s", many, few)
+	took := min(wave(10_000), wave(10_000), wave(10_000))
+	t.Logf("10,000 jobs: %s", took)
+	// With a scan of the queue for each job the same wave took 9 s, without one
+	// 30 ms, and 100 ms under the race detector.
+	if took > time.Second {
+		t.Errorf("10,000 jobs took %s, want less than 1 s", took)
 	}
 }
 
