--- a/place/fit.go
+++ b/place/fit.go
@@ -84,7 +84,7 @@
 // fitBeside finds seats that the present map of shapes forbids although
 // another map allows them, and maps the shapes again around the job.
 func (v *view) fitBeside(j *request, before order) []seat {
-	if j.lent || v.unmet && !v.tight || v.searches > mapWork/len(v.nodes) {
+	if j.lent || v.unmet && !v.tight || v.searches > mapWork/max(1, len(v.nodes)) {
 		return nil
 	}
 	free := *j
