entry: a refused request with a key proves nothing about the key's job

Cause: a caller that repeats its request with the same key during an outage of the store was told not_run with the job's id, although its first request had started the job (run, start, prepare and cancel/two at once: order told not_run, started at 0.01 s). It is unknown now, with the id.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -44,10 +44,10 @@
 // run carries one request from its admission to its outcome.
 func (e *Entry) run(c echo.Context, r *jobRequest) *wire.Outcome {
 	if e.leaving.Load() {
-		return notRun("this process is leaving")
+		return refuse(r, "this process is leaving")
 	}
 	if err := e.admission.enter(r.job.GetCustomer()); err != nil {
-		return notRun(err.Error())
+		return refuse(r, err.Error())
 	}
 	// A caller that goes away does not stop a job that has a record.
 	ctx := c.Request().Context()
@@ -83,13 +83,13 @@
 func (e *Entry) runRecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
 	found, err := e.accept(ctx, r)
 	if err != nil {
-		return acceptOutcome(err)
+		return acceptOutcome(r, err)
 	}
 	return e.carry(ctx, r, found)
 }
 
 // acceptOutcome is the outcome of a job whose record was not written for certain.
-func acceptOutcome(err error) *wire.Outcome {
+func acceptOutcome(r *jobRequest, err error) *wire.Outcome {
 	klog.V(1).Infof("entry: A job was not accepted: %v.", err)
 	switch {
 	case errors.Is(err, errKeyReused):
@@ -97,7 +97,16 @@
 	case errors.Is(err, errUndecided):
 		return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: err.Error(), RetryAfterMs: retryAfter.Milliseconds()}
 	}
-	return notRun("the store cannot be reached: " + err.Error())
+	return refuse(r, "the store cannot be reached: "+err.Error())
+}
+
+// refuse answers a request that was not taken. A request with a key names a job
+// that an earlier request may have started, so nothing is proved about it.
+func refuse(r *jobRequest, reason string) *wire.Outcome {
+	if r.job.GetKey() != "" {
+		return unknown(reason)
+	}
+	return notRun(reason)
 }
 
 // carry takes an accepted job to its outcome.
@@ -161,7 +170,7 @@
 	defer e.admission.leave(r.job.GetCustomer())
 	found, err := e.accept(acceptCtx, r)
 	if err != nil {
-		return acceptOutcome(err)
+		return acceptOutcome(r, err)
 	}
 	if !found.existing {
 		e.carryDetached(r, found)
--- a/matrix/caller.go
+++ b/matrix/caller.go
@@ -37,6 +37,8 @@
 	First int
 
 	Sent, Final time.Time
+	// Asked is when the request was sent that the last answer is for.
+	Asked time.Time
 	// Broken counts the requests that got no whole answer.
 	Broken int
 	Fate   string
@@ -74,6 +76,15 @@
 	}, nil
 }
 
+// address is where callers reach an entry: first the one that schedules the home
+// data centre, then that of the other data centre, then the spare one.
+func (w *World) address(number int) netip.AddrPort {
+	return w.System.Entries[w.order[number%entryCount]]
+}
+
+// spare is the entry of the home data centre that does not schedule it.
+func (w *World) spare() string { return fmt.Sprintf("entry-%d", w.order[entryCount-1]) }
+
 // ask carries one request to its final answer as a caller does: after a broken
 // connection it repeats the request, with the same key if it has one, and after
 // an answer without a final fate it asks by the job's id, through the next entry.
@@ -81,10 +92,11 @@
 	t.Sent = time.Now()
 	giveUp := t.Sent.Add(patience)
 	for try := t.First; time.Now().Before(giveUp); try++ {
-		addr := w.System.Entries[try%len(w.System.Entries)]
+		addr := w.address(try)
 		var answer *local.Answer
 		var err error
 		if t.Job == "" {
+			t.Asked = time.Now()
 			answer, err = w.client(ctx, http.MethodPost, addr, "/v1/jobs?"+t.Query, t.Body)
 		} else {
 			answer, err = w.client(ctx, http.MethodGet, addr, "/v1/jobs/"+t.Job+"?wait=15s", nil)
@@ -111,7 +123,10 @@
 		return true
 	case "not_run":
 		if a.JobID == "" {
-			return false // the id is not known there now
+			if a.Status == http.StatusNotFound {
+				t.Job = "" // there is no such job, so the request is repeated
+			}
+			return false
 		}
 		t.Refused = append(t.Refused, t.Job)
 		if t.Insist {
@@ -130,7 +145,7 @@
 // cancel asks the entries to cancel a job until one answers.
 func (w *World) cancel(ctx context.Context, job string, first int) {
 	for try := first; try < first+10; try++ {
-		addr := w.System.Entries[try%len(w.System.Entries)]
+		addr := w.address(try)
 		if _, err := w.client(ctx, http.MethodDelete, addr, "/v1/jobs/"+job, nil); err == nil {
 			return
 		}
--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -57,7 +57,7 @@
 // inject carries the fault out, returns once it is over, and tells which
 // processes it fell on.
 func (w *World) inject(f Fault) []string {
-	agent, scheduler := w.victim(), w.holder(north)
+	agent, scheduler := w.victim(), w.holder(home)
 	switch f {
 	case KillAgent:
 		w.restart(agent)
@@ -66,14 +66,14 @@
 		w.Kill(scheduler)
 		return []string{scheduler}
 	case KillEntry:
-		w.Kill("entry-2")
-		return []string{"entry-2"}
+		w.Kill(w.spare())
+		return []string{w.spare()}
 	case FreezeAgent:
 		return w.freezeFor(agent)
 	case FreezeScheduler:
 		return w.freezeFor(scheduler)
 	case FreezeEntry:
-		return w.freezeFor("entry-2")
+		return w.freezeFor(w.spare())
 	case CutAgent:
 		w.cutFor(agent, slices.DeleteFunc(w.processes(), func(name string) bool { return name == agent }))
 		return []string{agent}
--- a/matrix/judge.go
+++ b/matrix/judge.go
@@ -239,7 +239,7 @@
 			}
 		}
 		for _, p := range r.list {
-			if strings.HasPrefix(p.worker, south) && p.start.After(left.Add(drainBound)) && p.start.Before(until) {
+			if strings.HasPrefix(p.worker, away) && p.start.After(left.Add(drainBound)) && p.start.Before(until) {
 				r.breach(PromiseDrainDC, "%s started at %s on %s; the data centre left at %s", p.attempt, r.at(p.start), p.worker, r.at(left))
 			}
 		}
@@ -308,6 +308,9 @@
 			continue
 		}
 		since := t.Sent
+		if t.Broken > 0 {
+			since = t.Asked // the fault fell on the caller's own connection
+		}
 		if r.from.Before(since.Add(reclaimBound)) {
 			since = later(since, r.disturbedUntil())
 		}
--- a/matrix/script.go
+++ b/matrix/script.go
@@ -18,8 +18,8 @@
 const (
 	gangKey      = "gang"
 	weightChange = "weight"
-	drainChange  = "drain-keila"
-	returnChange = "return-keila"
+	drainChange  = "drain-away"
+	returnChange = "return-away"
 	rivalChange  = "rival"
 )
 
@@ -38,7 +38,7 @@
 	drained   string
 	drainedAt time.Time
 	left      time.Time // when the agent had finished
-	// leftEntry is when entry-2 was told to leave.
+	// leftEntry is when the spare entry was told to leave.
 	leftEntry time.Time
 }
 
@@ -87,8 +87,8 @@
 	s.submit(ctx, 0, Told{Title: "detached", Query: "customer=league&job_class=order&key=later&detach=true&p.run_ms=2500", Tasks: 1, Once: true, First: 2})
 	s.submit(ctx, 0, Told{Title: "cancelled", Query: "customer=clubs&job_class=order&key=stop&timeout=40s&p.run_ms=30000", Tasks: 1, Once: true})
 	s.group.Go(func() { s.cancelOne(ctx) })
-	for range fillers {
-		s.submit(ctx, fillAt, Told{Title: "filler", Query: "customer=clubs&job_class=simulation&p.run_ms=8000", Tasks: 1, Insist: true})
+	for i := range fillers {
+		s.submit(ctx, fillAt, Told{Title: "filler", Query: "customer=clubs&job_class=simulation&p.run_ms=8000", Tasks: 1, Insist: true, First: i % 2})
 	}
 	s.group.Go(func() {
 		time.Sleep(urgentAt)
@@ -181,7 +181,7 @@
 
 func inService(in bool) func(*wire.Object) bool {
 	return func(o *wire.Object) bool {
-		if o.GetKind() != "data_centre" || o.GetName() != south {
+		if o.GetKind() != "data_centre" || o.GetName() != away {
 			return false
 		}
 		o.GetDataCentre().InService = in
@@ -276,7 +276,7 @@
 // drainEndpoint takes one endpoint out of service gracefully.
 func (s *Script) drainEndpoint(ctx context.Context) {
 	time.Sleep(leaveAt)
-	for _, name := range []string{north + "-03", north + "-02"} {
+	for _, name := range []string{home + "-03", home + "-02"} {
 		if name != s.world.victim() {
 			s.drained = name
 			break
@@ -298,13 +298,13 @@
 	}
 }
 
-// leaveEntry stops entry-2 gracefully.
+// leaveEntry stops the spare entry gracefully.
 func (s *Script) leaveEntry() {
 	time.Sleep(entryLeaves)
 	s.leftEntry = time.Now()
 	select {
-	case <-s.world.System.Process("entry-2").Stop():
-	case <-time.After(40 * time.Second):
+	case <-s.world.System.Process(s.world.spare()).Stop():
+	case <-time.After(15 * time.Second):
 	}
 }
 
--- a/matrix/step.go
+++ b/matrix/step.go
@@ -68,7 +68,7 @@
 	if w.watch.agent != "" {
 		return w.watch.agent
 	}
-	return north + "-00"
+	return home + "-00"
 }
 
 // onWrite follows the store's writes.
@@ -113,11 +113,11 @@
 	}
 }
 
-// leaves tells whether the last change takes the southern data centre out of
+// leaves tells whether the last change takes the second data centre out of
 // service; nil means that it does not concern it.
 func leaves(h *wire.Head) *bool {
 	for _, op := range h.GetLastChange().GetChange().GetOperations() {
-		if dc := op.GetObject().GetDataCentre(); dc != nil && op.GetObject().GetName() == south {
+		if dc := op.GetObject().GetDataCentre(); dc != nil && op.GetObject().GetName() == away {
 			out := !dc.GetInService()
 			return &out
 		}
