--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -11,7 +11,6 @@
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
-	"catkinpoint/store"
 	"catkinpoint/wire"
 )
 
@@ -23,9 +22,6 @@
 	FateHeader = "Catkinpoint-Fate"
 )
 
-// endRetry is the time between two tries to end a record.
-const endRetry = 2 * time.Second
-
 // defaultTimeout bounds a request whose caller and class name no deadline.
 const defaultTimeout = 10 * time.Minute
 
@@ -73,9 +69,10 @@
 // runUnrecorded runs an idempotent single task; when the caller leaves, the
 // scheduler is told.
 func (e *Entry) runUnrecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
-	outcome := e.dispatch(ctx, r, 0)
+	outcome := e.dispatch(ctx, r, nil)
 	if ctx.Err() != nil {
-		e.cancelAt(r.sentTo, r.job.GetId(), "the caller left or its deadline passed")
+		// The answer does not wait for the scheduler.
+		e.traffic.Go(func() { e.cancelAt(r.sentTo, r.job.GetId(), "the caller left or its deadline passed") })
 	}
 	return outcome
 }
@@ -83,18 +80,19 @@
 func (e *Entry) runRecorded(ctx context.Context, r *jobRequest) *wire.Outcome {
 	found, err := e.accept(ctx, r)
 	if err != nil {
-		return acceptOutcome(r, err)
+		return e.acceptOutcome(r, err)
 	}
 	return e.carry(ctx, r, found)
 }
 
 // acceptOutcome is the outcome of a job whose record was not written for certain.
-func acceptOutcome(r *jobRequest, err error) *wire.Outcome {
+func (e *Entry) acceptOutcome(r *jobRequest, err error) *wire.Outcome {
 	klog.V(1).Infof("entry: A job was not accepted: %v.", err)
 	switch {
 	case errors.Is(err, errKeyReused):
 		return &wire.Outcome{Fate: wire.Fate_NOT_RUN, Reason: errKeyReused.Error()}
 	case errors.Is(err, errUndecided):
+		e.ender.add(r.job, notRun("the store's answer was lost"))
 		return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: err.Error(), RetryAfterMs: retryAfter.Milliseconds()}
 	}
 	return refuse(r, "the store cannot be reached: "+err.Error())
@@ -109,104 +107,6 @@
 	return notRun(reason)
 }
 
-// carry takes an accepted job to its outcome.
-func (e *Entry) carry(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
-	id := r.job.GetId()
-	if found.existing {
-		return e.followRecord(ctx, id)
-	}
-	outcome := e.deliver(ctx, r, found.revision)
-	switch outcome.GetFate() {
-	case wire.Fate_NOT_RUN:
-		return e.endFor(context.WithoutCancel(ctx), id, outcome)
-	case wire.Fate_UNKNOWN:
-		if ctx.Err() == nil {
-			return e.followRecord(ctx, id)
-		}
-	}
-	return outcome
-}
-
-// deliver dispatches a job with a record. As long as the record is accepted, no
-// attempt may run, so after a lost answer the job is sent again; nobody else
-// would take it while this process lives.
-func (e *Entry) deliver(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
-	for {
-		outcome := e.dispatch(ctx, r, revision)
-		if outcome.GetFate() != wire.Fate_UNKNOWN || !sleep(ctx, retryAfter) {
-			return outcome
-		}
-		found, err := e.readRecord(ctx, r.job.GetId())
-		switch {
-		case errors.Is(err, store.ErrNotFound), err == nil && found.record.GetPhase() != wire.JobRecord_ACCEPTED:
-			return outcome
-		case err == nil:
-			revision = found.revision
-		}
-	}
-}
-
-// endFor ends the record of a job that has not run. If the store does not
-// answer now, it goes on in the background, because no other process would.
-func (e *Entry) endFor(ctx context.Context, id string, outcome *wire.Outcome) *wire.Outcome {
-	ended := e.endNotRun(ctx, id, outcome)
-	if ended.GetFate() != wire.Fate_UNKNOWN {
-		return ended
-	}
-	e.traffic.Go(func() {
-		for sleep(e.life, endRetry) {
-			if e.endNotRun(e.life, id, outcome).GetFate() != wire.Fate_UNKNOWN {
-				return
-			}
-		}
-	})
-	return ended
-}
-
-// runDetached accepts the job and answers before it has run.
-func (e *Entry) runDetached(ctx context.Context, r *jobRequest) *wire.Outcome {
-	acceptCtx, cancel := context.WithTimeout(ctx, acceptTries*storeTimeout+time.Second)
-	defer cancel()
-	defer e.admission.leave(r.job.GetCustomer())
-	found, err := e.accept(acceptCtx, r)
-	if err != nil {
-		return acceptOutcome(r, err)
-	}
-	if !found.existing {
-		e.carryDetached(r, found)
-	}
-	return accepted()
-}
-
-// carryDetached carries a job without a caller. When this process ends first,
-// another entry adopts the job.
-func (e *Entry) carryDetached(r *jobRequest, found *claim) {
-	e.traffic.Go(func() {
-		ctx, cancel := context.WithCancel(e.life)
-		defer cancel()
-		if r.timeout > 0 {
-			ctx, cancel = context.WithTimeout(ctx, r.timeout)
-			defer cancel()
-		}
-		outcome := e.dispatchDetached(ctx, r, found.revision)
-		if e.life.Err() == nil && outcome.GetFate() == wire.Fate_NOT_RUN {
-			e.endFor(e.life, r.job.GetId(), outcome)
-		}
-	})
-}
-
-// dispatchDetached dispatches until the job was taken: an accepted job that was
-// refused for lack of room waits here.
-func (e *Entry) dispatchDetached(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
-	for {
-		outcome := e.deliver(ctx, r, revision)
-		noRoom := outcome.GetFate() == wire.Fate_NOT_RUN && outcome.GetRetryAfterMs() > 0
-		if !noRoom || !sleep(ctx, refusedPause) {
-			return outcome
-		}
-	}
-}
-
 // accepted is the answer to a caller that does not wait.
 func accepted() *wire.Outcome {
 	return &wire.Outcome{Fate: wire.Fate_FATE_UNSPECIFIED, Reason: "accepted"}
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,10 +31,10 @@
 	timeout time.Duration // zero means none
 	// recorded says that the job needs a record in the store.
 	recorded bool
-	// bodyParts is the number of parts of the body in the store.
-	bodyParts int32
 	// sentTo is the data centre to which the job was sent last.
 	sentTo string
+	// earlier is what attempts in data centres that gave the job back left.
+	earlier wire.Fate
 }
 
 // readJob checks a request against the configuration in force.
@@ -123,6 +123,9 @@
 	}
 	for name, values := range c.QueryParams() {
 		if rest, ok := strings.CutPrefix(name, parameterPrefix); ok && len(values) > 0 {
+			if reservedParameter(rest) {
+				return nil, fmt.Errorf("parameter %s is set by the system: %w", name, ErrBadRequest)
+			}
 			j.Parameters[rest] = values[0]
 			continue
 		}
@@ -147,6 +150,15 @@
 	return false
 }
 
+// reservedParameter says whether the agent sets the endpoint's parameter.
+func reservedParameter(name string) bool {
+	switch name {
+	case "accelerators", "lease_ms", "resume_ms":
+		return true
+	}
+	return false
+}
+
 func readInto(c echo.Context, name string, lowest, highest int, target *int32) error {
 	text := c.QueryParam(name)
 	if text == "" {
--- a/entry/route.go
+++ b/entry/route.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/decl"
@@ -34,20 +35,12 @@
 )
 
 // dispatch sends the job to schedulers, nearest first, until one gives a final
-// outcome or ctx ends.
-func (e *Entry) dispatch(ctx context.Context, r *jobRequest, revision int64) *wire.Outcome {
-	outcome, lost := e.route(ctx, r, revision)
-	if lost && !r.recorded && outcome.GetFate() == wire.Fate_NOT_RUN {
-		// Only the scheduler whose answer was lost knows whether it started the
-		// job; the refusal of its successor proves nothing.
-		return unknown("a scheduler's answer was lost; then: " + outcome.GetReason())
-	}
-	return outcome
+// outcome or ctx ends. Found is nil for a job without a record.
+func (e *Entry) dispatch(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
+	return r.later(e.send(ctx, r, found))
 }
 
-// route is dispatch; lost says that some scheduler had the job and its answer
-// was lost.
-func (e *Entry) route(ctx context.Context, r *jobRequest, revision int64) (outcome *wire.Outcome, lost bool) {
+func (e *Entry) send(ctx context.Context, r *jobRequest, found *claim) *wire.Outcome {
 	refused := make(map[string]*wire.Outcome) // by data centre
 	sent := ""                                // data centre that may have the job
 	giveUp := time.Now().Add(noDutyPatience)
@@ -60,27 +53,33 @@
 			dc = e.choose(r.job, refused)
 		}
 		if dc == "" {
-			return combine(refused), lost
+			return combine(refused)
 		}
-		response, err := e.submit(ctx, dc, r, revision)
+		response, err := e.submit(ctx, dc, r, found)
 		switch {
 		case err == nil && response.GetReroute():
 			refused[dc], sent = response.GetOutcome(), ""
+			if fate := response.GetOutcome().GetFate(); fate != wire.Fate_NOT_RUN {
+				r.earlier = fate
+			}
+			if outcome := e.reread(ctx, found); outcome != nil {
+				return outcome
+			}
 		case err == nil:
-			return response.GetOutcome(), lost
+			return response.GetOutcome()
 		case ctx.Err() != nil:
-			return outOfTime(sent, err), lost
+			return outOfTime(sent, err)
 		case !errors.Is(err, link.ErrNotSent):
 			// The scheduler may have taken the job. Its successor is asked with
 			// the same id: it knows a started job by its record or by its task.
 			// The first repetition is free, further ones have a budget.
 			again := sent != ""
-			sent, lost = dc, true
+			sent = dc
 			if again && !e.admission.mayRetry() {
-				return unknown("the scheduler's answer was lost"), true
+				return unknown("the scheduler's answer was lost")
 			}
 		case sent == "" && time.Now().After(giveUp):
-			return notRun("no scheduler could be reached"), lost
+			return notRun("no scheduler could be reached")
 		case sent == "" && e.hasOther(r.job, refused, dc):
 			refused[dc] = notRun("no scheduler could be reached")
 		}
@@ -88,7 +87,7 @@
 			klog.V(1).Infof("entry: Job %s was not answered by %s: %v.", r.job.GetId(), dc, err)
 			e.refreshSoon()
 			if !sleep(ctx, pause.NextBackOff()) {
-				return outOfTime(sent, err), lost
+				return outOfTime(sent, err)
 			}
 		}
 	}
@@ -134,7 +133,7 @@
 }
 
 // submit sends the job to the scheduler of the data centre and waits.
-func (e *Entry) submit(ctx context.Context, dc string, r *jobRequest, revision int64) (*wire.SubmitResponse, error) {
+func (e *Entry) submit(ctx context.Context, dc string, r *jobRequest, found *claim) (*wire.SubmitResponse, error) {
 	addr, ok := e.view.Load().address(dc)
 	if e.host.Get(dc) != nil {
 		addr, ok = e.opts.RPCAddress, true
@@ -142,9 +141,10 @@
 	if !ok {
 		return nil, link.ErrNotSent
 	}
-	request := &wire.SubmitRequest{
-		Job: r.job, Body: r.body, DataCentre: dc,
-		RecordRevision: revision, AcceptedBy: e.bootID, BodyParts: r.bodyParts,
+	request := &wire.SubmitRequest{Job: r.job, Body: r.body, DataCentre: dc}
+	if found != nil {
+		request.RecordRevision, request.Record = found.revision, proto.CloneOf(found.record)
+		request.Record.Job = nil // it is in the request already
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		// The scheduler answers before this process gives up.
--- a/place/fit.go
+++ b/place/fit.go
@@ -30,7 +30,11 @@
 	if n.slots <= 0 || n.free < j.Accelerators || !v.canUse(n, j) {
 		return 0
 	}
-	return v.limit(n, j, n.free, n.slots)
+	free := n.free
+	if n.reserved && !v.endsBefore(j) {
+		free = min(free, n.spare)
+	}
+	return v.limit(n, j, free, n.slots)
 }
 
 // limit is how many tasks fit the given accelerators and slots of the node
@@ -63,12 +67,40 @@
 // fit finds seats for the whole job, or none.
 func (v *view) fit(j *request, before order) []seat {
 	seats := v.seats(j, before)
-	if seats == nil || !v.guarded(j, seats) {
+	if seats == nil {
+		return v.fitBeside(j, before)
+	}
+	if !v.guarded(j, seats) {
 		return nil
 	}
 	return seats
 }
 
+// mapWork bounds the searches in one decision for another map of the
+// guaranteed shapes by their number times the workers; one search takes about
+// 10 ms with 620 workers.
+const mapWork = 1000
+
+// fitBeside finds seats that the present map of shapes forbids although
+// another map allows them, and maps the shapes again around the job.
+func (v *view) fitBeside(j *request, before order) []seat {
+	if j.lent || v.unmet && !v.tight || v.searches > mapWork/max(1, len(v.nodes)) {
+		return nil
+	}
+	free := *j
+	free.lent = true
+	seats := v.seats(&free, before)
+	if seats == nil {
+		return nil
+	}
+	v.searches++
+	if !v.keeps(v.started(j, seats)) {
+		return nil
+	}
+	v.remap(j, seats)
+	return seats
+}
+
 func (v *view) seats(j *request, before order) []seat {
 	switch {
 	case j.Tasks == 1 || j.Adjacency == SameWorker:
@@ -155,9 +187,7 @@
 	for _, s := range seats {
 		v.take(&v.nodes[s.node], j, s.tasks)
 	}
-	if v.tight {
-		v.placed = append(v.placed, started)
-	}
+	v.placed = append(v.placed, started)
 	return Action{Place: &Place{JobID: j.ID, Workers: started.Workers}}
 }
 
--- a/place/preempt.go
+++ b/place/preempt.go
@@ -37,11 +37,7 @@
 		}
 		return best, found
 	default:
-		all := make([]int, len(v.nodes))
-		for i := range all {
-			all[i] = i
-		}
-		return v.planNodes(j, all, may)
+		return v.planNodes(j, v.all, may)
 	}
 }
 
@@ -174,6 +170,7 @@
 		}
 		actions = append(actions, Action{Preempt: &Preempt{JobID: t.Job.ID, Reason: reason}})
 	}
+	v.placed = append(v.placed, v.started(j, p.seats))
 	for _, s := range p.seats {
 		v.claim(&v.nodes[s.node], j, s.tasks)
 	}
--- a/place/shape.go
+++ b/place/shape.go
@@ -30,6 +30,7 @@
 		}
 		return x.Adjacency < y.Adjacency
 	})
+	v.unmet = false
 	for _, sh := range shapes {
 		if !v.mapShape(sh) {
 			v.unmet = true
@@ -40,6 +41,32 @@
 	v.tight = v.unmet && v.keeps()
 }
 
+// remap maps the shapes again as if the job ran on the seats.
+func (v *view) remap(j *request, seats []seat) {
+	for i := range v.nodes {
+		n := &v.nodes[i]
+		for k := range n.parts {
+			p := &n.parts[k]
+			n.update(p, 0, 0, -p.held, -p.heldSlots)
+		}
+	}
+	lock := func(sign int) {
+		for _, s := range seats {
+			n := &v.nodes[s.node]
+			p := n.part(j.customer)
+			count := sign * s.tasks * j.Accelerators
+			n.free -= count
+			p.used += count
+			n.update(p, count, sign*s.tasks, 0, 0)
+		}
+	}
+	lock(1)
+	v.mapShapes()
+	lock(-1)
+	// The search has found an assignment with the job.
+	v.tight = v.unmet
+}
+
 // mapSteps bounds the search of one placement that the greedy map cannot
 // decide to a few milliseconds.
 const mapSteps = 20_000
@@ -71,11 +98,7 @@
 
 func (v *view) mapShape(sh shape) bool {
 	if sh.guarantee.Adjacency != SameRack {
-		all := make([]int, len(v.nodes))
-		for i := range all {
-			all[i] = i
-		}
-		picks, _, ok := v.chunks(sh, all)
+		picks, _, ok := v.chunks(sh, v.all)
 		v.hold(sh, picks, ok)
 		return ok
 	}
@@ -118,20 +141,24 @@
 	if size == 0 || sh.guarantee.Adjacency == SameWorker && left > size {
 		return nil, 0, false
 	}
-	taken := make(map[int]int)
+	defer func() {
+		for _, p := range picks {
+			v.nodes[p.node].taken = 0
+		}
+	}()
 	for left > 0 {
 		chunk := min(left, size)
 		best, bestCost := -1, 0
 		for _, i := range domain {
-			c, fits := v.nodes[i].holdCost(sh.customer, chunk, taken[i])
+			c, fits := v.nodes[i].holdCost(sh.customer, chunk)
 			if fits && (best < 0 || c < bestCost) {
 				best, bestCost = i, c
 			}
 		}
 		if best < 0 {
-			return nil, 0, false
+			return picks, 0, false
 		}
-		taken[best] += chunk
+		v.nodes[best].taken += chunk
 		picks = append(picks, pick{best, chunk})
 		cost += bestCost
 		left -= chunk
@@ -142,8 +169,8 @@
 // holdCost reports whether the node can hold a chunk for the customer beside
 // what is already taken, and the cost of holding it there: accelerators that
 // lent work would give back weigh most, then the room left over.
-func (n *node) holdCost(customer, chunk, taken int) (cost int, ok bool) {
-	p := n.find(customer)
+func (n *node) holdCost(customer, chunk int) (cost int, ok bool) {
+	p, taken := n.find(customer), n.taken
 	extra := 1
 	if taken > 0 {
 		extra = 2
--- a/place/state.go
+++ b/place/state.go
@@ -42,8 +42,10 @@
 	Urgent         bool
 	StopTime       time.Duration // longest time of a checkpoint and stop
 	Expected       time.Duration // learned, else declared, run time
-	Submitted      time.Time
-	Deadline       time.Time // zero means none
+	// Done is the work that earlier runs have kept.
+	Done      time.Duration
+	Submitted time.Time
+	Deadline  time.Time // zero means none
 	// Avoid lists workers on which the job has failed.
 	Avoid []string
 }
@@ -110,6 +112,11 @@
 }
 
 // Action is a decision; exactly one field is set.
+//
+// The owner of the State carries actions out in order before the next call:
+// a placed job moves from Queue to Running, a preempted one is marked
+// Stopping, a refused one leaves Queue, and a reservation is kept in
+// Reservation until the next one replaces it.
 type Action struct {
 	Place   *Place
 	Preempt *Preempt
--- a/place/view.go
+++ b/place/view.go
@@ -12,6 +12,7 @@
 	nodes     []node
 	byName    map[string]int
 	racks     []rack
+	all       []int // indexes of all nodes
 	customers map[string]int
 	tallies   []tally
 	// minReclaim and nextReclaim are the two shortest reclaim times by
@@ -26,6 +27,10 @@
 	unmet          bool // a guaranteed shape has no place in the map
 	tight          bool // the map misses an assignment that exists
 	placed         []Running
+	searches       int
+	reservedFrom   time.Time
+	slack          float64
+	gangSize       int
 	running        []task
 }
 
@@ -45,6 +50,10 @@
 	need        int // accelerators that are locked or held
 	needSlots   int
 	hosted      []hosted
+	taken       int // accelerators of the shape that is being mapped
+	// reserved limits new work to what ends in time or fits into spare.
+	reserved bool
+	spare    int
 }
 
 // part is the claim of one customer on a node.
@@ -73,8 +82,9 @@
 	*Running
 	customer int
 	lent     bool
-	gone     bool // preempted in this decision
-	loss     float64
+	gone     bool    // preempted in this decision
+	loss     float64 // accelerator-seconds that a preemption throws away
+	end      time.Time
 }
 
 // tally has the totals of one customer.
@@ -91,6 +101,8 @@
 	*Job
 	customer int
 	lent     bool
+	rank     rank
+	score    float64
 }
 
 const noLimit = math.MaxInt / 4
@@ -122,6 +134,7 @@
 			v.racks = append(v.racks, rack{})
 		}
 		v.byName[w.Name] = i
+		v.all = append(v.all, i)
 		v.racks[r].nodes = append(v.racks[r].nodes, i)
 		usable := w.Ready && !w.SetAside
 		v.nodes[i] = node{worker: w, index: i, rack: r, usable: usable, free: w.Accelerators, slots: w.Slots}
@@ -197,6 +210,7 @@
 		t := &v.running[i]
 		*t = task{Running: r, customer: v.customer(r.Job.Customer), lent: v.lendable(&r.Job)}
 		t.loss = lostWork(r, v.now)
+		t.end = expectedEnd(r, v.now)
 		for _, name := range r.Workers {
 			if n, ok := v.byName[name]; ok {
 				v.addRank(&v.nodes[n], t, i)
@@ -231,6 +245,9 @@
 	n.free -= count
 	n.slots -= tasks
 	n.tasks += tasks
+	if n.reserved && !v.endsBefore(j) {
+		n.spare -= count
+	}
 	if n.usable {
 		v.racks[n.rack].free -= count
 	}
--- a/sched/control.go
+++ b/sched/control.go
@@ -22,6 +22,11 @@
 	tasks    map[string]taskRef // by the id that agents know
 	orphans  map[string]*orphan // by attempt
 
+	// ended lists the jobs that have ended, in that order, and endedBytes is the
+	// size of their results.
+	ended      []*job
+	endedBytes int
+
 	customersVersion int64 // of the configuration that the queue follows
 
 	guarantees        []place.Guarantee
@@ -32,6 +37,7 @@
 	health      *place.Health
 	reservation *place.Reservation
 
+	sequence   int64 // of attempts, so that no id is used twice
 	dirty      bool
 	lastDecide time.Time
 	scheduled  bool // a delayed decision is on its way
@@ -66,26 +72,35 @@
 
 // job is one job at this scheduler.
 type job struct {
-	spec *wire.Job
-	body []byte
-	// bodyless says that the body is not known here: an earlier scheduler had it.
-	bodyless bool
+	spec     *wire.Job
+	body     []byte
 	phase    phase
 	record   *wire.JobRecord // nil for a job without a record
 	revision int64
 	deadline time.Time // zero means none
 
-	number   int // of the last attempt
-	current  *attempt
+	// bodyHere is false for a job that is known from its record only.
+	bodyHere bool
+
+	number  int // of the last attempt
+	tries   int // attempts that were repeated
+	current *attempt
+	// earlier is FAILED once an attempt ran, UNKNOWN once one may have run.
+	earlier  wire.Fate
 	atFault  bool // the job failed on several workers that serve others well
 	resume   time.Duration
 	notUntil time.Time // pause before the next attempt
 
 	stopReason string // set once the job was cancelled or given up
+	stopRetry  time.Duration
+	// commitSent says that the record may name an attempt although no answer told so.
+	commitSent bool
+	releasing  bool // the record is being written back to accepted
+	moved      bool // the record was changed by another process
 	outcome    *wire.Outcome
 	reroute    bool
 	endedAt    time.Time
-	waiters    []chan struct{}
+	waiters    map[chan struct{}]struct{}
 }
 
 // recorded says whether the job has a record in the store.
@@ -113,10 +128,13 @@
 
 // orphan is a task of an earlier scheduler that no known job accounts for.
 type orphan struct {
-	status  *wire.TaskStatus
-	worker  string
-	seen    time.Time
-	checked bool // its job record was looked up
+	status *wire.TaskStatus
+	worker string
+	seen   time.Time
+	// checked is the state of the task when its job record was looked up last.
+	checked wire.TaskState
+	// stale says that the record names other tasks or has ended.
+	stale bool
 	// expired means that nobody has asked for the result in time, so the agent
 	// may forget the task.
 	expired bool
