--- a/matrix/script.go
+++ b/matrix/script.go
@@ -62,6 +62,7 @@
 	fillAt      = 8 * time.Second
 	fillers     = 9
 	urgentAt    = 11 * time.Second
+	urgentAgain = 17 * time.Second // while changes are made
 	publishAt   = 14 * time.Second
 	leaveAt     = 16 * time.Second
 	entryLeaves = 20100 * time.Millisecond
@@ -96,7 +97,9 @@
 		s.world.watch.urgent = true
 		s.world.mu.Unlock()
 	})
-	s.submit(ctx, urgentAt, Told{Title: "urgent", Query: "customer=league&job_class=alarm&p.run_ms=2000", Tasks: 1, Insist: true})
+	for _, at := range []time.Duration{urgentAt, urgentAgain} {
+		s.submit(ctx, at, Told{Title: "urgent", Query: "customer=league&job_class=alarm&p.run_ms=2000", Tasks: 1, Insist: true})
+	}
 	for at := time.Duration(0); at < trickleEnd; at += trickleGap {
 		s.submit(ctx, at, Told{Title: "short", Query: "customer=league&job_class=scan&p.run_ms=300", Tasks: 1, Insist: true, First: int(at / trickleGap)})
 	}
