--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -40,10 +40,10 @@
 // run carries one request from its admission to its outcome.
 func (e *Entry) run(c echo.Context, r *jobRequest) *wire.Outcome {
 	if e.leaving.Load() {
-		return notRun("this process is leaving")
+		return refuse(r, "this process is leaving")
 	}
 	if err := e.admission.enter(r.job.GetCustomer()); err != nil {
-		return notRun(err.Error())
+		return refuse(r, err.Error())
 	}
 	// A caller that goes away does not stop a job that has a record.
 	ctx := c.Request().Context()
@@ -95,7 +95,16 @@
 		e.ender.add(r.job, notRun("the store's answer was lost"))
 		return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: err.Error(), RetryAfterMs: retryAfter.Milliseconds()}
 	}
-	return notRun("the store cannot be reached: " + err.Error())
+	return refuse(r, "the store cannot be reached: "+err.Error())
+}
+
+// refuse answers a request that was not taken. A request with a key names a job
+// that an earlier request may have started, so nothing is proved about it.
+func refuse(r *jobRequest, reason string) *wire.Outcome {
+	if r.job.GetKey() != "" {
+		return unknown(reason)
+	}
+	return notRun(reason)
 }
 
 // accepted is the answer to a caller that does not wait.
