entry: spare a later request under the same key when an end is repeated

Cause: the background end of a record whose answer was lost was repeated, and found the record accepted again by the caller's next request. Ruled out: removing the pending end at the next request; it may come through another entry. Before: the record of the later request ended; after: it stays.

--- a/entry/ender.go
+++ b/entry/ender.go
@@ -81,7 +81,9 @@
 	if err != nil {
 		return err
 	}
-	mine := found.record.GetPhase() == wire.JobRecord_ACCEPTED && found.record.GetAcceptedBy() == d.entry.bootID
+	// The caller may have come again under the same key meanwhile.
+	same := found.record.GetJob().GetSubmittedUnixMs() == record.GetJob().GetSubmittedUnixMs()
+	mine := same && found.record.GetPhase() == wire.JobRecord_ACCEPTED && found.record.GetAcceptedBy() == d.entry.bootID
 	if found.revision != 0 && !mine {
 		return nil
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -140,6 +140,33 @@
 	})
 }
 
+// Guards against the end of a later request under the same key: the answer to
+// the write that ended the first one was lost.
+func TestEnderSparesLaterRequest(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		hold := make(chan struct{})
+		w.fake.submit = func(int, *wire.SubmitRequest) *wire.SubmitResponse {
+			<-hold
+			return done()
+		}
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			w.post("customer=c&job_class=once&key=k", "")
+		}()
+		time.Sleep(time.Second)
+		first := w.records()[0].GetJob()
+		first.SubmittedUnixMs--
+		w.e.ender.add(first, notRun("given up"))
+		time.Sleep(3 * endPeriod)
+		if phase := w.records()[0].GetPhase(); phase != wire.JobRecord_ACCEPTED || len(w.e.ender.pending) != 0 {
+			t.Errorf("record in phase %s, %d ends pending; want it accepted, and none", phase, len(w.e.ender.pending))
+		}
+		close(hold)
+		<-answered
+	})
+}
+
 // Guards against the answer to another request: the key is the same, and what
 // the endpoint gets is not.
 func TestKeyReused(t *testing.T) {
