--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -159,8 +159,11 @@
 		first.SubmittedUnixMs--
 		w.e.ender.add(first, notRun("given up"))
 		time.Sleep(3 * endPeriod)
-		if phase := w.records()[0].GetPhase(); phase != wire.JobRecord_ACCEPTED || len(w.e.ender.pending) != 0 {
-			t.Errorf("record in phase %s, %d ends pending; want it accepted, and none", phase, len(w.e.ender.pending))
+		w.e.ender.mu.Lock()
+		pending := len(w.e.ender.pending)
+		w.e.ender.mu.Unlock()
+		if phase := w.records()[0].GetPhase(); phase != wire.JobRecord_ACCEPTED || pending != 0 {
+			t.Errorf("record in phase %s, %d ends pending; want it accepted, and none", phase, pending)
 		}
 		close(hold)
 		<-answered
