--- a/matrix/outage_test.go
+++ b/matrix/outage_test.go
@@ -122,7 +122,7 @@
 		return
 	}
 	set := follower.Current().Set
-	key := decl.Key{Kind: "data_centre", Name: south}
+	key := decl.Key{Kind: "data_centre", Name: away}
 	object := cloneObject(set.Get(key))
 	object.GetDataCentre().InService = false
 	change := &wire.Change{
