--- a/matrix/script.go
+++ b/matrix/script.go
@@ -82,7 +82,7 @@
 	for i := range entryCount {
 		watching.Go(func() { s.watchVersion(ctx, i) })
 	}
-	s.submit(ctx, 0, Told{Title: "gang", Query: "customer=clubs&job_class=reconstruction&key=" + gangKey + "&p.run_ms=4000", Tasks: 4, Once: true, First: 2})
+	s.submit(ctx, 0, Told{Title: "gang", Query: "customer=clubs&job_class=reconstruction&key=" + gangKey + "&p.run_ms=9000", Tasks: 4, Once: true, First: 2})
 	s.submit(ctx, 0, Told{Title: "order", Query: "customer=clubs&job_class=order&key=order&p.run_ms=3000", Tasks: 1, Once: true})
 	s.submit(ctx, 0, Told{Title: "scan", Query: "customer=league&job_class=scan&p.run_ms=2000", Tasks: 1, Insist: true, First: 1})
 	s.submit(ctx, 0, Told{Title: "detached", Query: "customer=league&job_class=order&key=later&detach=true&p.run_ms=2500", Tasks: 1, Once: true, First: 2})
