--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -11,7 +11,7 @@
 type Fault string
 
 // The faults of the matrix. Those of the agent fall on the agent of the watched
-// gang's first member, those of the scheduler on the entry that schedules it.
+// gang's first member, or of another member, those of the scheduler on the entry that schedules it.
 const (
 	NoFault         Fault = "none"
 	KillAgent       Fault = "kill agent"
@@ -21,6 +21,7 @@
 	FreezeScheduler Fault = "freeze scheduler"
 	FreezeEntry     Fault = "freeze entry"
 	CutAgent        Fault = "cut agent"
+	CutMember       Fault = "cut member"
 	CutScheduler    Fault = "cut scheduler"
 	SilentAgent     Fault = "silent agent"
 	SilentScheduler Fault = "silent scheduler"
@@ -36,7 +37,7 @@
 
 // Faults lists all faults but NoFault.
 var Faults = []Fault{
-	KillAgent, KillScheduler, KillEntry, FreezeAgent, FreezeScheduler, FreezeEntry, CutAgent, CutScheduler,
+	KillAgent, KillScheduler, KillEntry, FreezeAgent, FreezeScheduler, FreezeEntry, CutAgent, CutMember, CutScheduler,
 	SilentAgent, SilentScheduler, StoreDown, StoreSlow, AnswerLost, Duplicate, Reordered, Racing, TwoAtOnce, SameTwice,
 }
 
@@ -74,6 +75,10 @@
 		return w.freezeFor(scheduler)
 	case FreezeEntry:
 		return w.freezeFor(w.spare())
+	case CutMember:
+		agent = w.otherVictim()
+		w.cutFor(agent, slices.DeleteFunc(w.processes(), func(name string) bool { return name == agent }))
+		return []string{agent}
 	case CutAgent:
 		w.cutFor(agent, slices.DeleteFunc(w.processes(), func(name string) bool { return name == agent }))
 		return []string{agent}
--- a/matrix/step.go
+++ b/matrix/step.go
@@ -42,6 +42,7 @@
 	writes  int           // of its record
 	agent   string        // of its first member that was seen
 	urgent  bool          // the urgent job was submitted
+	other   string        // an agent of the gang beside agent
 }
 
 // await makes the world watch for a step, and returns what is closed then.
@@ -71,6 +72,26 @@
 	return home + "-00"
 }
 
+// otherVictim is an agent of the watched gang beside the victim.
+func (w *World) otherVictim() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.watch.other != "" {
+		return w.watch.other
+	}
+	return home + "-01"
+}
+
+// placed notes an agent of the watched gang; w.mu is held.
+func (w *World) placed(agent string) {
+	switch {
+	case w.watch.agent == "":
+		w.watch.agent = agent
+	case w.watch.agent != agent:
+		w.watch.other = agent
+	}
+}
+
 // onWrite follows the store's writes.
 func (w *World) onWrite(key string) {
 	if key == "head" {
@@ -150,8 +171,8 @@
 		if !known || !strings.HasPrefix(from, m.from) || !strings.HasPrefix(to, m.to) || !bytes.Contains(data, []byte(m.text)) {
 			continue
 		}
-		if m.step == Place && w.watch.agent == "" {
-			w.watch.agent = to
+		if m.step == Place {
+			w.placed(to)
 		}
 		if m.step == Running {
 			time.AfterFunc(runDelay, func() {
