--- a/entry/route.go
+++ b/entry/route.go
@@ -75,6 +75,11 @@
 			// The first repetition is free, further ones have a budget.
 			again := sent != ""
 			sent = dc
+			if !r.recorded {
+				// Only that scheduler knows whether it started the job; the
+				// refusal of its successor proves nothing.
+				r.earlier = wire.Fate_UNKNOWN
+			}
 			if again && !e.admission.mayRetry() {
 				return unknown("the scheduler's answer was lost")
 			}
