Start each task over a connection of its own

Ruled out: the scheduler, which was told that the task was started. A lost start cannot be proved or repeated, so it must not depend on an old connection.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -40,6 +40,10 @@
 	lease     time.Duration
 	transport *http.Transport
 	client    *http.Client
+	// starter opens a connection of its own for each task: a start that is lost
+	// on an old connection that has gone silent can neither be proved nor
+	// repeated.
+	starter *http.Client
 }
 
 func newEndpoint(o Options) *endpoint {
@@ -49,17 +53,21 @@
 	}
 	transport := &http.Transport{
 		DialContext:         dial,
-		MaxConnsPerHost:     o.Connections,
+		MaxConnsPerHost:     max(1, o.Connections-o.Slots),
 		MaxIdleConnsPerHost: o.Connections,
 		IdleConnTimeout:     10 * time.Second,
 		// A response body is passed on as the endpoint wrote it.
 		DisableCompression: true,
 	}
+	starter := transport.Clone()
+	starter.DisableKeepAlives = true
+	starter.MaxConnsPerHost = min(o.Slots, o.Connections)
 	return &endpoint{
 		base:      "http://" + o.Endpoint.String() + "/tasks",
 		lease:     o.TaskLease,
 		transport: transport,
 		client:    &http.Client{Transport: transport},
+		starter:   &http.Client{Transport: starter},
 	}
 }
 
@@ -126,7 +134,7 @@
 		request.ContentLength = -1
 	}
 	request.Header.Set("Content-Type", "application/octet-stream")
-	response, err := e.client.Do(request)
+	response, err := e.starter.Do(request)
 	switch {
 	case err != nil && guarded.err != nil:
 		return nil, fmt.Errorf("starting task: %w: %w", errNotStarted, guarded.err)
