--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/link"
 	"catkinpoint/owner"
 )
@@ -130,7 +131,7 @@
 			break
 		}
 		klog.Warningf("agent: The endpoint %s could not be cleared: %v.", a.opts.Endpoint, err)
-		if !sleep(ctx, clearRetry) {
+		if !clock.Sleep(ctx, clearRetry) {
 			return
 		}
 	}
@@ -151,18 +152,6 @@
 	}
 }
 
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Hold keeps the control goroutine busy until the channel is closed, as a
 // paused process would; tests of freezes use it.
 func (a *Agent) Hold(until <-chan struct{}) {
--- a/agent/gangping.go
+++ b/agent/gangping.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"catkinpoint/clock"
 	"catkinpoint/gang"
 	"catkinpoint/wire"
 )
@@ -64,7 +65,7 @@
 		if request.GetState() == wire.TaskState_TASK_WAITING {
 			period = barrierPeriod
 		}
-		if !sleep(a.life, period) {
+		if !clock.Sleep(a.life, period) {
 			return
 		}
 	}
--- a/agent/launch.go
+++ b/agent/launch.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/gang"
 	"catkinpoint/permit"
 	"catkinpoint/wire"
@@ -88,7 +89,7 @@
 		if err == nil || isVerdict(err) || errors.Is(err, errNoTask) {
 			return result, err
 		}
-		if !sleep(ctx, fetchRetry) {
+		if !clock.Sleep(ctx, fetchRetry) {
 			return nil, fmt.Errorf("fetching result: %w", ctx.Err())
 		}
 	}
@@ -119,7 +120,7 @@
 // the endpoint stops the task even if this process can do nothing more.
 func (a *Agent) renewLoop(ctx context.Context, attempt string) {
 	period := a.opts.TaskLease / renewsPerLease
-	for sleep(ctx, period) {
+	for clock.Sleep(ctx, period) {
 		lease := a.renewal(ctx, attempt)
 		if lease <= 0 {
 			continue
@@ -135,7 +136,7 @@
 // fetchEnded handles a task that the endpoint does not run any more although
 // its request is still open: that connection went silent.
 func (a *Agent) fetchEnded(ctx context.Context, attempt string) {
-	if !sleep(ctx, fetchRetry) {
+	if !clock.Sleep(ctx, fetchRetry) {
 		return // the open request was answered meanwhile
 	}
 	result, err := a.fetchResult(ctx, attempt)
@@ -168,7 +169,7 @@
 		if err == nil || time.Since(asked) > 2*a.opts.TaskLease {
 			break
 		}
-		if !sleep(a.life, fetchRetry) {
+		if !clock.Sleep(a.life, fetchRetry) {
 			return
 		}
 	}
--- a/agent/report.go
+++ b/agent/report.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/gang"
 	"catkinpoint/link"
 	"catkinpoint/permit"
@@ -40,7 +41,7 @@
 		}
 		if scheduler.IsValid() && !a.report(ctx, scheduler) {
 			scheduler = netip.AddrPort{}
-			if !sleep(ctx, locateRetry) {
+			if !clock.Sleep(ctx, locateRetry) {
 				return
 			}
 			continue
@@ -57,7 +58,7 @@
 			return
 		case <-ticker.C:
 		case <-a.wake:
-			if !sleep(ctx, reportGap) {
+			if !clock.Sleep(ctx, reportGap) {
 				return
 			}
 		}
--- a/entry/carry.go
+++ b/entry/carry.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/sched"
 	"catkinpoint/store"
 	"catkinpoint/wire"
@@ -44,7 +45,7 @@
 // scheduler has given it back, or does not know it any more.
 func (e *Entry) followClaim(ctx context.Context, found *claim, period time.Duration) (outcome *wire.Outcome, again bool) {
 	id := found.record.GetJob().GetId()
-	for sleep(ctx, period) {
+	for clock.Sleep(ctx, period) {
 		now, err := e.readRecord(ctx, id)
 		if errors.Is(err, store.ErrNotFound) {
 			return &wire.Outcome{Fate: wire.Fate_UNKNOWN, Reason: "the job has no record any more"}, false
@@ -134,7 +135,7 @@
 			continue
 		}
 		noRoom := outcome.GetFate() != wire.Fate_DONE && outcome.GetRetryAfterMs() > 0
-		if !noRoom || !sleep(ctx, refusedPause) {
+		if !noRoom || !clock.Sleep(ctx, refusedPause) {
 			return outcome
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/head"
 	"catkinpoint/link"
 	"catkinpoint/meter"
@@ -170,7 +171,7 @@
 		case <-ticker.C:
 		case <-e.poked:
 			// A pause keeps repeated pokes from loading the store.
-			if !sleep(ctx, storeRetry) {
+			if !clock.Sleep(ctx, storeRetry) {
 				return nil
 			}
 		}
@@ -198,18 +199,6 @@
 	e.storeRead.Store(int64(sent.Sub(e.start)))
 }
 
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Hold keeps the control goroutines of all duties busy until the channel is
 // closed, as a paused process would; tests of freezes use it.
 func (e *Entry) Hold(until <-chan struct{}) {
--- a/entry/member.go
+++ b/entry/member.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/store"
 	"catkinpoint/wire"
 )
@@ -100,7 +101,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, err := e.opts.Store.Put(callCtx, entryPrefix+e.opts.ID, data, store.AnyRevision, lease.ID())
 		cancel()
-		if err == nil || errors.Is(err, store.ErrLeaseExpired) || !sleep(ctx, storeRetry) {
+		if err == nil || errors.Is(err, store.ErrLeaseExpired) || !clock.Sleep(ctx, storeRetry) {
 			return
 		}
 	}
--- a/entry/record.go
+++ b/entry/record.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/sched"
 	"catkinpoint/store"
 	"catkinpoint/wire"
@@ -84,7 +85,7 @@
 		case !unknown:
 			return nil, fmt.Errorf("writing record: %w", err)
 		}
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			break
 		}
 	}
@@ -150,7 +151,7 @@
 		if err != nil {
 			// The body of an id never changes, so it is written again.
 			parts--
-			if !sleep(ctx, storeRetry) {
+			if !clock.Sleep(ctx, storeRetry) {
 				return 0, fmt.Errorf("writing body: %w", ctx.Err())
 			}
 			continue
@@ -205,7 +206,7 @@
 		if err != nil {
 			klog.V(1).Infof("entry: Waiting for job %s: %v.", id, err)
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return unknown("the job has not ended yet")
 		}
 	}
--- a/entry/route.go
+++ b/entry/route.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/decl"
 	"catkinpoint/link"
 	"catkinpoint/wire"
@@ -91,7 +92,7 @@
 		if err != nil {
 			klog.V(1).Infof("entry: Job %s was not answered by %s: %v.", r.job.GetId(), dc, err)
 			e.refreshSoon()
-			if !sleep(ctx, pause.NextBackOff()) {
+			if !clock.Sleep(ctx, pause.NextBackOff()) {
 				return outOfTime(sent, err)
 			}
 		}
@@ -160,7 +161,7 @@
 	if err != nil {
 		return &wire.SubmitResponse{Reroute: true, Outcome: notRun(err.Error())}, nil
 	}
-	if !sleep(ctx, delay) {
+	if !clock.Sleep(ctx, delay) {
 		return nil, fmt.Errorf("waiting for the link between regions: %w: %w", link.ErrNotSent, ctx.Err())
 	}
 	r.sentTo = dc
--- a/sched/calls.go
+++ b/sched/calls.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"strings"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/gang"
 	"catkinpoint/link"
 	"catkinpoint/wire"
@@ -115,7 +115,7 @@
 				s.callFailed(a, rank, method, err)
 				again = wanted()
 			})
-			if postErr != nil || !again || !sleep(s.life, callRetry) {
+			if postErr != nil || !again || !clock.Sleep(s.life, callRetry) {
 				return
 			}
 		}
@@ -134,15 +134,3 @@
 // staleEpoch is part of the agents' error for a command of a lower epoch;
 // net/rpc carries errors as text only.
 const staleEpoch = "epoch is below the highest one seen"
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/gang"
 	"catkinpoint/store"
 	"catkinpoint/wire"
@@ -26,7 +27,7 @@
 			return
 		}
 		klog.Warningf("sched: The job records of %s could not be read: %v.", s.opts.DataCentre, err)
-		if !sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, storeRetry) {
 			return
 		}
 	}
@@ -205,7 +206,7 @@
 				})
 				return
 			}
-			if !sleep(s.life, storeRetry) {
+			if !clock.Sleep(s.life, storeRetry) {
 				return
 			}
 		}
--- a/sched/record.go
+++ b/sched/record.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/clock"
 	"catkinpoint/gang"
 	"catkinpoint/store"
 	"catkinpoint/wire"
@@ -154,7 +155,7 @@
 		if doErr := s.control.Do(s.life, func(*control) { again = wanted() }); doErr != nil {
 			return 0, fmt.Errorf("persisting record: %w", doErr)
 		}
-		if !again || !sleep(s.life, pause) {
+		if !again || !clock.Sleep(s.life, pause) {
 			return 0, fmt.Errorf("persisting record: %w", err)
 		}
 		pause = min(2*pause, 4*time.Second)
@@ -256,7 +257,7 @@
 		if doErr := s.control.Do(s.life, func(*control) { again = wanted() }); doErr != nil || !again {
 			return fmt.Errorf("writing %s: %w", key, err)
 		}
-		if !sleep(s.life, storeRetry) {
+		if !clock.Sleep(s.life, storeRetry) {
 			return fmt.Errorf("writing %s: %w", key, s.life.Err())
 		}
 	}
