--- a/matrix/judge.go
+++ b/matrix/judge.go
@@ -44,6 +44,8 @@
 	workerLost = 10 * time.Second
 	// shownAfter is how old an entry's view of the duties may be, with a report.
 	shownAfter = 3 * time.Second
+	// stoppedByCaller is the endpoint's cause of a stop on request, such as a preemption.
+	stoppedByCaller = "stopped"
 	// grain is the resolution of the agents' time limits and one delay.
 	grain = 101 * time.Millisecond
 )
@@ -263,7 +265,8 @@
 	s := r.script
 	for _, p := range r.list {
 		t := r.told[p.job]
-		if t == nil || t.Title == "filler" || t.Title == "cancelled" || t.Tasks > 1 && len(r.hit) > 0 {
+		preempted := t != nil && t.Title == "filler" && p.how == stoppedByCaller
+		if t == nil || preempted || t.Title == "cancelled" || t.Tasks > 1 && len(r.hit) > 0 {
 			continue
 		}
 		if p.worker == s.drained && p.runsAt(s.drainedAt) && p.how != "done" && !slices.Contains(r.hit, p.worker) {
--- a/matrix/script.go
+++ b/matrix/script.go
@@ -279,8 +279,10 @@
 // drainEndpoint takes one endpoint out of service gracefully.
 func (s *Script) drainEndpoint(ctx context.Context) {
 	time.Sleep(leaveAt)
-	for _, name := range []string{home + "-03", home + "-02"} {
-		if name != s.world.victim() {
+	// Placement prefers the first of equally full workers, so that one would get
+	// new work if it were not drained.
+	for _, name := range []string{home + "-00", home + "-01", home + "-02"} {
+		if name != s.world.victim() && name != s.world.otherVictim() {
 			s.drained = name
 			break
 		}
