Refuse early by deadline only on learned run times

Cause: a job whose declared run time passed its deadline was refused although declarations are far from the truth, and the queue was never told what serves it, so a full queue refused nobody by deadline. Only a learned run time refuses now, the queue knows the accelerators in use, and a customer that can reclaim a guarantee is never refused by it.

--- a/sched/state.go
+++ b/sched/state.go
@@ -40,6 +40,7 @@
 		Reservation:   c.reservation,
 		Planned:       plannedOf(set, s.opts.DataCentre),
 	}
+	c.queue.SetService(readyAccelerators(state.Workers), now)
 	for item := range c.queue.All() {
 		if len(state.Queue) == maxConsidered {
 			break
@@ -218,3 +219,14 @@
 	}
 	return list
 }
+
+// readyAccelerators is what serves the queue, for its estimate of waits.
+func readyAccelerators(workers []place.Worker) int {
+	sum := 0
+	for _, w := range workers {
+		if w.Ready && !w.SetAside {
+			sum += w.Accelerators
+		}
+	}
+	return sum
+}
--- a/sched/submit.go
+++ b/sched/submit.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"catkinpoint/admit"
+	"catkinpoint/place"
 	"catkinpoint/wire"
 )
 
@@ -120,6 +122,17 @@
 	return outcome
 }
 
+// knownDeadline is the deadline by which the queue may refuse the job early. A
+// declared run time can be far from the truth, so only a learned one refuses;
+// and what a guarantee's holder can reclaim is not for the queue to judge.
+func (c *control) knownDeadline(p place.Job) time.Time {
+	holds := slices.ContainsFunc(c.guarantees, func(g place.Guarantee) bool { return g.Customer == p.Customer })
+	if holds || c.learner.Expected(p.Class, 0) == 0 {
+		return time.Time{}
+	}
+	return p.Deadline
+}
+
 // item is the job as the queue sees it.
 func (c *control) item(j *job) admit.Item[*job] {
 	p := c.placeJob(j)
@@ -129,7 +142,7 @@
 		Accelerators: p.Tasks * p.Accelerators,
 		Expected:     p.Expected,
 		Urgent:       p.Urgent,
-		Deadline:     p.Deadline,
+		Deadline:     c.knownDeadline(p),
 		Value:        j,
 	}
 }
