Tell "failed" only of a task that its endpoint has confirmed

Cause: the agent reported a task as started once it had told the endpoint, also when that request was lost on a connection that went silent between its opening and the write; the caller was told "failed" of a job that never ran. Ruled out: a proof that it did not run, because a delayed request may still arrive. A status now says whether the endpoint has answered about the task, and without that the fate is unknown.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -202,12 +202,16 @@
 }
 
 // stop ends the task; nil means that it does not run any more.
-func (e *endpoint) stop(ctx context.Context, attempt string) error {
-	err := e.call(ctx, http.MethodPost, e.url(attempt, "stop", nil), nil)
-	if errors.Is(err, errNoTask) || errors.Is(err, errTaskStopped) {
-		return nil
+// Known says whether the endpoint knew the task.
+func (e *endpoint) stop(ctx context.Context, attempt string) (known bool, err error) {
+	err = e.call(ctx, http.MethodPost, e.url(attempt, "stop", nil), nil)
+	switch {
+	case errors.Is(err, errNoTask):
+		return false, nil
+	case errors.Is(err, errTaskStopped):
+		return true, nil
 	}
-	return err
+	return err == nil, err
 }
 
 // checkpoint saves the task's work and returns how much is saved.
@@ -256,7 +260,7 @@
 		if t.State != "running" {
 			continue
 		}
-		if err := e.stop(ctx, t.Attempt); err != nil {
+		if _, err := e.stop(ctx, t.Attempt); err != nil {
 			return fmt.Errorf("stopping task %s: %w", t.Attempt, err)
 		}
 	}
--- a/agent/launch.go
+++ b/agent/launch.go
@@ -101,6 +101,7 @@
 	if !ok || gang.Final(t.member.State) {
 		return
 	}
+	t.confirmed = t.confirmed || err == nil || errors.Is(err, errTaskFailed) || errors.Is(err, errTaskStopped)
 	switch {
 	case err == nil:
 		t.result = result
@@ -126,6 +127,9 @@
 			continue
 		}
 		err := a.endpoint.renew(ctx, attempt, lease)
+		if err == nil {
+			a.confirm(attempt)
+		}
 		if errors.Is(err, errNoTask) || errors.Is(err, errTaskStopped) {
 			a.fetchEnded(ctx, attempt)
 			return
@@ -133,6 +137,15 @@
 	}
 }
 
+// confirm notes that the endpoint knows the task.
+func (a *Agent) confirm(attempt string) {
+	a.control.Post(func(s *state) {
+		if t, ok := s.tasks[attempt]; ok {
+			t.confirmed = true
+		}
+	})
+}
+
 // fetchEnded handles a task that the endpoint does not run any more although
 // its request is still open: that connection went silent.
 func (a *Agent) fetchEnded(ctx context.Context, attempt string) {
@@ -164,7 +177,10 @@
 func (a *Agent) killTask(attempt string) {
 	asked := time.Now()
 	for {
-		err := a.endpoint.stop(a.life, attempt)
+		known, err := a.endpoint.stop(a.life, attempt)
+		if known {
+			a.confirm(attempt)
+		}
 		// Nothing renews the task any more, so its lease ends it in any case.
 		if err == nil || time.Since(asked) > 2*a.opts.TaskLease {
 			break
--- a/agent/state.go
+++ b/agent/state.go
@@ -32,8 +32,10 @@
 	members []*wire.Member
 	monitor *gang.Monitor // at the leader's agent only
 
-	reason     string
-	result     []byte
+	reason string
+	result []byte
+	// confirmed says that the endpoint has answered about the task.
+	confirmed  bool
 	checkpoint time.Duration
 	launchedAt time.Time
 	endedAt    time.Time
@@ -87,6 +89,7 @@
 		Accelerators: t.job.GetAccelerators(),
 		JobId:        t.job.GetId(),
 		CheckpointMs: t.checkpoint.Milliseconds(),
+		Unconfirmed:  t.member.Started && !t.confirmed,
 	}
 	if !t.launchedAt.IsZero() {
 		end := t.endedAt
--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -23,6 +23,9 @@
 	State   wire.TaskState
 	BootID  string
 	Started bool
+	// Unconfirmed means that the agent has told the endpoint to run the task, and
+	// the endpoint has not answered about it.
+	Unconfirmed bool
 	// Lost means that the agent restarted or is silent for long, so that
 	// nothing is known of the task: it may have run, and after a silence it may
 	// still run.
@@ -154,6 +157,7 @@
 	}
 	member.State = e.Status.GetState()
 	member.Started = member.Started || e.Status.GetStarted()
+	member.Unconfirmed = e.Status.GetUnconfirmed()
 }
 
 func (c *Coordinator) needsStop(rank int) bool {
--- a/gang/coordinator_test.go
+++ b/gang/coordinator_test.go
@@ -66,6 +66,18 @@
 			want:   []string{"commit 0", "stop 0", "end 0"},
 			fate:   wire.Fate_UNKNOWN,
 		},
+		{
+			// The request to run was lost on a silent connection; the job was
+			// told to have failed although it never ran.
+			name: "stopped before the endpoint answered",
+			events: []Event{
+				prepared,
+				{Kind: EventCommitted},
+				{Kind: EventStatus, BootID: "b1", Status: &wire.TaskStatus{State: wire.TaskState_TASK_STOPPED, Started: true, Unconfirmed: true}},
+			},
+			want: []string{"commit 0", "start 0", "end 0"},
+			fate: wire.Fate_UNKNOWN,
+		},
 		{
 			name:   "lost after the commit was sent and proved to have failed",
 			events: []Event{prepared, {Kind: EventCommitFailed}, {Kind: EventLost}},
--- a/gang/verdict.go
+++ b/gang/verdict.go
@@ -19,13 +19,14 @@
 	v := Verdict{AllDone: len(c.Members) > 0, Reason: c.Reason}
 	for rank, m := range c.Members {
 		v.AllDone = v.AllDone && m.State == wire.TaskState_TASK_DONE
-		v.Started = v.Started || m.Started
+		v.Started = v.Started || m.Started && !m.Unconfirmed
 		if m.State == wire.TaskState_TASK_FAILED {
 			v.FailedRanks = append(v.FailedRanks, rank)
 		}
 		// Without a Start from here and without a record that names the attempt
 		// no member ran: a successor starts only what the record names.
-		v.MayHaveStarted = v.MayHaveStarted || (c.StartSent || c.CommitSent) && m.Lost
+		lost := (c.StartSent || c.CommitSent) && m.Lost
+		v.MayHaveStarted = v.MayHaveStarted || lost || m.Started && m.Unconfirmed
 	}
 	return v
 }
