--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,6 +140,9 @@
 	defer cancel()
 	// Requests in progress go on with the schedulers that take the duties.
 	e.duties.close(ctx)
+	// Connections that arrive before the balancer has noticed are answered; the
+	// end of the listener would reset them.
+	clock.Sleep(ctx, e.opts.LeaveGrace)
 	if err := web.Shutdown(ctx); err != nil {
 		klog.Warningf("entry: Requests were still in progress at the end: %v.", err)
 	}
--- a/entry/options.go
+++ b/entry/options.go
@@ -19,6 +19,9 @@
 // DefaultShutdownTimeout lets requests for long jobs finish after a planned stop.
 const DefaultShutdownTimeout = 24 * time.Hour
 
+// DefaultLeaveGrace gives a balancer that asks /healthz each second three tries.
+const DefaultLeaveGrace = 3 * time.Second
+
 // PermitPolicy says when permits are issued while the store cannot be read.
 type PermitPolicy string
 
@@ -49,6 +52,8 @@
 	Retention        time.Duration
 	// ShutdownTimeout bounds the wait for requests in progress after a planned stop.
 	ShutdownTimeout time.Duration
+	// LeaveGrace is how long an entry that leaves still takes connections.
+	LeaveGrace time.Duration
 	// NewPolicy makes the placement policy of a scheduler.
 	NewPolicy func() place.Policy
 	// Dial opens connections to other processes; nil means TCP.
@@ -67,6 +72,7 @@
 		RegionBytes:  float64(settings.GetRegionLinkBytesPerSecond()),
 
 		ShutdownTimeout: DefaultShutdownTimeout,
+		LeaveGrace:      DefaultLeaveGrace,
 	}
 	o.RPCAddress = conf.Address(node.GetRpcAddress())
 	o.HTTPAddress = conf.Address(node.GetHttpAddress())
