Tell the policy what a preemption would keep of running work

Cause: the scheduler told the policy that only work of earlier runs is saved, so no job was ever moved in its first run, and the learned remaining time ignored what a preempted job had done. Agents checkpoint a task when they stop it, so what an idempotent job has done beyond a minute counts as kept; work that must run once counts as having none, because a failed checkpoint would end it.

--- a/sched/state.go
+++ b/sched/state.go
@@ -34,7 +34,7 @@
 		InService:     p.InService && p.Left(now, maxPermitAge) >= permitReserve,
 		CapacityShare: s.capacityShare(c, now),
 		Workers:       s.placeWorkers(c, p.Draining, now),
-		Running:       c.placeRunning(),
+		Running:       c.placeRunning(now),
 		Guarantees:    c.guarantees,
 		Customers:     customersOf(set),
 		Reservation:   c.reservation,
@@ -80,14 +80,14 @@
 }
 
 // placeRunning lists what holds accelerators, orphans included.
-func (c *control) placeRunning() []place.Running {
+func (c *control) placeRunning(now time.Time) []place.Running {
 	list := make([]place.Running, 0, len(c.attempts)+len(c.orphans))
 	for _, a := range c.attempts {
 		r := place.Running{
 			Job:          c.placeJob(a.job),
 			Started:      a.placed,
 			Stopping:     a.coord.Phase == gang.Stopping,
-			Checkpointed: a.job.resume,
+			Checkpointed: savable(a.job.spec, now.Sub(a.placed)),
 		}
 		for _, m := range a.members {
 			r.Workers = append(r.Workers, m.GetWorker())
@@ -127,6 +127,7 @@
 		Urgent:         j.spec.GetUrgent(),
 		StopTime:       time.Duration(j.spec.GetStopMs()) * time.Millisecond,
 		Expected:       c.learner.Expected(j.spec.GetJobClass(), declared),
+		Done:           j.resume,
 		Submitted:      time.UnixMilli(j.spec.GetSubmittedUnixMs()),
 		Deadline:       j.deadline,
 		Avoid:          c.health.Avoid(j.spec.GetId()),
@@ -151,6 +152,21 @@
 	return planned
 }
 
+// minMoveRun is the time for which a job runs before the policy may move it, so
+// that jobs do not displace each other before they get anywhere.
+const minMoveRun = time.Minute
+
+// savable is the work of a run that a preemption would keep: agents checkpoint
+// a task when they stop it. The policy moves only jobs that have some. Work that
+// must run once counts as having none, because a failed checkpoint would end it;
+// it is preempted only where a guarantee needs it.
+func savable(job *wire.Job, ran time.Duration) time.Duration {
+	if !job.GetCheckpointable() || !job.GetIdempotent() {
+		return 0
+	}
+	return max(0, ran-minMoveRun)
+}
+
 // ParseAdjacency returns the domain that a declaration names.
 func ParseAdjacency(text string) place.Adjacency {
 	switch text {
