Test silent connections to endpoints with real processes

The stand-in now also hides the end of a silent connection, as a device on the way does that has lost track of it; before, its close told the agent at once.

--- a/stand/fakeep/conn.go
+++ b/stand/fakeep/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -69,14 +70,22 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The peer does not see the end of a silent
+// connection either, until it closes its own side.
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		c.endpoint.mu.Lock()
 		defer c.endpoint.mu.Unlock()
 		delete(c.endpoint.connections, c)
 	})
-	return c.Conn.Close()
+	if !c.silent.Load() {
+		return c.Conn.Close()
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn) // ends with the peer
+		_ = c.Conn.Close()
+	}()
+	return nil
 }
 
 // lastAnswers is the time for the answers of ended tasks before connections are
