--- a/matrix/doc.go
+++ b/matrix/doc.go
@@ -5,5 +5,5 @@
 // work that callers and operators give it. Run injects one Fault when one Step
 // is reached and returns the breaches of each Promise. The package is for
 // testing/synctest: hours of its time pass in milliseconds. Nothing is judged
-// from what schedulers say.
+// from what schedulers say. All of it is test code.
 package matrix
