--- a/conf/settings.go
+++ b/conf/settings.go
@@ -15,6 +15,10 @@
 	Node  *wire.Node
 	Entry *wire.Entry
 	Agent *wire.Agent
+	Gate  *wire.Gate
+	Relay *wire.Relay
+	// Platform is for processes on the users' platform.
+	Platform *wire.Platform
 }
 
 // permitPolicies are the accepted values of entry.permit_policy.
@@ -72,13 +76,22 @@
 	case "agent":
 		s.Agent = &wire.Agent{}
 		return s.Agent
+	case "gate":
+		s.Gate = &wire.Gate{}
+		return s.Gate
+	case "relay":
+		s.Relay = &wire.Relay{}
+		return s.Relay
+	case "platform":
+		s.Platform = &wire.Platform{}
+		return s.Platform
 	default:
 		return nil
 	}
 }
 
 func sectionNames() []string {
-	return []string{"node", "entry", "agent"}
+	return []string{"node", "entry", "agent", "gate", "relay", "platform"}
 }
 
 // checkSettings reports what the schema options cannot express: periods must
--- /dev/null
+++ b/duty/health.go
@@ -0,0 +1,81 @@
+package duty
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/graph"
+)
+
+const (
+	// suspectAfter is how many failures in a row, of tasks that have failed
+	// nowhere else, make a worker suspect.
+	suspectAfter = 2
+	// firstBan is how long a suspect worker gets no work; it doubles with each
+	// failure after that.
+	firstBan = 3 * time.Second
+	maxBan   = 30 * time.Second
+	// unhealthyBan follows a worker's own word that it is not healthy.
+	unhealthyBan = 1500 * time.Millisecond
+	// roomBan follows a rejection for want of room.
+	roomBan = 400 * time.Millisecond
+	// minPercent is the least progress from which a speed is taken.
+	minPercent = 4
+	// speedWeight is the weight of a new speed against the old.
+	speedWeight = 0.5
+)
+
+// health is what a worker's runs say of it.
+type health struct {
+	failures    int
+	bannedUntil time.Duration
+	ban         time.Duration
+	// slowness is how many times as long tasks take as declared; 0 is not known.
+	slowness float64
+}
+
+// ended takes the end of a run.
+func (h *health) ended(j *job, worker, how string, now time.Duration) {
+	switch how {
+	case graph.EndDone:
+		h.failures, h.ban = 0, 0
+	case graph.EndFailed:
+		if len(j.failedAt) > 0 && !(len(j.failedAt) == 1 && j.failedAt[worker]) {
+			return // the job fails elsewhere too
+		}
+		h.failures++
+		if h.failures >= suspectAfter {
+			h.ban = min(maxBan, max(firstBan, 2*h.ban))
+			h.bannedUntil = now + h.ban
+			klog.InfoS("duty: worker suspect", "worker", worker, "failures", h.failures, "ban_ms", h.ban.Milliseconds())
+		}
+	}
+}
+
+// refused takes a rejected start.
+func (h *health) refused(reason string, now time.Duration) {
+	ban := unhealthyBan
+	switch reason {
+	case "room":
+		ban = roomBan
+	case "stopped", "old", "draining":
+		return
+	}
+	h.bannedUntil = max(h.bannedUntil, now+ban)
+}
+
+// progressed takes a new percentage of a run.
+func (h *health) progressed(r *run, percent int32, now time.Duration) {
+	gained := percent - r.percent
+	took := now - r.percentAt
+	if gained < minPercent || took < 300*time.Millisecond || r.expected <= 0 {
+		return
+	}
+	slowness := took.Seconds() / (r.expected.Seconds() * float64(gained) / 100)
+	if h.slowness == 0 {
+		h.slowness = slowness
+		return
+	}
+	h.slowness += speedWeight * (slowness - h.slowness)
+}
--- /dev/null
+++ b/duty/keys.go
@@ -0,0 +1,52 @@
+package duty
+
+import "strings"
+
+// Keys of the product in the store.
+const (
+	// KeyPrefix begins all of them.
+	KeyPrefix    = "catkinpoint/"
+	jobPrefix    = KeyPrefix + "job/"
+	workPrefix   = KeyPrefix + "work/"
+	cancelPrefix = KeyPrefix + "cancel/"
+	claimKey     = KeyPrefix + "duty"
+	epochKey     = KeyPrefix + "epoch"
+)
+
+// JobKey returns the key of an accepted job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// WorkKey returns the key of a job's progress.
+func WorkKey(id string) string { return workPrefix + id }
+
+// CancelKey returns the key of a job's cancellation.
+func CancelKey(id string) string { return cancelPrefix + id }
+
+// Kind is what a key of the product stands for.
+type Kind int
+
+// Kinds of keys.
+const (
+	KindOther Kind = iota
+	KindJob
+	KindWork
+	KindCancel
+	KindClaim
+)
+
+// KindOf returns what a key stands for, and the id of its job.
+func KindOf(key string) (Kind, string) {
+	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
+		return KindJob, id
+	}
+	if id, ok := strings.CutPrefix(key, workPrefix); ok {
+		return KindWork, id
+	}
+	if id, ok := strings.CutPrefix(key, cancelPrefix); ok {
+		return KindCancel, id
+	}
+	if key == claimKey {
+		return KindClaim, ""
+	}
+	return KindOther, ""
+}
--- /dev/null
+++ b/duty/place.go
@@ -0,0 +1,169 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/plan"
+	"catkinpoint/route"
+)
+
+// place decides on starts and stops and notes them for the next write.
+func (st *state) place(s *Scheduler, now time.Duration) {
+	table := s.operator.Table()
+	age, ok := s.operator.Age()
+	if table == nil || !ok || age > s.settings.ConfigAge || st.superseded {
+		return
+	}
+	in := st.input(s, table, now)
+	if len(in.Requests) == 0 {
+		return
+	}
+	decision := plan.Decide(in)
+	for _, a := range decision.Starts {
+		j := st.jobs[a.Unit.Job.Spec.GetId()]
+		number := j.graph.Assign(a.Unit, a.Places)
+		for i, ref := range a.Unit.Tasks {
+			j.runs[ref] = &run{run: number, at: now, percentAt: now, expected: st.expectedAt(j, ref, a.Places[i], s)}
+			delete(j.readySince, ref)
+		}
+		st.change(j)
+		klog.V(1).InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
+			"run", number, "first", a.Places[0].Worker, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
+	}
+	for _, r := range decision.Stops {
+		j := st.jobs[r.Job.Spec.GetId()]
+		if t := j.graph.Task(r.Ref); t != nil && t.Active() {
+			klog.V(1).InfoS("duty: run preempted", "job", r.Job.Spec.GetId(), "step", r.Ref.Step, "index", r.Ref.Index, "unsaved_ms", r.Unsaved.Milliseconds())
+			st.stop(j, t)
+		}
+	}
+	st.plan = len(decision.Starts) > 0
+}
+
+// expectedAt is the expected time of a task at a place.
+func (st *state) expectedAt(j *job, ref graph.Ref, p graph.Place, s *Scheduler) time.Duration {
+	d := expected(j, ref)
+	rack := j.graph.Step(ref).GetDataRack()
+	if w := st.byPlace[p]; rack != "" && w != nil && rackOf(w.info) != rack {
+		d = time.Duration(float64(d) * s.settings.RemoteFactor)
+	}
+	return d
+}
+
+// rackOf returns the label that names the worker's rack: the last one.
+func rackOf(info *flow.Worker) string {
+	labels := info.GetLabels()
+	if len(labels) == 0 {
+		return ""
+	}
+	return labels[len(labels)-1]
+}
+
+// input is the state as package plan sees it.
+func (st *state) input(s *Scheduler, table *route.Table, now time.Duration) plan.Input {
+	in := plan.Input{RemoteFactor: s.settings.RemoteFactor}
+	guaranteed := st.guaranteed(table)
+	free := map[graph.Place]plan.Amount{}
+	for p, w := range st.byPlace {
+		free[p] = capacity(w.info)
+	}
+	unixMS := time.Now().UnixMilli()
+	for _, j := range st.order() {
+		for _, t := range j.graph.Active() {
+			need := amount(j.graph.Step(t.Ref))
+			free[t.Place] = free[t.Place].Minus(need)
+			in.Running = append(in.Running, st.running(j, t, need, guaranteed[j], now))
+		}
+		for _, unit := range j.graph.Ready(unixMS) {
+			in.Requests = append(in.Requests, st.request(j, unit, guaranteed[j], now))
+		}
+	}
+	for p, w := range st.byPlace {
+		in.Workers = append(in.Workers, plan.Worker{
+			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
+			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: max(1, w.health.slowness),
+		})
+	}
+	sortWorkers(in.Workers)
+	return in
+}
+
+func capacity(info *flow.Worker) plan.Amount {
+	return plan.Amount{CPU: info.GetCpu(), Memory: info.GetMemoryMb(), Accelerators: info.GetAccelerators()}
+}
+
+// usable tells whether a worker takes starts.
+func (st *state) usable(s *Scheduler, w *worker, now time.Duration) bool {
+	return w.reconciled && !w.info.GetDraining() && !w.info.GetGone() &&
+		now-w.heard < silence && now >= w.health.bannedUntil && !s.operator.Evacuated(w.info.GetDataCentre())
+}
+
+func (st *state) running(j *job, t *graph.Task, need plan.Amount, guaranteed bool, now time.Duration) plan.Running {
+	r := j.runs[t.Ref]
+	if r == nil {
+		return plan.Running{Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Guaranteed: guaranteed}
+	}
+	done := time.Duration(float64(r.expected) * float64(r.percent) / 100)
+	remaining := max(0, r.expected-max(done, 0)-(now-r.percentAt))
+	unsaved := now - r.at
+	if j.graph.Step(t.Ref).GetCheckpointing() {
+		unsaved = min(unsaved, time.Second) // a stop saves what there is
+	}
+	return plan.Running{
+		Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Remaining: remaining,
+		Unsaved: unsaved, Stopping: r.stop, Guaranteed: guaranteed,
+	}
+}
+
+func (st *state) request(j *job, unit graph.Unit, reclaims bool, now time.Duration) plan.Request {
+	first := unit.Tasks[0]
+	since, ok := j.readySince[first]
+	if !ok {
+		since = now
+		j.readySince[first] = now
+	}
+	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
+	left := objective - (now - j.submitted)
+	tail := time.Duration(graph.TailMS(j.graph.Spec, first.Step)) * time.Millisecond
+	const lateFactor = 3 // a result later than this many objectives is of no use
+	return plan.Request{
+		Unit: unit, Need: amount(unit.Step), Ready: now - since, Slack: left - tail,
+		Lateness: lateFactor*objective - (now - j.submitted) - tail,
+		Duration: time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Reclaims: reclaims,
+	}
+}
+
+// guaranteed tells which jobs are covered by their customer's guarantee: those
+// of priority 0 if all such jobs that have not ended need no more.
+func (st *state) guaranteed(table *route.Table) map[*job]bool {
+	need := map[string]int64{}
+	urgent := func(j *job) bool {
+		return j.graph.Spec.GetPriority() == 0 && !j.graph.Over() && !j.graph.Cancelled
+	}
+	for _, j := range st.jobs {
+		if !urgent(j) {
+			continue
+		}
+		for _, step := range j.graph.Spec.GetSteps() {
+			need[j.graph.Spec.GetCustomer()] += int64(step.GetCount()) * step.GetAccelerators()
+		}
+	}
+	covered := map[*job]bool{}
+	for _, j := range st.jobs {
+		if urgent(j) {
+			customer := j.graph.Spec.GetCustomer()
+			covered[j] = need[customer] <= table.Guaranteed(customer)
+		}
+	}
+	return covered
+}
+
+func sortWorkers(workers []plan.Worker) {
+	slices.SortFunc(workers, func(a, b plan.Worker) int { return cmp.Compare(a.Place.Worker, b.Place.Worker) })
+}
--- /dev/null
+++ b/duty/report.go
@@ -0,0 +1,256 @@
+package duty
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/clock"
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+)
+
+// report takes what a relay says and leaves its answer to be given.
+func (st *state) report(s *Scheduler, r *flow.Report, answer chan *flow.Orders) {
+	w := st.workers[r.GetRelay()]
+	if w == nil {
+		w = &worker{relay: r.GetRelay(), retired: map[string]bool{}}
+		st.workers[w.relay] = w
+	}
+	if w.retired[r.GetRelayBoot()] || w.boot == r.GetRelayBoot() && r.GetSequence() <= w.sequence {
+		// A report that was overtaken changes nothing.
+		st.answer(s, w.relay, answer)
+		return
+	}
+	if w.boot != r.GetRelayBoot() {
+		w.retired[w.boot] = true
+		w.boot = r.GetRelayBoot()
+	}
+	w.sequence = r.GetSequence()
+	w.heard = clock.Steady()
+	st.meet(s, w, r.GetWorker())
+	if r.GetListed() && r.GetEpoch() == s.claim.Epoch && !r.GetWorker().GetGone() {
+		st.lists(s, w, r)
+	}
+	if w.waiter != nil {
+		st.answer(s, w.relay, w.waiter)
+	}
+	w.waiter = answer
+	if r.GetOrdersVersion() < w.version || r.GetEpoch() != s.claim.Epoch {
+		w.changed = true
+	}
+}
+
+// meet takes what a worker says of itself. A newer process in its place, or
+// its end, ends all that ran there.
+func (st *state) meet(s *Scheduler, w *worker, info *flow.Worker) {
+	place := graph.Place{Worker: info.GetId(), Born: info.GetBornMs(), Relay: w.relay}
+	if place != w.place {
+		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.Born, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
+		delete(st.byPlace, w.place)
+		w.place, w.reconciled, w.applied, w.observed, w.ends, w.strays = place, false, 0, 0, nil, nil
+		w.health = health{}
+		w.version++
+		w.changed = true
+		st.byPlace[place] = w
+		st.loseAll(func(p graph.Place) bool { return p.Relay == w.relay && p != place }, "replaced")
+		st.plan = true
+	}
+	if w.info.GetDraining() != info.GetDraining() || w.info.GetGone() != info.GetGone() {
+		klog.InfoS("duty: worker changed", "worker", place.Worker, "draining", info.GetDraining(), "gone", info.GetGone(), "remaining_ms", info.GetRemainingMs())
+		st.plan = true
+	}
+	w.info = info
+	if info.GetGone() {
+		st.loseAll(func(p graph.Place) bool { return p == place }, "gone")
+	}
+}
+
+// loseAll ends the runs at some places without an end of their own.
+func (st *state) loseAll(at func(graph.Place) bool, why string) {
+	for _, j := range st.jobs {
+		for _, t := range j.graph.Active() {
+			if at(t.Place) {
+				st.over(j, t.Ref, t.Run, why, "")
+			}
+		}
+	}
+}
+
+// lists takes a worker's lists of ends and runs.
+func (st *state) lists(s *Scheduler, w *worker, r *flow.Report) {
+	ends := slices.Clone(r.GetEnds())
+	slices.SortFunc(ends, func(a, b *flow.End) int { return int(a.GetNumber() - b.GetNumber()) })
+	for _, e := range ends {
+		if e.GetNumber() > w.applied {
+			st.end(w, e)
+			w.applied = e.GetNumber()
+			w.ends = append(w.ends, endSeq{e.GetNumber(), st.seq})
+			st.plan = true
+		}
+	}
+	for _, refusal := range r.GetRefusals() {
+		st.refused(w, refusal)
+	}
+	listed := map[string]int64{}
+	strays := map[string]map[int64]bool{}
+	now := clock.Steady()
+	for _, run := range r.GetRunning() {
+		listed[run.GetTask()] = run.GetRun()
+		if !st.runs(s, w, run, now) {
+			if strays[run.GetTask()] == nil {
+				strays[run.GetTask()] = map[int64]bool{}
+			}
+			strays[run.GetTask()][run.GetRun()] = true
+		}
+	}
+	if len(strays) != len(w.strays) {
+		w.changed = true
+	}
+	w.strays = strays
+	if !w.reconciled {
+		w.reconciled = true
+		st.reconcile(s, w, listed)
+		st.plan = true
+	}
+	if len(w.ends) > 0 {
+		st.acknowledge()
+	}
+}
+
+// reconcile ends the runs of former holders that the worker does not list: it
+// has obeyed this epoch, so their orders are refused from now on.
+func (st *state) reconcile(s *Scheduler, w *worker, listed map[string]int64) {
+	adopted := 0
+	for _, j := range st.jobs {
+		for _, t := range j.graph.Active() {
+			if t.Place != w.place {
+				continue
+			}
+			if listed[graph.TaskName(j.graph.Spec.GetId(), t.Ref)] == t.Run {
+				adopted++
+				continue
+			}
+			if r := j.runs[t.Ref]; r == nil || r.at <= st.began {
+				st.over(j, t.Ref, t.Run, "never_started", "")
+			}
+		}
+	}
+	klog.InfoS("duty: worker reconciled", "worker", w.place.Worker, "epoch", s.claim.Epoch, "runs", len(listed), "adopted", adopted)
+}
+
+func (st *state) end(w *worker, e *flow.End) {
+	id, ref, err := graph.ParseTask(e.GetTask())
+	j := st.jobs[id]
+	if err != nil || j == nil || j.graph.Step(ref) == nil {
+		klog.InfoS("duty: end of an unknown task", "task", e.GetTask(), "run", e.GetRun(), "worker", w.place.Worker, "err", err)
+		return
+	}
+	t := j.graph.Task(ref)
+	if t == nil || t.Place != w.place {
+		return
+	}
+	w.health.ended(j, w.place.Worker, e.GetHow(), clock.Steady())
+	if e.GetHow() == graph.EndFailed && t.Run == e.GetRun() {
+		j.failedAt[w.place.Worker] = true
+	}
+	st.over(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint())
+}
+
+func (st *state) refused(w *worker, refusal *flow.Refusal) {
+	id, ref, err := graph.ParseTask(refusal.GetTask())
+	j := st.jobs[id]
+	if err != nil || j == nil || j.graph.Step(ref) == nil {
+		return
+	}
+	t := j.graph.Task(ref)
+	if t == nil || t.Place != w.place || t.Run != refusal.GetRun() {
+		return
+	}
+	w.health.refused(refusal.GetReason(), clock.Steady())
+	st.over(j, ref, refusal.GetRun(), "refused_"+refusal.GetReason(), "")
+}
+
+// runs takes one running run, and tells whether it should be running there.
+func (st *state) runs(s *Scheduler, w *worker, r *flow.Run, now time.Duration) bool {
+	id, ref, err := graph.ParseTask(r.GetTask())
+	j := st.jobs[id]
+	if err != nil || j == nil || j.graph.Step(ref) == nil {
+		return false
+	}
+	t := j.graph.Task(ref)
+	if t == nil || t.Run != r.GetRun() || t.Place != w.place {
+		return false
+	}
+	known := j.runs[ref]
+	if known == nil || known.run != t.Run {
+		known = &run{run: t.Run, stored: true, at: now, percentAt: now, expected: expected(j, ref)}
+		j.runs[ref] = known
+	}
+	if j.graph.Begun(ref, t.Run) {
+		known.percentAt = now
+		w.changed = true
+	}
+	if r.GetPercent() > known.percent {
+		w.health.progressed(known, r.GetPercent(), now)
+		known.percent, known.percentAt = r.GetPercent(), now
+	}
+	if r.GetCheckpoint() != "" && r.GetCheckpoint() != known.checkpoint {
+		known.checkpoint, known.savedPercent = r.GetCheckpoint(), known.percent
+	}
+	return true
+}
+
+// answer gives a relay its orders.
+func (st *state) answer(s *Scheduler, relay string, answer chan *flow.Orders) {
+	w := st.workers[relay]
+	if w == nil || !s.claim.Valid() {
+		close(answer)
+		return
+	}
+	if w.waiter == answer {
+		w.waiter = nil
+	}
+	if w.changed {
+		w.version++
+		w.changed = false
+	}
+	orders := &flow.Orders{
+		Version: w.version, Epoch: s.claim.Epoch, LeaseMs: s.settings.TaskLease.Milliseconds(),
+		Observed: w.observed, Worker: w.place.Worker, WorkerBornMs: w.place.Born, Gates: s.gates(),
+	}
+	if age, ok := s.operator.Age(); ok && !s.operator.Evacuated(w.info.GetDataCentre()) {
+		orders.PermitMs = max(0, (s.settings.StartAge - age).Milliseconds())
+	}
+	st.fill(w, orders)
+	select {
+	case answer <- orders:
+	default: // the report has been answered meanwhile
+	}
+}
+
+// fill adds the starts that the worker has not confirmed, and the stops.
+func (st *state) fill(w *worker, orders *flow.Orders) {
+	for _, j := range st.jobs {
+		id := j.graph.Spec.GetId()
+		for _, t := range j.graph.Active() {
+			r := j.runs[t.Ref]
+			if t.Place != w.place || r == nil || !r.stored {
+				continue
+			}
+			name := graph.TaskName(id, t.Ref)
+			switch {
+			case r.stop:
+				orders.Stops = append(orders.Stops, &flow.Stop{Task: name, Run: t.Run})
+			case !t.Started:
+				orders.Starts = append(orders.Starts, &flow.Start{Task: name, Run: t.Run, Spec: j.graph.Spec.GetSpec(), Checkpoint: t.Checkpoint})
+			}
+		}
+	}
+	for task, numbers := range w.strays {
+		for number := range numbers {
+			orders.Stops = append(orders.Stops, &flow.Stop{Task: task, Run: number})
+		}
+	}
+}
--- /dev/null
+++ b/duty/state.go
@@ -0,0 +1,324 @@
+package duty
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/clock"
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/plan"
+	"catkinpoint/store"
+)
+
+// job is a job with what the store does not have.
+type job struct {
+	graph        *graph.Job
+	workRevision int64
+	// seen is when this process first knew the job, less its age then.
+	submitted time.Duration
+	dirty     bool
+	dirtySeq  int64 // of the last change
+	// dirtySince is the first change that is not stored.
+	dirtySince int64
+	runs       map[graph.Ref]*run
+	// readySince is when the unit of a task became ready.
+	readySince map[graph.Ref]time.Duration
+	// failedAt has the workers on which a task of the job has failed.
+	failedAt map[string]bool
+}
+
+// run is what is known of a task's last run beyond its record.
+type run struct {
+	run     int64
+	stored  bool
+	stop    bool // a stop is ordered
+	at      time.Duration
+	percent int32
+	// percentAt is when the percentage last grew.
+	percentAt time.Duration
+	// savedPercent is the percentage at the last new checkpoint.
+	savedPercent int32
+	checkpoint   string
+	expected     time.Duration
+}
+
+// runRef names a run of a task of a known job.
+type runRef struct {
+	ref graph.Ref
+	run int64
+}
+
+// worker is a worker as its relay reports it.
+type worker struct {
+	relay    string
+	boot     string
+	retired  map[string]bool
+	sequence int64
+	place    graph.Place
+	info     *flow.Worker
+	heard    time.Duration
+	// reconciled tells that the worker has obeyed this epoch and listed its runs.
+	reconciled bool
+	ends       []endSeq // ends that are not stored, by number
+	applied    int64    // ends up to here have been looked at
+	observed   int64    // ends up to here are stored
+	strays     map[string]map[int64]bool
+	version    int64
+	changed    bool
+	waiter     chan *flow.Orders
+	health     health
+}
+
+type endSeq struct {
+	number int64
+	seq    int64
+}
+
+type state struct {
+	jobs    map[string]*job
+	workers map[string]*worker
+	byPlace map[graph.Place]*worker
+	// revisions are those of the keys that were applied.
+	revisions  map[string]int64
+	cancelled  map[string]bool // cancellations of jobs that are not known yet
+	early      map[string]store.Item
+	began      time.Duration
+	loaded     bool
+	plan       bool
+	writing    bool
+	superseded bool
+	seq        int64
+}
+
+func newState(now time.Duration) *state {
+	return &state{
+		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{},
+		revisions: map[string]int64{}, cancelled: map[string]bool{}, early: map[string]store.Item{}, began: now,
+	}
+}
+
+// order returns the jobs in the order in which they were accepted.
+func (st *state) order() []*job {
+	list := make([]*job, 0, len(st.jobs))
+	for _, j := range st.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.graph.Spec.GetId(), b.graph.Spec.GetId()))
+	})
+	return list
+}
+
+// apply takes one change of a key. Progress is read only while loading: after
+// that this process alone writes it.
+func (st *state) apply(e store.Event) {
+	kind, id := KindOf(e.Key)
+	if kind == KindOther || kind == KindClaim || e.Revision <= st.revisions[e.Key] {
+		return
+	}
+	st.revisions[e.Key] = e.Revision
+	switch {
+	case e.Deleted && kind == KindJob:
+		delete(st.jobs, id)
+		delete(st.revisions, JobKey(id))
+	case e.Deleted:
+	case kind == KindJob:
+		st.addJob(id, e.Item)
+	case kind == KindWork && !st.loaded:
+		st.early[id] = e.Item
+	case kind == KindCancel:
+		st.cancelled[id] = true
+		if j := st.jobs[id]; j != nil {
+			st.cancel(j)
+		}
+	}
+}
+
+func (st *state) addJob(id string, item store.Item) {
+	if st.jobs[id] != nil {
+		return
+	}
+	spec := &flow.Job{}
+	if err := proto.Unmarshal(item.Value, spec); err != nil || spec.GetId() != id {
+		klog.ErrorS(err, "duty: job not decoded", "job", id)
+		return
+	}
+	age := max(0, time.Duration(time.Now().UnixMilli()-spec.GetAcceptedUnixMs())*time.Millisecond)
+	st.jobs[id] = &job{
+		graph: graph.New(spec, nil), submitted: clock.Steady() - min(age, time.Hour),
+		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedAt: map[string]bool{},
+	}
+	klog.V(1).InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
+	if st.cancelled[id] {
+		st.cancel(st.jobs[id])
+	}
+}
+
+// finishLoad gives jobs the progress that the former holder stored.
+func (st *state) finishLoad() {
+	for id, item := range st.early {
+		j := st.jobs[id]
+		if j == nil {
+			continue
+		}
+		record := &flow.Work{}
+		if err := proto.Unmarshal(item.Value, record); err != nil {
+			klog.ErrorS(err, "duty: progress not decoded", "job", id)
+			continue
+		}
+		cancelled := j.graph.Cancelled
+		j.graph = graph.New(j.graph.Spec, record)
+		j.graph.Cancelled = cancelled
+		j.workRevision = item.Revision
+		for _, t := range j.graph.Active() {
+			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, percentAt: st.began, expected: expected(j, t.Ref)}
+		}
+	}
+	st.early = nil
+	st.plan = true
+}
+
+func expected(j *job, ref graph.Ref) time.Duration {
+	return time.Duration(j.graph.Step(ref).GetEstimateMs()) * time.Millisecond
+}
+
+// change notes that a job's record has to be written.
+func (st *state) change(j *job) {
+	st.seq++
+	if !j.dirty {
+		j.dirty, j.dirtySince = true, st.seq
+	}
+	j.dirtySeq = st.seq
+	st.plan = true
+}
+
+func (st *state) cancel(j *job) {
+	if j.graph.Cancelled || j.graph.Over() {
+		return
+	}
+	j.graph.Cancelled = true
+	klog.V(1).InfoS("duty: job cancelled", "job", j.graph.Spec.GetId())
+	st.change(j)
+	st.stopActive(j)
+}
+
+// stopActive orders a stop of all that a job runs.
+func (st *state) stopActive(j *job) {
+	for _, t := range j.graph.Active() {
+		if !t.Done {
+			st.stop(j, t)
+		}
+	}
+}
+
+func (st *state) stop(j *job, t *graph.Task) {
+	r := j.runs[t.Ref]
+	if r == nil || r.run != t.Run {
+		r = &run{run: t.Run, stored: true, at: clock.Steady()}
+		j.runs[t.Ref] = r
+	}
+	if !r.stop {
+		r.stop = true
+		st.touch(t.Place)
+	}
+}
+
+// touch makes the worker's next orders differ from the last.
+func (st *state) touch(p graph.Place) {
+	if w := st.byPlace[p]; w != nil {
+		w.changed = true
+	}
+}
+
+// unwritten returns the runs that were assigned since the last write.
+func (j *job) unwritten() []runRef {
+	var refs []runRef
+	for ref, r := range j.runs {
+		if t := j.graph.Task(ref); !r.stored && t != nil && t.Active() && t.Run == r.run {
+			refs = append(refs, runRef{ref, r.run})
+		}
+	}
+	return refs
+}
+
+// over ends a run for the job, with the reason as its end, and stops the rest
+// of a gang that cannot go on.
+func (st *state) over(j *job, ref graph.Ref, number int64, how, checkpoint string) bool {
+	t := j.graph.Task(ref)
+	if t == nil || t.Run != number || !t.Active() {
+		return false
+	}
+	place := t.Place
+	if r := j.runs[ref]; r != nil && r.run == number && checkpoint == "" {
+		checkpoint = r.checkpoint
+	}
+	if !j.graph.End(ref, number, how, checkpoint) {
+		return false
+	}
+	klog.V(1).InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
+		"occurrence", ref.Occurrence, "run", number, "how", how, "worker", place.Worker, "saved", checkpoint != "")
+	delete(j.runs, ref)
+	st.change(j)
+	st.touch(place)
+	if how == graph.EndDone {
+		return true
+	}
+	for _, member := range j.graph.Members(ref) {
+		if m := j.graph.Task(member); m != nil && m.Active() && m.Run == number && !m.Done {
+			st.stop(j, m)
+		}
+	}
+	return true
+}
+
+// advance moves jobs to the phases that their tasks imply.
+func (st *state) advance() {
+	now := time.Now().UnixMilli()
+	for _, j := range st.jobs {
+		if j.dirty && j.graph.Advance(now) {
+			klog.V(1).InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase)
+			st.change(j)
+			st.stopActive(j)
+		}
+	}
+}
+
+// expire ends the runs of workers whose task lease has surely run out.
+func (st *state) expire(s *Scheduler, now time.Duration) {
+	limit := time.Duration(float64(s.settings.TaskLease)*leaseTolerance) + leaseMargin
+	for _, j := range st.jobs {
+		for _, t := range j.graph.Active() {
+			w := st.byPlace[t.Place]
+			last := st.began
+			if w != nil {
+				last = max(last, w.heard)
+			}
+			if now-last > limit {
+				st.over(j, t.Ref, t.Run, "unreachable", "")
+			}
+		}
+	}
+}
+
+// amount returns what one task of a step holds.
+func amount(step *flow.Step) plan.Amount {
+	cpu := step.GetCpu()
+	if step.GetFills() {
+		cpu = 0
+	}
+	return plan.Amount{CPU: cpu, Memory: step.GetMemoryMb(), Accelerators: step.GetAccelerators()}
+}
+
+func asConflict(err error) *store.ConflictError {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict
+	}
+	return nil
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,191 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/cache"
+	"catkinpoint/clock"
+	"catkinpoint/duty"
+	"catkinpoint/flow"
+	"catkinpoint/route"
+	"catkinpoint/store"
+)
+
+const (
+	// vacancyPeriod is the time between two looks at the claim.
+	vacancyPeriod = 100 * time.Millisecond
+	// boardAge is the oldest copy of the jobs from which a state is answered.
+	boardAge = 2 * time.Second
+)
+
+// Operator tells how the operator's keys are read.
+type Operator struct {
+	// Prefix begins the keys.
+	Prefix string
+	// Table decodes the configuration at a key, or returns nil for other keys.
+	Table func(key string, value []byte) (*route.Table, error)
+	// Evacuation returns the data centre that a key takes out of service, or "".
+	Evacuation func(key string) string
+}
+
+// Options configures a Gate.
+type Options struct {
+	Name string
+	// Address is where relays reach this process.
+	Address  netip.AddrPort
+	KV       store.TxnKV
+	Operator Operator
+	ClaimTTL time.Duration
+	Settings duty.Settings
+}
+
+// Gate serves callers and may hold the duty.
+type Gate struct {
+	opts      Options
+	board     *board
+	operator  *operator
+	jobs      *cache.Follower
+	orders    *cache.Follower
+	scheduler atomic.Pointer[duty.Scheduler]
+	leaving   atomic.Bool
+	vacant    chan struct{}
+}
+
+// New returns a gate; Run starts it.
+func New(opts Options) *Gate {
+	g := &Gate{opts: opts, board: newBoard(), vacant: make(chan struct{})}
+	g.jobs = cache.New(opts.KV, duty.KeyPrefix, g.applyJobs)
+	g.orders = cache.New(opts.KV, opts.Operator.Prefix, g.applyOperator)
+	g.operator = &operator{evacuated: map[string]bool{}, age: g.orders.Age}
+	return g
+}
+
+// Run serves until ctx ends.
+func (g *Gate) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	start := func(f func(context.Context)) {
+		group.Go(func() error {
+			f(ctx)
+			return nil
+		})
+	}
+	candidate := &duty.Candidate{
+		KV: g.opts.KV, Name: g.opts.Name, Address: g.opts.Address, TTL: g.opts.ClaimTTL,
+		Vacant: g.vacant, Serve: g.serve,
+	}
+	start(g.jobs.Run)
+	start(g.orders.Run)
+	start(g.watchClaim)
+	start(candidate.Run)
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("running gate: %w", err)
+	}
+	return nil
+}
+
+func (g *Gate) applyJobs(events []store.Event) {
+	g.board.apply(events)
+	if s := g.scheduler.Load(); s != nil {
+		s.Apply(events)
+	}
+}
+
+func (g *Gate) applyOperator(events []store.Event) {
+	for _, e := range events {
+		if dataCentre := g.opts.Operator.Evacuation(e.Key); dataCentre != "" {
+			g.operator.evacuate(dataCentre, !e.Deleted)
+			continue
+		}
+		if e.Deleted {
+			continue
+		}
+		table, err := g.opts.Operator.Table(e.Key, e.Value)
+		switch {
+		case err != nil:
+			klog.ErrorS(err, "gate: configuration not decoded", "key", e.Key, "revision", e.Revision)
+		case table != nil:
+			g.operator.set(table)
+		}
+	}
+}
+
+// watchClaim tells the candidate when nobody holds the duty.
+func (g *Gate) watchClaim(ctx context.Context) {
+	for clock.Sleep(ctx, vacancyPeriod) {
+		if g.leaving.Load() || g.board.holder() != nil || !g.jobs.Younger(boardAge) || !g.configured() {
+			continue
+		}
+		select {
+		case g.vacant <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// serve does the duty under a claim.
+func (g *Gate) serve(ctx context.Context, claim *duty.Claim) {
+	s := duty.NewScheduler(g.opts.Settings, g.opts.KV, g.operator, claim, g.addresses)
+	g.scheduler.Store(s)
+	defer g.scheduler.Store(nil)
+	s.Run(ctx)
+}
+
+// addresses returns where relays may ask for the scheduler.
+func (g *Gate) addresses() []string { return []string{g.opts.Address.String()} }
+
+// configured tells whether the configuration is known and not too old.
+func (g *Gate) configured() bool {
+	return g.operator.Table() != nil && g.orders.Younger(g.opts.Settings.ConfigAge)
+}
+
+// Ready tells whether the gate takes new callers.
+func (g *Gate) Ready() bool {
+	return !g.leaving.Load() && g.configured() && g.jobs.Younger(boardAge)
+}
+
+// Leave makes the gate unready and keeps it from claiming the duty.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
+// RPCName is the name under which Calls are registered.
+const RPCName = "Duty"
+
+// Calls are what relays call over a link.
+type Calls struct{ gate *Gate }
+
+// Calls returns the methods for a link's server.
+func (g *Gate) Calls() Calls { return Calls{g} }
+
+// Attend takes a report and returns orders; it fails if another gate holds the duty.
+func (c Calls) Attend(report *flow.Report, orders *flow.Orders) error {
+	s := c.gate.scheduler.Load()
+	if s == nil {
+		return duty.ErrNotHolder
+	}
+	answer, err := s.Attend(report)
+	if err != nil {
+		return fmt.Errorf("attending %s: %w", report.GetRelay(), err)
+	}
+	proto.Merge(orders, answer)
+	return nil
+}
+
+// Find tells a relay who holds the duty.
+func (c Calls) Find(_ *flow.FindRequest, response *flow.FindResponse) error {
+	response.Claim = c.gate.board.holder()
+	return nil
+}
+
+// validID tells whether a caller may choose the id.
+func validID(id string) bool {
+	const idLength = 16
+	return len(id) == idLength && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
--- /dev/null
+++ b/graph/check.go
@@ -0,0 +1,92 @@
+package graph
+
+import (
+	"catkinpoint/flow"
+)
+
+// Bounds on what a caller may hand in.
+const (
+	// MaxTasks bounds the tasks of one occurrence; gangs have at most 256.
+	MaxTasks = 10000
+	// MaxSteps bounds the steps of a job.
+	MaxSteps = 1000
+	// MaxRepeats bounds the occurrences of a scheduled job.
+	MaxRepeats = 10000
+	// MaxSpecBytes bounds the text that workers are given.
+	MaxSpecBytes = 4000
+)
+
+// Check returns what is wrong with a job, or nil.
+func Check(job *flow.Job) error {
+	switch {
+	case len(job.GetSteps()) == 0:
+		return Error.New("a job needs a step")
+	case len(job.GetSteps()) > MaxSteps:
+		return Error.New("%d steps are more than %d", len(job.GetSteps()), MaxSteps)
+	case len(job.GetSpec()) > MaxSpecBytes:
+		return Error.New("spec of %d bytes is longer than %d", len(job.GetSpec()), MaxSpecBytes)
+	case job.GetRepeats() < 0 || job.GetRepeats() > MaxRepeats:
+		return Error.New("%d repetitions are not between 0 and %d", job.GetRepeats(), MaxRepeats)
+	case job.GetRepeats() > 1 && job.GetPeriodMs() <= 0:
+		return Error.New("a repeated job needs a period")
+	}
+	tasks := int64(0)
+	for s, step := range job.GetSteps() {
+		if err := checkStep(s, step); err != nil {
+			return err
+		}
+		tasks += int64(step.GetCount())
+	}
+	if tasks > MaxTasks {
+		return Error.New("%d tasks are more than %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func checkStep(s int, step *flow.Step) error {
+	if step.GetCount() < 1 || step.GetCount() > MaxTasks {
+		return Error.New("step %d: count %d is not between 1 and %d", s, step.GetCount(), MaxTasks)
+	}
+	if step.GetCpu() < 0 || step.GetMemoryMb() < 0 || step.GetAccelerators() < 0 || step.GetEstimateMs() < 0 || step.GetMaxPerWorker() < 0 {
+		return Error.New("step %d: a negative amount", s)
+	}
+	for _, earlier := range step.GetAfter() {
+		if earlier < 0 || int(earlier) >= s {
+			return Error.New("step %d: after names step %d, which is not an earlier one", s, earlier)
+		}
+	}
+	return nil
+}
+
+// ChainMS returns the declared run time of the longest chain of steps.
+func ChainMS(job *flow.Job) int64 {
+	ends := make([]int64, len(job.GetSteps()))
+	longest := int64(0)
+	for s, step := range job.GetSteps() {
+		for _, earlier := range step.GetAfter() {
+			ends[s] = max(ends[s], ends[earlier])
+		}
+		ends[s] += step.GetEstimateMs()
+		longest = max(longest, ends[s])
+	}
+	return longest
+}
+
+// ObjectiveMS returns the time within which callers expect the job to end.
+func ObjectiveMS(job *flow.Job) int64 {
+	return int64(job.GetSlackFactor()*float64(ChainMS(job))) + job.GetTargetMs()
+}
+
+// TailMS returns the declared run time from the start of a step to the end of
+// the longest chain through it.
+func TailMS(job *flow.Job, first int32) int64 {
+	steps := job.GetSteps()
+	tails := make([]int64, len(steps))
+	for s := len(steps) - 1; s >= 0; s-- {
+		tails[s] += steps[s].GetEstimateMs()
+		for _, earlier := range steps[s].GetAfter() {
+			tails[earlier] = max(tails[earlier], tails[s])
+		}
+	}
+	return tails[first]
+}
--- /dev/null
+++ b/plan/decide.go
@@ -0,0 +1,62 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// rackPatience is how long a unit waits for room on the right rack while
+	// there is room elsewhere.
+	rackPatience = 1500 * time.Millisecond
+	// maxReservations bounds the units for which room is kept free.
+	maxReservations = 4
+)
+
+// Decide returns the starts and stops for the present state.
+func Decide(in Input) Decision {
+	s := newState(in)
+	requests := slices.Clone(in.Requests)
+	slices.SortStableFunc(requests, compareRequests)
+	var d Decision
+	for i := range requests {
+		r := &requests[i]
+		if places, ok := s.fit(r, false); ok {
+			s.take(r, places)
+			d.Starts = append(d.Starts, Assignment{Unit: r.Unit, Places: s.placesOf(places)})
+			continue
+		}
+		victims, waits := s.victims(r)
+		d.Stops = append(d.Stops, victims...)
+		if waits {
+			continue // room for it is on its way and kept
+		}
+		if len(s.reservations) < maxReservations {
+			s.reserve(r)
+		}
+	}
+	return d
+}
+
+// compareRequests orders units: guarantees, then priority, then those that can
+// still meet their objective, the most pressing first.
+func compareRequests(a, b Request) int {
+	first := func(x bool) int {
+		if x {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(first(a.Reclaims), first(b.Reclaims)),
+		cmp.Compare(first(a.Lateness > 0), first(b.Lateness > 0)),
+		cmp.Compare(first(a.priority() == 0), first(b.priority() == 0)),
+		cmp.Compare(first(a.Slack > 0), first(b.Slack > 0)),
+		cmp.Compare(a.priority(), b.priority()),
+		cmp.Compare(a.Slack, b.Slack),
+		cmp.Compare(a.Unit.Job.Spec.GetAcceptedUnixMs(), b.Unit.Job.Spec.GetAcceptedUnixMs()),
+	)
+}
+
+func (r *Request) priority() int32 { return r.Unit.Job.Spec.GetPriority() }
--- /dev/null
+++ b/plan/doc.go
@@ -0,0 +1,18 @@
+// Package plan decides which units of work start where and which running work
+// is stopped for them.
+//
+// Decide is a pure function of its input: it opens no socket, takes no lock and
+// reads no clock. The rules, in order:
+//
+//   - Work of a customer within its guarantee goes first, and stops other work
+//     if it does not fit otherwise (a burst of urgent jobs on full workers).
+//   - Then more urgent queues go first, and within them the unit whose latest
+//     start for its objective is nearest (many jobs with different slack).
+//   - A unit that does not fit reserves the place where it fits soonest; others
+//     may use that place only if they end before (large gangs behind a stream
+//     of small tasks).
+//   - Tasks go to the fullest worker that has room, so that whole workers and
+//     racks stay free for wide tasks and gangs (a mix of 1 and 8 accelerators).
+//   - A unit waits a little for its data's rack or for one rack for its gang,
+//     and then runs elsewhere.
+package plan
--- /dev/null
+++ b/plan/state.go
@@ -0,0 +1,288 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinpoint/graph"
+)
+
+// state is the room that is left while a decision is made.
+type state struct {
+	in      Input
+	workers []Worker
+	index   map[graph.Place]int
+	racks   map[string][]int
+	// reservations keep room for units that do not fit yet.
+	reservations []reservation
+	stopping     map[runKey]bool
+}
+
+// reservation keeps room on a worker from a time on.
+type reservation struct {
+	worker int
+	need   Amount
+	from   time.Duration
+}
+
+type runKey struct {
+	job *graph.Job
+	ref graph.Ref
+}
+
+func newState(in Input) *state {
+	s := &state{
+		in: in, workers: slices.Clone(in.Workers), index: map[graph.Place]int{},
+		racks: map[string][]int{}, stopping: map[runKey]bool{},
+	}
+	for i, w := range s.workers {
+		s.index[w.Place] = i
+		s.racks[w.Rack] = append(s.racks[w.Rack], i)
+	}
+	for _, r := range in.Running {
+		if r.Stopping {
+			s.stopping[runKey{r.Job, r.Ref}] = true
+		}
+	}
+	return s
+}
+
+func (s *state) placesOf(workers []int) []graph.Place {
+	places := make([]graph.Place, len(workers))
+	for i, w := range workers {
+		places[i] = s.workers[w].Place
+	}
+	return places
+}
+
+// take gives the unit's tasks their room.
+func (s *state) take(r *Request, workers []int) {
+	for _, w := range workers {
+		s.workers[w].Free = s.workers[w].Free.Minus(r.Need)
+	}
+}
+
+// fit finds workers for all tasks of the unit, one for each, in the room that
+// is free now. With anywhere set, the unit does not wait for its rack.
+func (s *state) fit(r *Request, anywhere bool) ([]int, bool) {
+	free := make([]Amount, len(s.workers))
+	for i := range s.workers {
+		free[i] = s.workers[i].Free
+	}
+	return s.fitInto(r, free, anywhere)
+}
+
+// fitInto is fit with the given room on each worker.
+func (s *state) fitInto(r *Request, free []Amount, anywhere bool) ([]int, bool) {
+	step := r.Unit.Step
+	patient := !anywhere && r.Ready < rackPatience && r.Slack > 0
+	if rack := step.GetDataRack(); rack != "" && len(s.racks[rack]) > 0 {
+		if found, ok := s.fitAmong(r, s.racks[rack], free); ok {
+			return found, true
+		}
+		if patient {
+			return nil, false
+		}
+	}
+	if step.GetGang() && step.GetSameRack() && step.GetCount() > 1 {
+		if found, ok := s.fitOneRack(r, free); ok {
+			return found, true
+		}
+		if patient && s.rackCouldHold(r) {
+			return nil, false
+		}
+	}
+	return s.fitAmong(r, nil, free)
+}
+
+// rackCouldHold tells whether some rack would hold the gang if it were empty.
+func (s *state) rackCouldHold(r *Request) bool {
+	empty := make([]Amount, len(s.workers))
+	for i := range s.workers {
+		empty[i] = s.workers[i].Capacity
+	}
+	_, ok := s.fitOneRack(r, empty)
+	return ok
+}
+
+// fitOneRack finds the rack that the gang fills best.
+func (s *state) fitOneRack(r *Request, free []Amount) ([]int, bool) {
+	var best []int
+	bestLeft := 0.0
+	for _, rack := range sortedKeys(s.racks) {
+		members := s.racks[rack]
+		found, ok := s.fitAmong(r, members, free)
+		if !ok {
+			continue
+		}
+		left := 0.0
+		for _, w := range members {
+			left += free[w].Cores()
+		}
+		for _, w := range found {
+			left += slowCost * max(0, s.workers[w].Slowness-1)
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = found, left
+		}
+	}
+	return best, best != nil
+}
+
+// slowCost is how many cores left over count as much as a worker that takes
+// twice as long.
+const slowCost = 64
+
+// fitAmong finds workers among the given ones; nil means all.
+func (s *state) fitAmong(r *Request, among []int, free []Amount) ([]int, bool) {
+	if among == nil {
+		among = make([]int, len(s.workers))
+		for i := range among {
+			among[i] = i
+		}
+	}
+	left := make(map[int]Amount, len(among))
+	used := s.alreadyOn(r)
+	found := make([]int, 0, len(r.Unit.Tasks))
+	for range r.Unit.Tasks {
+		best, bestCost := -1, 0.0
+		for _, w := range among {
+			room, seen := left[w]
+			if !seen {
+				room = free[w]
+			}
+			if !s.allows(r, w, room, used[w]) {
+				continue
+			}
+			cost := s.cost(w, room.Minus(r.Need))
+			if best < 0 || cost < bestCost {
+				best, bestCost = w, cost
+			}
+		}
+		if best < 0 {
+			return nil, false
+		}
+		room, seen := left[best]
+		if !seen {
+			room = free[best]
+		}
+		left[best] = room.Minus(r.Need)
+		used[best]++
+		found = append(found, best)
+	}
+	return found, true
+}
+
+// alreadyOn counts the tasks of the unit's step that hold a worker, for steps
+// with a limit.
+func (s *state) alreadyOn(r *Request) map[int]int32 {
+	used := map[int]int32{}
+	if r.Unit.Step.GetMaxPerWorker() == 0 {
+		return used
+	}
+	first := r.Unit.Tasks[0]
+	for _, t := range r.Unit.Job.Active() {
+		if t.Ref.Step == first.Step && t.Ref.Occurrence == first.Occurrence {
+			if w, ok := s.index[t.Place]; ok {
+				used[w]++
+			}
+		}
+	}
+	return used
+}
+
+func (s *state) allows(r *Request, w int, room Amount, used int32) bool {
+	worker := &s.workers[w]
+	step := r.Unit.Step
+	switch {
+	case !worker.Usable || worker.Service != r.Unit.Job.Spec.GetService() || !room.Covers(r.Need):
+		return false
+	case step.GetRequiredLabel() != "" && !worker.hasLabel(step.GetRequiredLabel()):
+		return false
+	case step.GetMaxPerWorker() > 0 && used >= step.GetMaxPerWorker():
+		return false
+	}
+	return s.leavesReserved(r, w, room)
+}
+
+// leavesReserved tells whether the reservations on a worker survive a start.
+func (s *state) leavesReserved(r *Request, w int, room Amount) bool {
+	after := room.Minus(r.Need)
+	for _, kept := range s.reservations {
+		if kept.worker != w || r.Duration <= kept.from {
+			continue
+		}
+		if !s.freeAt(w, after, kept.from).Covers(kept.need) {
+			return false
+		}
+	}
+	return true
+}
+
+// freeAt returns the room on a worker at a later time, as far as running work
+// is expected to have ended.
+func (s *state) freeAt(w int, room Amount, at time.Duration) Amount {
+	for i := range s.in.Running {
+		r := &s.in.Running[i]
+		if r.At == s.workers[w].Place && s.remaining(r) <= at {
+			room = room.Plus(r.Need)
+		}
+	}
+	return room
+}
+
+func (s *state) remaining(r *Running) time.Duration {
+	if s.stopping[runKey{r.Job, r.Ref}] {
+		return 0
+	}
+	return r.Remaining
+}
+
+// cost is low for workers that the task fills well and for fast ones.
+func (s *state) cost(w int, after Amount) float64 {
+	return after.Cores() + slowCost*max(0, s.workers[w].Slowness-1)
+}
+
+// reserve keeps the room where the unit fits soonest.
+func (s *state) reserve(r *Request) {
+	order := slices.Clone(s.in.Running)
+	slices.SortStableFunc(order, func(a, b Running) int { return cmp.Compare(s.remaining(&a), s.remaining(&b)) })
+	free := make([]Amount, len(s.workers))
+	for i := range s.workers {
+		free[i] = s.workers[i].Free
+	}
+	for i := range order {
+		w, ok := s.index[order[i].At]
+		if !ok {
+			continue
+		}
+		free[w] = free[w].Plus(order[i].Need)
+		if i+1 < len(order) && s.remaining(&order[i+1]) == s.remaining(&order[i]) {
+			continue
+		}
+		if found, ok := s.fitInto(r, free, false); ok {
+			s.keep(found, r.Need, s.remaining(&order[i]))
+			return
+		}
+	}
+}
+
+func (s *state) keep(workers []int, need Amount, from time.Duration) {
+	byWorker := map[int]Amount{}
+	for _, w := range workers {
+		byWorker[w] = byWorker[w].Plus(need)
+	}
+	for _, w := range sortedKeys(byWorker) {
+		s.reservations = append(s.reservations, reservation{worker: w, need: byWorker[w], from: from})
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/relay/worker.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"catkinpoint/flow"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("relay")
+
+// ErrOtherWorker means that another process answers at the worker's address.
+var ErrOtherWorker = Error.New("another worker answered")
+
+// Answers of a worker to a start.
+const (
+	// AnswerStarted means that the run is there.
+	AnswerStarted = "started"
+	// AnswerFenced means that the worker has seen a higher epoch.
+	AnswerFenced = "fence"
+	// AnswerOld means that the worker has ended this or a later run of the task.
+	AnswerOld = "old"
+)
+
+// Call is what each call to a worker carries.
+type Call struct {
+	// Worker is the id of the process that must answer.
+	Worker string
+	Epoch  int64
+	// Deadline is when what runs is killed, on the worker's clock; 0 leaves it.
+	Deadline time.Duration
+}
+
+// Lists is a worker's answer about its runs.
+type Lists struct {
+	// Clock is the worker's clock at the answer.
+	Clock time.Duration
+	// Born is the start of the worker's process, Unix milliseconds, or 0.
+	Born    int64
+	Running []*flow.Run
+	Ends    []*flow.End
+}
+
+// Worker is the worker's interface. An error that is not ErrOtherWorker leaves
+// open whether the call was or will be carried out.
+type Worker interface {
+	// Start starts a run and returns one of the answers above, or the reason
+	// of a rejection.
+	Start(ctx context.Context, call Call, start *flow.Start) (string, error)
+	// Stop ends a run, or makes the worker reject it for good.
+	Stop(ctx context.Context, call Call, stop *flow.Stop) (string, error)
+	// Hold renews the task lease, forgets ends up to observed, and returns the
+	// lists, after wait or when a run ends.
+	Hold(ctx context.Context, call Call, observed int64, wait time.Duration) (Lists, error)
+}
+
+// Beat is one heartbeat of a worker.
+type Beat struct {
+	Worker *flow.Worker
+	// Clock is the worker's clock when it sent the heartbeat.
+	Clock time.Duration
+	// Sequence grows with each heartbeat of one process.
+	Sequence int64
+}
--- /dev/null
+++ b/stand/fakekv/txn.go
@@ -0,0 +1,129 @@
+package fakekv
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"catkinpoint/store"
+)
+
+// Operations of transactions as a Gate sees them.
+const (
+	opCommit = "commit"
+	opEvents = "events"
+)
+
+var _ store.TxnKV = (*Server)(nil)
+
+// Range implements store.TxnKV.
+func (s *Server) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	var list []store.Item
+	var revision int64
+	err := s.read(ctx, store.OpList, prefix, func() {
+		list, revision = s.state.list(prefix), s.state.revision
+	})
+	return list, revision, err
+}
+
+// Events implements store.TxnKV; changes of one key in quick succession are
+// told as one.
+func (s *Server) Events(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	if _, _, err := s.Watch(ctx, prefix, after, wait); err != nil {
+		return nil, 0, err
+	}
+	var events []store.Event
+	var revision int64
+	var compacted error
+	err := s.read(ctx, opEvents, prefix, func() {
+		if after < s.state.compacted {
+			compacted = store.ErrCompacted
+			return
+		}
+		events, revision = s.state.eventsAfter(prefix, after), s.state.revision
+	})
+	if err == nil && compacted != nil {
+		err = fail(opEvents, prefix, compacted)
+	}
+	return events, revision, err
+}
+
+// Commit implements store.TxnKV.
+func (s *Server) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	var revision int64
+	err := s.write(ctx, opCommit, txnKey(txn), func() (err error) {
+		revision, err = s.state.commit(txn)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return revision, nil
+}
+
+// Compact forgets the history up to now, so that watches from before fail.
+func (s *Server) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.compacted = s.state.revision
+	s.state.deletions = nil
+	s.state.wake()
+}
+
+// txnKey names the transaction for a Gate by its first write.
+func txnKey(txn store.Txn) string {
+	if len(txn.Writes) > 0 {
+		return txn.Writes[0].Key
+	}
+	return ""
+}
+
+func (s *state) commit(txn store.Txn) (int64, error) {
+	var present []store.Item
+	matched := true
+	for _, c := range txn.Conditions {
+		item, ok := s.items[c.Key]
+		if ok {
+			present = append(present, clone(item))
+		}
+		matched = matched && item.Revision == c.Revision
+	}
+	if !matched {
+		return 0, &store.ConflictError{Items: present}
+	}
+	for _, w := range txn.Writes {
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return 0, store.ErrLeaseExpired
+		}
+	}
+	s.revision++
+	for _, w := range txn.Writes {
+		s.items[w.Key] = store.Item{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Lease: w.Lease}
+	}
+	for _, key := range txn.Deletes {
+		if _, ok := s.items[key]; ok {
+			delete(s.items, key)
+			s.deletions = append(s.deletions, deletion{key, s.revision})
+		}
+	}
+	s.wake()
+	return s.revision, nil
+}
+
+func (s *state) eventsAfter(prefix string, after int64) []store.Event {
+	var events []store.Event
+	for _, d := range s.deletions {
+		if d.revision > after && strings.HasPrefix(d.key, prefix) {
+			events = append(events, store.Event{Item: store.Item{Key: d.key, Revision: d.revision}, Deleted: true})
+		}
+	}
+	for key, item := range s.items {
+		if item.Revision > after && strings.HasPrefix(key, prefix) {
+			events = append(events, store.Event{Item: clone(item)})
+		}
+	}
+	slices.SortStableFunc(events, func(a, b store.Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return events
+}
--- a/verbs/cli.go
+++ b/verbs/cli.go
@@ -27,6 +27,8 @@
 	Load     Load     `cmd:"" help:"Send jobs at a rate and report fates and latencies."`
 	Serve    Serve    `cmd:"" help:"Run an entry."`
 	Agent    Agent    `cmd:"" help:"Run the agent beside an endpoint."`
+	Gate     Gate     `cmd:"" help:"Run a gate for jobs of steps on the users' platform."`
+	Relay    Relay    `cmd:"" help:"Run the relay beside a worker on the users' platform."`
 	Local    Local    `cmd:"" help:"Run an example of the whole system in this process."`
 	Replay   Replay   `cmd:"" help:"Replay recorded traces through the placement policies and compare them."`
 	Settings Settings `cmd:"" help:"Print the reference page of settings and declarations."`
--- /dev/null
+++ b/verbs/relay.go
@@ -0,0 +1,192 @@
+package verbs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/conf"
+	"catkinpoint/duty"
+	"catkinpoint/flow"
+	"catkinpoint/gate"
+	"catkinpoint/link"
+	"catkinpoint/meter"
+	"catkinpoint/platform"
+	"catkinpoint/relay"
+	"catkinpoint/store"
+)
+
+// Relay is the verb relay: it serves the worker beside it on the users' platform.
+type Relay struct {
+	Settings string `arg:"" help:"Settings file with the sections node, relay and platform."`
+}
+
+// findTime bounds one question for the scheduler's address.
+const findTime = 800 * time.Millisecond
+
+// Run serves until ctx ends.
+func (v *Relay) Run(ctx context.Context) error {
+	settings, err := conf.Load(v.Settings, "node", "relay", "platform")
+	if err != nil {
+		return fmt.Errorf("loading settings: %w", err)
+	}
+	limitMemory(settings.Platform)
+	f := &finder{kv: platform.NewStore(conf.Address(settings.Platform.GetStoreAddress()))}
+	r := relay.New(relay.Options{
+		Name:   settings.Relay.GetHeartbeatAddress(),
+		Worker: platform.NewWorker(conf.Address(settings.Relay.GetWorkerAddress())),
+		Find:   f.find,
+		Attend: f.attend,
+	})
+	f.gates = r.Gates
+	listeners, err := listen(settings.Relay.GetHeartbeatAddress())
+	if err != nil {
+		return err
+	}
+	defer klog.Flush()
+	klog.InfoS("relay: started", "id", settings.Node.GetId(), "data_centre", settings.Node.GetDataCentre())
+	beats := &http.Server{Handler: platform.Beats(r), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.Run(ctx) })
+	group.Go(func() error { return serveHTTP(beats, listeners[0]) })
+	group.Go(func() error { return serveMetricsOf(ctx, settings, "relay", nil) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return beats.Close()
+	})
+	err = group.Wait()
+	klog.InfoS("relay: stopped", "err", err)
+	return err
+}
+
+// finder finds the scheduler and keeps one link to it.
+type finder struct {
+	kv    store.TxnKV
+	gates func() []netip.AddrPort
+	mu    sync.Mutex
+	conn  *link.Conn
+	addr  netip.AddrPort
+}
+
+// find reads who holds the duty, from the store or else from a known gate.
+func (f *finder) find(ctx context.Context) (netip.AddrPort, error) {
+	call, cancel := context.WithTimeout(ctx, findTime)
+	defer cancel()
+	claim, err := duty.ReadClaim(call, f.kv)
+	if err == nil {
+		return parseAddress(claim)
+	}
+	if errors.Is(err, store.ErrNotFound) {
+		return netip.AddrPort{}, fmt.Errorf("nobody holds the duty: %w", err)
+	}
+	for _, addr := range f.gates() {
+		claim, asked := f.ask(ctx, addr)
+		if asked == nil && claim.GetAddress() != "" {
+			return parseAddress(claim)
+		}
+	}
+	return netip.AddrPort{}, err
+}
+
+func parseAddress(claim *flow.Claim) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(claim.GetAddress())
+	if err != nil {
+		return addr, fmt.Errorf("address of the scheduler: %w", err)
+	}
+	return addr, nil
+}
+
+func (f *finder) ask(ctx context.Context, addr netip.AddrPort) (*flow.Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTime)
+	defer cancel()
+	conn, err := link.Dial(ctx, nil, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	response := &flow.FindResponse{}
+	if err := conn.Call(ctx, gate.RPCName+".Find", &flow.FindRequest{}, response); err != nil {
+		return nil, fmt.Errorf("asking %s for the scheduler: %w", addr, err)
+	}
+	return response.GetClaim(), nil
+}
+
+// attend sends a report over the link to the scheduler.
+func (f *finder) attend(ctx context.Context, addr netip.AddrPort, report *flow.Report) (*flow.Orders, error) {
+	conn, err := f.linkTo(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	orders := &flow.Orders{}
+	if err := conn.Call(ctx, gate.RPCName+".Attend", proto.Clone(report), orders); err != nil {
+		f.drop(conn)
+		return nil, fmt.Errorf("reporting to %s: %w", addr, err)
+	}
+	return orders, nil
+}
+
+func (f *finder) linkTo(ctx context.Context, addr netip.AddrPort) (*link.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conn != nil && f.addr == addr {
+		select {
+		case <-f.conn.Done():
+		default:
+			return f.conn, nil
+		}
+	}
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	conn, err := link.Dial(ctx, nil, addr)
+	if err != nil {
+		return nil, err
+	}
+	f.conn, f.addr = conn, addr
+	return conn, nil
+}
+
+// drop closes a link that failed, so that the next report dials a new one.
+func (f *finder) drop(conn *link.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	conn.Close()
+	if f.conn == conn {
+		f.conn = nil
+	}
+}
+
+// serveMetricsOf serves the metrics page of a process, if it has an address.
+func serveMetricsOf(ctx context.Context, settings *conf.Settings, role string, register func(*meter.Meter) error) error {
+	addr, ok := metricsAddress(settings)
+	if !ok {
+		return nil
+	}
+	page, err := meter.New(role, settings.Node.GetId())
+	if err != nil {
+		return fmt.Errorf("starting metrics: %w", err)
+	}
+	if register != nil {
+		if err := register(page); err != nil {
+			return err
+		}
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", page.Handler())
+	server := &http.Server{Addr: addr.String(), Handler: mux, ReadHeaderTimeout: headerTime}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // a scrape may be cut
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving metrics: %w", err)
+	}
+	return nil
+}
