--- a/clock/steady.go
+++ b/clock/steady.go
@@ -7,22 +7,25 @@
 )
 
 var (
-	begin     = time.Now()
-	bootBegin = bootTime()
+	begin          = time.Now()
+	beginSuspended = suspended()
 )
 
 // Steady returns the time since the process began. It never jumps, and unlike
 // the runtime's clock it counts a suspension of the machine.
 func Steady() time.Duration {
-	return max(time.Since(begin), bootTime()-bootBegin)
+	return time.Since(begin) + suspended() - beginSuspended
 }
 
-// bootTime is 0 where the kernel does not have the clock; the runtime's clock
-// then decides alone.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+// suspended returns how long the machine has been suspended since it booted. It
+// is 0 where the kernel lacks a clock; the runtime's clock then decides alone.
+func suspended() time.Duration {
+	var boot, monotonic unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
 		return 0
 	}
-	return time.Duration(ts.Nano())
+	// The readings are apart by the time between the calls, which is no suspension.
+	const readingTime = 10 * time.Millisecond
+	d := time.Duration(boot.Nano() - monotonic.Nano())
+	return d.Truncate(readingTime)
 }
--- a/duty/report.go
+++ b/duty/report.go
@@ -205,13 +205,13 @@
 // answer gives a relay its orders.
 func (st *state) answer(s *Scheduler, relay string, answer chan *flow.Orders) {
 	w := st.workers[relay]
+	if w != nil && w.waiter == answer {
+		w.waiter = nil
+	}
 	if w == nil || !s.claim.Valid() {
-		close(answer)
+		give(answer, nil)
 		return
 	}
-	if w.waiter == answer {
-		w.waiter = nil
-	}
 	if w.changed {
 		w.version++
 		w.changed = false
@@ -224,6 +224,11 @@
 		orders.PermitMs = max(0, (s.settings.StartAge - age).Milliseconds())
 	}
 	st.fill(w, orders)
+	give(answer, orders)
+}
+
+// give answers a report once; nil says that the duty is not held.
+func give(answer chan *flow.Orders, orders *flow.Orders) {
 	select {
 	case answer <- orders:
 	default: // the report has been answered meanwhile
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -127,7 +127,7 @@
 	answer := make(chan *flow.Orders, 1)
 	err := s.own.Do(s.ctx, func(st *state) {
 		if !s.claim.Valid() || !st.loaded {
-			close(answer)
+			give(answer, nil)
 			return
 		}
 		st.report(s, report, answer)
@@ -138,11 +138,8 @@
 	timer := time.NewTimer(answerWait)
 	defer timer.Stop()
 	select {
-	case orders, ok := <-answer:
-		if ok {
-			return orders, nil
-		}
-		return nil, ErrNotHolder
+	case orders := <-answer:
+		return held(orders)
 	case <-s.ctx.Done():
 		return nil, ErrNotHolder
 	case <-timer.C:
@@ -150,13 +147,18 @@
 	// The wait is over; the worker gets what there is.
 	s.own.Post(func(st *state) { st.answer(s, report.GetRelay(), answer) })
 	select {
-	case orders, ok := <-answer:
-		if ok {
-			return orders, nil
-		}
+	case orders := <-answer:
+		return held(orders)
 	case <-s.ctx.Done():
+		return nil, ErrNotHolder
+	}
+}
+
+func held(orders *flow.Orders) (*flow.Orders, error) {
+	if orders == nil {
+		return nil, ErrNotHolder
 	}
-	return nil, ErrNotHolder
+	return orders, nil
 }
 
 // act runs after each batch of events.
--- /dev/null
+++ b/plan/decide_test.go
@@ -0,0 +1,54 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+)
+
+// workerAt returns an empty worker with 8 accelerators on a rack.
+func workerAt(n int, rack string) Worker {
+	room := Amount{CPU: 64000, Memory: 262144, Accelerators: 8}
+	return Worker{
+		Place: graph.Place{Worker: fmt.Sprintf("w%d", n)}, Service: "care", Labels: []string{"a", rack}, Rack: rack,
+		Capacity: room, Free: room, Usable: true, Slowness: 1,
+	}
+}
+
+func jobOf(id string, priority int32, steps ...*flow.Step) *graph.Job {
+	return graph.New(&flow.Job{Id: id, Service: "care", Priority: priority, MaxAttempts: 3, Steps: steps}, nil)
+}
+
+// requestsOf returns the requests of a job's ready units.
+func requestsOf(j *graph.Job, change func(*Request)) []Request {
+	var requests []Request
+	for _, unit := range j.Ready(0) {
+		r := Request{
+			Unit: unit, Slack: 10 * time.Second, Lateness: time.Minute, Duration: 5 * time.Second,
+			Need: Amount{CPU: unit.Step.GetCpu(), Memory: unit.Step.GetMemoryMb(), Accelerators: unit.Step.GetAccelerators()},
+		}
+		if change != nil {
+			change(&r)
+		}
+		requests = append(requests, r)
+	}
+	return requests
+}
+
+func TestMaxPerWorkerHoldsWithinOneDecision(t *testing.T) {
+	j := jobOf("0000000000000001", 1, &flow.Step{Count: 4, Cpu: 1000, MaxPerWorker: 1})
+	d := Decide(Input{
+		Workers:  []Worker{workerAt(1, "r1"), workerAt(2, "r1")},
+		Requests: requestsOf(j, nil),
+	})
+	seen := map[graph.Place]int{}
+	for _, a := range d.Starts {
+		seen[a.Places[0]]++
+	}
+	if len(d.Starts) != 2 || seen[graph.Place{Worker: "w1"}] != 1 || seen[graph.Place{Worker: "w2"}] != 1 {
+		t.Errorf("starts by worker: %v; want one on each", seen)
+	}
+}
--- a/plan/state.go
+++ b/plan/state.go
@@ -17,6 +17,16 @@
 	// reservations keep room for units that do not fit yet.
 	reservations []reservation
 	stopping     map[runKey]bool
+	// started counts the tasks of a step that this decision starts on a worker.
+	started map[stepOn]int32
+}
+
+// stepOn is a step of one occurrence of a job on one worker.
+type stepOn struct {
+	job        *graph.Job
+	occurrence int32
+	step       int32
+	worker     int
 }
 
 // reservation keeps room on a worker from a time on.
@@ -34,7 +44,7 @@
 func newState(in Input) *state {
 	s := &state{
 		in: in, workers: slices.Clone(in.Workers), index: map[graph.Place]int{},
-		racks: map[string][]int{}, stopping: map[runKey]bool{},
+		racks: map[string][]int{}, stopping: map[runKey]bool{}, started: map[stepOn]int32{},
 	}
 	for i, w := range s.workers {
 		s.index[w.Place] = i
@@ -58,8 +68,10 @@
 
 // take gives the unit's tasks their room.
 func (s *state) take(r *Request, workers []int) {
+	first := r.Unit.Tasks[0]
 	for _, w := range workers {
 		s.workers[w].Free = s.workers[w].Free.Minus(r.Need)
+		s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]++
 	}
 }
 
@@ -182,6 +194,9 @@
 		return used
 	}
 	first := r.Unit.Tasks[0]
+	for w := range s.workers {
+		used[w] = s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]
+	}
 	for _, t := range r.Unit.Job.Active() {
 		if t.Ref.Step == first.Step && t.Ref.Occurrence == first.Occurrence {
 			if w, ok := s.index[t.Place]; ok {
