Order nothing on a worker before it has obeyed the new epoch

Cause: the first orders of a new holder repeated the starts that the former one had stored. Ruled out: late execution (the worker's fence refuses it), overtaken orders.

--- a/clock/steady.go
+++ b/clock/steady.go
@@ -11,10 +11,15 @@
 	beginSuspended = suspended()
 )
 
-// Steady returns the time since the process began. It never jumps, and unlike
-// the runtime's clock it counts a suspension of the machine.
+// origin keeps readings positive where a test's clock begins long before the
+// process did.
+const origin = 50 * 365 * 24 * time.Hour
+
+// Steady returns the time since a moment that is fixed for the process. It
+// never jumps, and unlike the runtime's clock it counts a suspension of the
+// machine.
 func Steady() time.Duration {
-	return time.Since(begin) + suspended() - beginSuspended
+	return origin + time.Since(begin) + suspended() - beginSuspended
 }
 
 // suspended returns how long the machine has been suspended since it booted. It
--- a/duty/place.go
+++ b/duty/place.go
@@ -33,13 +33,13 @@
 			delete(j.readySince, ref)
 		}
 		st.change(j)
-		klog.V(1).InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
+		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
 			"run", number, "first", a.Places[0].Worker, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
 	for _, r := range decision.Stops {
 		j := st.jobs[r.Job.Spec.GetId()]
 		if t := j.graph.Task(r.Ref); t != nil && t.Active() {
-			klog.V(1).InfoS("duty: run preempted", "job", r.Job.Spec.GetId(), "step", r.Ref.Step, "index", r.Ref.Index, "unsaved_ms", r.Unsaved.Milliseconds())
+			klog.InfoS("duty: run preempted", "job", r.Job.Spec.GetId(), "step", r.Ref.Step, "index", r.Ref.Index, "unsaved_ms", r.Unsaved.Milliseconds())
 			st.stop(j, t)
 		}
 	}
--- a/duty/report.go
+++ b/duty/report.go
@@ -223,7 +223,10 @@
 	if age, ok := s.operator.Age(); ok && !s.operator.Evacuated(w.info.GetDataCentre()) {
 		orders.PermitMs = max(0, (s.settings.StartAge - age).Milliseconds())
 	}
-	st.fill(w, orders)
+	if w.reconciled {
+		// Before that, a run of a former holder may still prove not to be there.
+		st.fill(w, orders)
+	}
 	give(answer, orders)
 }
 
--- a/duty/state.go
+++ b/duty/state.go
@@ -154,7 +154,7 @@
 		graph: graph.New(spec, nil), submitted: clock.Steady() - min(age, time.Hour),
 		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedAt: map[string]bool{},
 	}
-	klog.V(1).InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
+	klog.InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
 	if st.cancelled[id] {
 		st.cancel(st.jobs[id])
 	}
@@ -203,7 +203,7 @@
 		return
 	}
 	j.graph.Cancelled = true
-	klog.V(1).InfoS("duty: job cancelled", "job", j.graph.Spec.GetId())
+	klog.InfoS("duty: job cancelled", "job", j.graph.Spec.GetId())
 	st.change(j)
 	st.stopActive(j)
 }
@@ -261,7 +261,7 @@
 	if !j.graph.End(ref, number, how, checkpoint) {
 		return false
 	}
-	klog.V(1).InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
+	klog.InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
 		"occurrence", ref.Occurrence, "run", number, "how", how, "worker", place.Worker, "saved", checkpoint != "")
 	delete(j.runs, ref)
 	st.change(j)
@@ -282,7 +282,7 @@
 	now := time.Now().UnixMilli()
 	for _, j := range st.jobs {
 		if j.dirty && j.graph.Advance(now) {
-			klog.V(1).InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase)
+			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase)
 			st.change(j)
 			st.stopActive(j)
 		}
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -284,7 +284,7 @@
 	if table := g.operator.Table(); table != nil {
 		version = table.Version
 	}
-	klog.V(1).InfoS("gate: "+what, "job", id, "verdict", a.Verdict, "reason", a.Reason,
+	klog.InfoS("gate: "+what, "job", id, "verdict", a.Verdict, "reason", a.Reason,
 		"config_version", version, "config_age_ms", age.Milliseconds())
 	return a
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -230,7 +230,7 @@
 	if st.phase == startSending {
 		st.phase = startOpen
 	}
-	klog.V(1).InfoS("relay: start", "task", key.task, "run", key.run, "epoch", s.epoch, "try", st.tries, "answer", answer, "err", err)
+	klog.InfoS("relay: start", "task", key.task, "run", key.run, "epoch", s.epoch, "try", st.tries, "answer", answer, "err", err)
 	switch {
 	case err != nil && !errors.Is(err, ErrOtherWorker):
 		return // tried again, or given up by a stop
@@ -269,7 +269,7 @@
 func (s *state) stopAnswered(key runKey, st *stop, answer string, err error) {
 	s.answered(clock.Steady(), err)
 	st.sending = false
-	klog.V(1).InfoS("relay: stop", "task", key.task, "run", key.run, "epoch", s.epoch, "answer", answer, "err", err)
+	klog.InfoS("relay: stop", "task", key.task, "run", key.run, "epoch", s.epoch, "answer", answer, "err", err)
 	switch {
 	case err != nil && !errors.Is(err, ErrOtherWorker):
 		return
