Keep a rack open for urgent units, tell the scheduler at once, know slow workers

Now the emptiest rack is left to urgent units while others have slack; a gate tells the scheduler of what it committed; speeds come from progress every 0.5 s.

--- a/duty/health.go
+++ b/duty/health.go
@@ -20,8 +20,16 @@
 	unhealthyBan = 1500 * time.Millisecond
 	// roomBan follows a rejection for want of room.
 	roomBan = 400 * time.Millisecond
-	// minPercent is the least progress from which a speed is taken.
+	// minPercent and minSample are the least progress that a sound worker makes,
+	// and the least time, between two readings of a speed.
 	minPercent = 4
+	minSample  = 400 * time.Millisecond
+	// leastShare stands for no progress at all.
+	leastShare = 0.004
+	// maxSlowness bounds one reading.
+	maxSlowness = 20
+	// slowRun is the slowness from which a run counts as slow.
+	slowRun = 3
 	// speedWeight is the weight of a new speed against the old.
 	speedWeight = 0.5
 )
@@ -65,17 +73,34 @@
 	h.bannedUntil = max(h.bannedUntil, now+ban)
 }
 
-// progressed takes a new percentage of a run.
-func (h *health) progressed(r *run, percent int32, now time.Duration) {
-	gained := percent - r.percent
-	took := now - r.percentAt
-	if gained < minPercent || took < 300*time.Millisecond || r.expected <= 0 {
+// sample takes the progress of a run, from which the worker's speed is known.
+func (h *health) sample(r *run, percent int32, now time.Duration) {
+	took := now - r.sampleAt
+	if r.expected <= 0 || took < max(minSample, r.expected*minPercent/100) {
 		return
 	}
-	slowness := took.Seconds() / (r.expected.Seconds() * float64(gained) / 100)
+	share := float64(percent-r.samplePercent) / 100
+	r.sampleAt, r.samplePercent = now, percent
+	slowness := min(maxSlowness, took.Seconds()/(r.expected.Seconds()*max(share, leastShare)))
+	if slowness < slowRun {
+		r.slowSamples = 0
+	} else {
+		r.slowSamples++
+	}
+	r.slowness = slowness
 	if h.slowness == 0 {
 		h.slowness = slowness
 		return
 	}
 	h.slowness += speedWeight * (slowness - h.slowness)
 }
+
+// speed returns how many times as long tasks take; estimates are too rough to
+// tell apart what is near 1.
+func (h *health) speed() float64 {
+	const soundBelow = 2
+	if h.slowness < soundBelow {
+		return 1
+	}
+	return h.slowness
+}
--- a/duty/place.go
+++ b/duty/place.go
@@ -29,7 +29,7 @@
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
 		number := j.graph.Assign(a.Unit, a.Places)
 		for i, ref := range a.Unit.Tasks {
-			j.runs[ref] = &run{run: number, at: now, percentAt: now, expected: st.expectedAt(j, ref, a.Places[i], s)}
+			j.runs[ref] = &run{run: number, at: now, percentAt: now, sampleAt: now, expected: st.expectedAt(j, ref, a.Places, i, s)}
 			delete(j.readySince, ref)
 		}
 		st.change(j)
@@ -46,14 +46,26 @@
 	st.plan = len(decision.Starts) > 0
 }
 
-// expectedAt is the expected time of a task at a place.
-func (st *state) expectedAt(j *job, ref graph.Ref, p graph.Place, s *Scheduler) time.Duration {
-	d := expected(j, ref)
-	rack := j.graph.Step(ref).GetDataRack()
-	if w := st.byPlace[p]; rack != "" && w != nil && rackOf(w.info) != rack {
-		d = time.Duration(float64(d) * s.settings.RemoteFactor)
-	}
-	return d
+// expectedAt is the expected time of the unit's task i at its place.
+func (st *state) expectedAt(j *job, ref graph.Ref, places []graph.Place, i int, s *Scheduler) time.Duration {
+	step := j.graph.Step(ref)
+	remote := step.GetDataRack() != "" && st.rackAt(places[i]) != step.GetDataRack()
+	if step.GetGang() && step.GetSameRack() {
+		for _, p := range places {
+			remote = remote || st.rackAt(p) != st.rackAt(places[0])
+		}
+	}
+	if remote {
+		return time.Duration(float64(expected(j, ref)) * s.settings.RemoteFactor)
+	}
+	return expected(j, ref)
+}
+
+func (st *state) rackAt(p graph.Place) string {
+	if w := st.byPlace[p]; w != nil {
+		return rackOf(w.info)
+	}
+	return ""
 }
 
 // rackOf returns the label that names the worker's rack: the last one.
@@ -87,7 +99,7 @@
 	for p, w := range st.byPlace {
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
-			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: max(1, w.health.slowness),
+			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: w.health.speed(),
 		})
 	}
 	sortWorkers(in.Workers)
@@ -111,13 +123,9 @@
 	}
 	done := time.Duration(float64(r.expected) * float64(r.percent) / 100)
 	remaining := max(0, r.expected-max(done, 0)-(now-r.percentAt))
-	unsaved := now - r.at
-	if j.graph.Step(t.Ref).GetCheckpointing() {
-		unsaved = min(unsaved, time.Second) // a stop saves what there is
-	}
 	return plan.Running{
 		Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Remaining: remaining,
-		Unsaved: unsaved, Stopping: r.stop, Guaranteed: guaranteed,
+		Unsaved: st.unsaved(j, t.Ref, now), Stopping: r.stop, Guaranteed: guaranteed,
 	}
 }
 
--- a/duty/report.go
+++ b/duty/report.go
@@ -185,19 +185,19 @@
 	}
 	known := j.runs[ref]
 	if known == nil || known.run != t.Run {
-		known = &run{run: t.Run, stored: true, at: now, percentAt: now, expected: expected(j, ref)}
+		known = &run{run: t.Run, stored: true, at: now, percentAt: now, sampleAt: now, expected: expected(j, ref)}
 		j.runs[ref] = known
 	}
 	if j.graph.Begun(ref, t.Run) {
-		known.percentAt = now
+		known.percentAt, known.sampleAt = now, now
 		w.changed = true
 	}
 	if r.GetPercent() > known.percent {
-		w.health.progressed(known, r.GetPercent(), now)
 		known.percent, known.percentAt = r.GetPercent(), now
 	}
-	if r.GetCheckpoint() != "" && r.GetCheckpoint() != known.checkpoint {
-		known.checkpoint, known.savedPercent = r.GetCheckpoint(), known.percent
+	w.health.sample(known, known.percent, now)
+	if r.GetCheckpoint() != "" {
+		known.checkpoint = r.GetCheckpoint()
 	}
 	return true
 }
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -170,6 +170,7 @@
 	st.expire(s, now)
 	if st.plan && s.claim.Valid() {
 		st.plan = false
+		st.moveSlow(now)
 		st.place(s, now)
 	}
 	st.advance()
--- a/duty/state.go
+++ b/duty/state.go
@@ -42,10 +42,13 @@
 	percent int32
 	// percentAt is when the percentage last grew.
 	percentAt time.Duration
-	// savedPercent is the percentage at the last new checkpoint.
-	savedPercent int32
-	checkpoint   string
-	expected     time.Duration
+	// sampleAt and samplePercent are the last reading of its speed.
+	sampleAt      time.Duration
+	samplePercent int32
+	slowness      float64
+	slowSamples   int // slow readings in a row
+	checkpoint    string
+	expected      time.Duration
 }
 
 // runRef names a run of a task of a known job.
@@ -177,7 +180,7 @@
 		j.graph.Cancelled = cancelled
 		j.workRevision = item.Revision
 		for _, t := range j.graph.Active() {
-			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, percentAt: st.began, expected: expected(j, t.Ref)}
+			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, percentAt: st.began, sampleAt: st.began, expected: expected(j, t.Ref)}
 		}
 	}
 	st.early = nil
@@ -258,11 +261,16 @@
 	if r := j.runs[ref]; r != nil && r.run == number && checkpoint == "" {
 		checkpoint = r.checkpoint
 	}
+	lost := 0.0
+	if how != graph.EndDone {
+		lost = st.unsaved(j, ref, clock.Steady()).Seconds() * amount(j.graph.Step(ref)).Cores()
+	}
 	if !j.graph.End(ref, number, how, checkpoint) {
 		return false
 	}
 	klog.InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
-		"occurrence", ref.Occurrence, "run", number, "how", how, "worker", place.Worker, "saved", checkpoint != "")
+		"occurrence", ref.Occurrence, "run", number, "how", how, "worker", place.Worker, "saved", checkpoint != "",
+		"cancelled", j.graph.Cancelled, "lost_core_s", int64(lost))
 	delete(j.runs, ref)
 	st.change(j)
 	st.touch(place)
@@ -277,12 +285,29 @@
 	return true
 }
 
+// unsaved returns the work of a run that a stop would throw away.
+func (st *state) unsaved(j *job, ref graph.Ref, now time.Duration) time.Duration {
+	r := j.runs[ref]
+	if r == nil {
+		return 0
+	}
+	unsaved := now - r.at
+	if j.graph.Step(ref).GetCheckpointing() {
+		unsaved = min(unsaved, stopSaves)
+	}
+	return unsaved
+}
+
+// stopSaves bounds the work that is lost when a task that checkpoints is stopped.
+const stopSaves = time.Second
+
 // advance moves jobs to the phases that their tasks imply.
 func (st *state) advance() {
 	now := time.Now().UnixMilli()
 	for _, j := range st.jobs {
 		if j.dirty && j.graph.Advance(now) {
-			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase)
+			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase, "priority", j.graph.Spec.GetPriority(),
+				"took_ms", (clock.Steady() - j.submitted).Milliseconds(), "objective_ms", graph.ObjectiveMS(j.graph.Spec))
 			st.change(j)
 			st.stopActive(j)
 		}
@@ -291,6 +316,9 @@
 
 // expire ends the runs of workers whose task lease has surely run out.
 func (st *state) expire(s *Scheduler, now time.Duration) {
+	if !s.claim.Valid() {
+		return // another process may have heard of the workers since
+	}
 	limit := time.Duration(float64(s.settings.TaskLease)*leaseTolerance) + leaseMargin
 	for _, j := range st.jobs {
 		for _, t := range j.graph.Active() {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -58,6 +58,7 @@
 	scheduler atomic.Pointer[duty.Scheduler]
 	leaving   atomic.Bool
 	vacant    chan struct{}
+	teller    teller
 }
 
 // New returns a gate; Run starts it.
@@ -65,6 +66,7 @@
 	g := &Gate{opts: opts, board: newBoard(), vacant: make(chan struct{})}
 	g.jobs = cache.New(opts.KV, duty.KeyPrefix, g.applyJobs)
 	g.orders = cache.New(opts.KV, opts.Operator.Prefix, g.applyOperator)
+	g.teller = newTeller(g.board.holder)
 	g.operator = &operator{evacuated: map[string]bool{}, age: g.orders.Age}
 	return g
 }
@@ -86,6 +88,7 @@
 	start(g.orders.Run)
 	start(g.watchClaim)
 	start(candidate.Run)
+	start(g.teller.run)
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("running gate: %w", err)
 	}
@@ -184,6 +187,14 @@
 	return nil
 }
 
+// Tell takes a change that another gate has committed.
+func (c Calls) Tell(change *flow.Change, _ *flow.ChangeAnswer) error {
+	if s := c.gate.scheduler.Load(); s != nil {
+		s.Apply([]store.Event{{Item: store.Item{Key: change.GetKey(), Value: change.GetValue(), Revision: change.GetRevision()}}})
+	}
+	return nil
+}
+
 // validID tells whether a caller may choose the id.
 func validID(id string) bool {
 	const idLength = 16
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -170,11 +170,14 @@
 	doubt := false
 	for {
 		try, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTime)
-		_, err := g.opts.KV.Commit(try, txn)
+		revision, err := g.opts.KV.Commit(try, txn)
 		cancel()
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
+			for _, w := range txn.Writes {
+				g.teller.tell(&flow.Change{Key: w.Key, Value: w.Value, Revision: revision})
+			}
 			return nil, nil
 		case errors.As(err, &conflict):
 			return conflict, nil
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -10,6 +10,14 @@
 	// rackPatience is how long a unit waits for room on the right rack while
 	// there is room elsewhere.
 	rackPatience = 1500 * time.Millisecond
+	// keptSlack is the slack above which a unit leaves the emptiest rack to
+	// urgent units.
+	keptSlack = 4 * time.Second
+	// keptPatience is how long it does so while most room is free.
+	keptPatience = 2 * time.Second
+	// rackWeight is what free room on a worker's rack counts against room on the
+	// worker itself, so that whole racks stay open.
+	rackWeight = 0.2
 	// maxReservations bounds the units for which room is kept free.
 	maxReservations = 4
 )
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -50,7 +50,7 @@
 
 // stopShare is the most thrown-away work that a unit outside a guarantee may
 // cause, as a share of its own.
-const stopShare = 0.5
+const stopShare = 1.5
 
 // worth bounds the core-seconds that may be thrown away for the unit.
 func (s *state) worth(r *Request) float64 {
--- a/plan/state.go
+++ b/plan/state.go
@@ -19,6 +19,10 @@
 	stopping     map[runKey]bool
 	// started counts the tasks of a step that this decision starts on a worker.
 	started map[stepOn]int32
+	// kept is the rack that is held open for urgent units, or "".
+	kept string
+	// busy tells whether more than half of the room was taken at the start.
+	busy bool
 }
 
 // stepOn is a step of one occurrence of a job on one worker.
@@ -55,9 +59,57 @@
 			s.stopping[runKey{r.Job, r.Ref}] = true
 		}
 	}
+	s.kept, s.busy = s.emptiestRack(), s.mostlyBusy()
 	return s
 }
 
+// emptiestRack returns the rack with the most free room on usable workers.
+func (s *state) emptiestRack() string {
+	best, bestFree := "", 0.0
+	if len(s.racks) < 2 {
+		return best
+	}
+	for _, rack := range sortedKeys(s.racks) {
+		if free := s.rackFree(rack); free > bestFree {
+			best, bestFree = rack, free
+		}
+	}
+	return best
+}
+
+// rackFree returns the free cores on the usable workers of a rack.
+func (s *state) rackFree(rack string) float64 {
+	free := 0.0
+	for _, w := range s.racks[rack] {
+		if s.workers[w].Usable {
+			free += s.workers[w].Free.Cores()
+		}
+	}
+	return free
+}
+
+// leaves tells whether a unit leaves a rack to urgent units for now. Work whose
+// data is there does not, and nothing waits for long while half of all room is
+// free.
+func (s *state) leaves(r *Request, rack string) bool {
+	if rack != s.kept || r.priority() == 0 || r.Slack <= keptSlack || r.Unit.Step.GetDataRack() == rack {
+		return false
+	}
+	return r.Ready < keptPatience || s.busy
+}
+
+// mostlyBusy tells whether more than half of the room on usable workers is taken.
+func (s *state) mostlyBusy() bool {
+	free, all := 0.0, 0.0
+	for i := range s.workers {
+		if s.workers[i].Usable {
+			free += s.workers[i].Free.Cores()
+			all += s.workers[i].Capacity.Cores()
+		}
+	}
+	return free < all/2
+}
+
 func (s *state) placesOf(workers []int) []graph.Place {
 	places := make([]graph.Place, len(workers))
 	for i, w := range workers {
@@ -211,6 +263,8 @@
 	worker := &s.workers[w]
 	step := r.Unit.Step
 	switch {
+	case s.leaves(r, worker.Rack):
+		return false
 	case !worker.Usable || worker.Service != r.Unit.Job.Spec.GetService() || !room.Covers(r.Need):
 		return false
 	case step.GetRequiredLabel() != "" && !worker.hasLabel(step.GetRequiredLabel()):
@@ -256,7 +310,7 @@
 
 // cost is low for workers that the task fills well and for fast ones.
 func (s *state) cost(w int, after Amount) float64 {
-	return after.Cores() + slowCost*max(0, s.workers[w].Slowness-1)
+	return after.Cores() + rackWeight*s.rackFree(s.workers[w].Rack) + slowCost*max(0, s.workers[w].Slowness-1)
 }
 
 // reserve keeps the room where the unit fits soonest.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,12 +21,16 @@
 	callTime = 600 * time.Millisecond
 	// maxTries is how often a start without an answer is sent.
 	maxTries = 3
-	// holdWait is the longest wait of one call for an end.
-	holdWait = 1900 * time.Millisecond
+	// holdWait is the longest wait of one call for an end. It bounds the age of
+	// the progress from which the scheduler tells a slow worker.
+	holdWait = 500 * time.Millisecond
+	// endPause is the pause between two calls while the worker has ends that are
+	// not stored yet, because such a call does not wait.
+	endPause = 100 * time.Millisecond
 	// callPause is the pause after a failed call to the worker.
 	callPause = 300 * time.Millisecond
 	// tickPeriod is the time between two looks at what is due.
-	tickPeriod = 200 * time.Millisecond
+	tickPeriod = 100 * time.Millisecond
 )
 
 // Options configures a Relay.
@@ -153,7 +157,7 @@
 			r.sendStop(s, key, st)
 		}
 	}
-	if !s.holding && now >= s.holdNotUntil {
+	if !s.holding && now >= s.holdNotUntil && (len(s.ends) == 0 || now >= s.endsNotUntil) {
 		r.hold(s)
 	}
 	r.notify(s)
@@ -330,4 +334,5 @@
 	}
 	s.setClock(lists.Clock, now)
 	s.applyLists(lists, number, observed)
+	s.endsNotUntil = now + endPause
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -68,6 +68,7 @@
 	holdDone     int64         // of the last hold answered
 	holding      bool
 	holdNotUntil time.Duration // relay's clock; pause after a failed call
+	endsNotUntil time.Duration // relay's clock; pause while ends are not stored
 	lost         bool          // calls to the worker fail
 
 	ordersVersion int64
