--- a/duty/place.go
+++ b/duty/place.go
@@ -36,10 +36,15 @@
 		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
 			"run", number, "first", a.Places[0].Worker, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
+	st.held = map[unitKey][]graph.Place{}
+	for _, h := range decision.Holds {
+		st.held[unitKey{h.Unit.Job, h.Unit.Tasks[0]}] = h.Places
+	}
 	for _, r := range decision.Stops {
 		j := st.jobs[r.Job.Spec.GetId()]
 		if t := j.graph.Task(r.Ref); t != nil && t.Active() {
-			klog.InfoS("duty: run preempted", "job", r.Job.Spec.GetId(), "step", r.Ref.Step, "index", r.Ref.Index, "unsaved_ms", r.Unsaved.Milliseconds())
+			klog.InfoS("duty: run preempted", "job", r.Job.Spec.GetId(), "step", r.Ref.Step, "index", r.Ref.Index,
+				"unsaved_ms", r.Unsaved.Milliseconds(), "for", r.For.Job.Spec.GetId(), "for_tasks", len(r.For.Tasks))
 			st.stop(j, t)
 		}
 	}
@@ -144,6 +149,7 @@
 		Unit: unit, Need: amount(unit.Step), Ready: now - since, Slack: left - tail,
 		Lateness: lateFactor*objective - (now - j.submitted) - tail,
 		Duration: time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Reclaims: reclaims,
+		Held: st.held[unitKey{j.graph, first}],
 	}
 }
 
--- a/duty/state.go
+++ b/duty/state.go
@@ -96,9 +96,17 @@
 	plan       bool
 	writing    bool
 	superseded bool
+	// held is where room is being made for units.
+	held map[unitKey][]graph.Place
 	seq        int64
 }
 
+// unitKey names a unit by its job and first task.
+type unitKey struct {
+	job   *graph.Job
+	first graph.Ref
+}
+
 func newState(now time.Duration) *state {
 	return &state{
 		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{},
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -18,6 +18,9 @@
 	// rackWeight is what free room on a worker's rack counts against room on the
 	// worker itself, so that whole racks stay open.
 	rackWeight = 0.2
+	// leastRemaining is the expected time to the end of a run that has outlived
+	// its declared time.
+	leastRemaining = 400 * time.Millisecond
 	// maxReservations bounds the units for which room is kept free.
 	maxReservations = 4
 )
@@ -27,7 +30,11 @@
 	s := newState(in)
 	requests := slices.Clone(in.Requests)
 	slices.SortStableFunc(requests, compareRequests)
+	for i := range requests {
+		s.holdEarlier(&requests[i])
+	}
 	var d Decision
+	reserved := 0
 	for i := range requests {
 		r := &requests[i]
 		if places, ok := s.fit(r, false); ok {
@@ -35,13 +42,14 @@
 			d.Starts = append(d.Starts, Assignment{Unit: r.Unit, Places: s.placesOf(places)})
 			continue
 		}
-		victims, waits := s.victims(r)
-		d.Stops = append(d.Stops, victims...)
-		if waits {
-			continue // room for it is on its way and kept
-		}
-		if len(s.reservations) < maxReservations {
+		stops, held := s.makeRoom(r)
+		d.Stops = append(d.Stops, stops...)
+		switch {
+		case held != nil:
+			d.Holds = append(d.Holds, Assignment{Unit: r.Unit, Places: s.placesOf(held)})
+		case reserved < maxReservations:
 			s.reserve(r)
+			reserved++
 		}
 	}
 	return d
--- a/plan/input.go
+++ b/plan/input.go
@@ -77,6 +77,8 @@
 	Duration time.Duration
 	// Reclaims tells that the customer's guarantee covers the unit.
 	Reclaims bool
+	// Held is where an earlier decision makes room for the unit, or nil.
+	Held []graph.Place
 }
 
 // Running is a run that holds room.
@@ -116,5 +118,13 @@
 type Decision struct {
 	Starts []Assignment
 	// Stops are runs to end so that more urgent units find room.
-	Stops []Running
+	Stops []Stop
+	// Holds are the units for which room is being made, with where.
+	Holds []Assignment
+}
+
+// Stop is a run to end for a unit.
+type Stop struct {
+	Running
+	For graph.Unit
 }
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -13,39 +13,66 @@
 	cost float64
 }
 
-// victims finds the cheapest running work whose stop makes room for a unit that
-// may stop others. It also tells whether room for the unit is already on its
-// way, which is then kept for it.
-func (s *state) victims(r *Request) (stops []Running, waits bool) {
+// makeRoom finds the cheapest running work whose stop makes room for a unit that
+// may stop others, and returns the stops and where the room will be. There are
+// no stops if the room is on its way already.
+func (s *state) makeRoom(r *Request) (stops []Stop, held []int) {
 	if r.priority() != 0 && !r.Reclaims {
-		return nil, false
+		return nil, nil
 	}
-	free := s.freeAfterStops()
+	free := s.freeAfterStops(r)
+	if held := s.stillHeld(r, free); held != nil {
+		return nil, held
+	}
+	s.release(r)
 	if found, ok := s.fitInto(r, free, r.Reclaims); ok {
-		s.keep(found, r.Need, 0)
-		return nil, true
+		s.keep(r, found, 0)
+		return nil, found
 	}
 	groups := s.groups(r)
 	chosen, found := s.cheapest(r, groups, free)
 	if found == nil {
-		return nil, false
+		return nil, nil
 	}
 	cost := 0.0
 	for _, g := range chosen {
 		cost += groups[g].cost
 	}
 	if !r.Reclaims && cost > s.worth(r) {
-		return nil, false
+		return nil, nil
 	}
 	for _, g := range chosen {
 		for _, i := range groups[g].runs {
 			run := s.in.Running[i]
 			s.stopping[runKey{run.Job, run.Ref}] = true
-			stops = append(stops, run)
+			stops = append(stops, Stop{Running: run, For: r.Unit})
+		}
+	}
+	s.keep(r, found, 0)
+	return stops, found
+}
+
+// stillHeld returns the workers where an earlier decision makes room for the
+// unit, if that room is still to be expected.
+func (s *state) stillHeld(r *Request, free []Amount) []int {
+	var workers []int
+	for _, kept := range s.reservations {
+		if kept.owner != r {
+			continue
+		}
+		if !free[kept.worker].Covers(kept.need) {
+			return nil
 		}
+		workers = append(workers, kept.worker)
+	}
+	if workers == nil {
+		return nil
+	}
+	held := make([]int, len(r.Held))
+	for i, p := range r.Held {
+		held[i] = s.index[p]
 	}
-	s.keep(found, r.Need, 0)
-	return stops, true
+	return held
 }
 
 // stopShare is the most thrown-away work that a unit outside a guarantee may
@@ -59,7 +86,7 @@
 
 // freeAfterStops is the room once all ordered stops are done, without what
 // other units that wait for such room will take.
-func (s *state) freeAfterStops() []Amount {
+func (s *state) freeAfterStops(r *Request) []Amount {
 	free := make([]Amount, len(s.workers))
 	for i := range s.workers {
 		free[i] = s.workers[i].Free
@@ -71,7 +98,7 @@
 		}
 	}
 	for _, kept := range s.reservations {
-		if kept.from == 0 {
+		if kept.from == 0 && kept.owner != r {
 			free[kept.worker] = free[kept.worker].Minus(kept.need)
 		}
 	}
--- a/plan/state.go
+++ b/plan/state.go
@@ -35,6 +35,7 @@
 
 // reservation keeps room on a worker from a time on.
 type reservation struct {
+	owner  *Request
 	worker int
 	need   Amount
 	from   time.Duration
@@ -120,6 +121,7 @@
 
 // take gives the unit's tasks their room.
 func (s *state) take(r *Request, workers []int) {
+	s.release(r)
 	first := r.Unit.Tasks[0]
 	for _, w := range workers {
 		s.workers[w].Free = s.workers[w].Free.Minus(r.Need)
@@ -279,7 +281,7 @@
 func (s *state) leavesReserved(r *Request, w int, room Amount) bool {
 	after := room.Minus(r.Need)
 	for _, kept := range s.reservations {
-		if kept.worker != w || r.Duration <= kept.from {
+		if kept.worker != w || kept.owner == r || r.Duration <= kept.from {
 			continue
 		}
 		if !s.freeAt(w, after, kept.from).Covers(kept.need) {
@@ -305,7 +307,7 @@
 	if s.stopping[runKey{r.Job, r.Ref}] {
 		return 0
 	}
-	return r.Remaining
+	return max(r.Remaining, leastRemaining)
 }
 
 // cost is low for workers that the task fills well and for fast ones.
@@ -331,22 +333,45 @@
 			continue
 		}
 		if found, ok := s.fitInto(r, free, false); ok {
-			s.keep(found, r.Need, s.remaining(&order[i]))
+			s.keep(r, found, s.remaining(&order[i]))
 			return
 		}
 	}
 }
 
-func (s *state) keep(workers []int, need Amount, from time.Duration) {
+// keep holds room for a unit on workers, one entry for each task.
+func (s *state) keep(r *Request, workers []int, from time.Duration) {
 	byWorker := map[int]Amount{}
 	for _, w := range workers {
-		byWorker[w] = byWorker[w].Plus(need)
+		byWorker[w] = byWorker[w].Plus(r.Need)
 	}
 	for _, w := range sortedKeys(byWorker) {
-		s.reservations = append(s.reservations, reservation{worker: w, need: byWorker[w], from: from})
+		s.reservations = append(s.reservations, reservation{owner: r, worker: w, need: byWorker[w], from: from})
 	}
 }
 
+// release drops what is kept for a unit.
+func (s *state) release(r *Request) {
+	s.reservations = slices.DeleteFunc(s.reservations, func(kept reservation) bool { return kept.owner == r })
+}
+
+// holdEarlier keeps the room that an earlier decision makes for a unit, so that
+// no other unit takes it while it becomes free piece by piece.
+func (s *state) holdEarlier(r *Request) {
+	if len(r.Held) != len(r.Unit.Tasks) {
+		return
+	}
+	workers := make([]int, len(r.Held))
+	for i, p := range r.Held {
+		w, ok := s.index[p]
+		if !ok || !s.workers[w].Usable {
+			return
+		}
+		workers[i] = w
+	}
+	s.keep(r, workers, 0)
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
