Stop nothing for a unit that is late anyway; a slow job moves once

A guarantee now reclaims for a job's first start only. A stop that makes its job late counts with all of that job's work.

--- a/duty/place.go
+++ b/duty/place.go
@@ -128,8 +128,14 @@
 	}
 	done := time.Duration(float64(r.expected) * float64(r.percent) / 100)
 	remaining := max(0, r.expected-max(done, 0)-(now-r.percentAt))
+	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
+	tail := time.Duration(graph.TailMS(j.graph.Spec, t.Ref.Step)) * time.Millisecond
+	spare := objective - (now - j.submitted) - tail
+	if j.graph.Step(t.Ref).GetCheckpointing() {
+		spare += done
+	}
 	return plan.Running{
-		Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Remaining: remaining,
+		Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Remaining: remaining, Expected: r.expected, Spare: spare,
 		Unsaved: st.unsaved(j, t.Ref, now), Stopping: r.stop, Guaranteed: guaranteed,
 	}
 }
@@ -148,7 +154,7 @@
 	return plan.Request{
 		Unit: unit, Need: amount(unit.Step), Ready: now - since, Slack: left - tail,
 		Lateness: lateFactor*objective - (now - j.submitted) - tail,
-		Duration: time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Reclaims: reclaims,
+		Duration: time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Reclaims: reclaims && j.graph.Task(first) == nil,
 		Held: st.held[unitKey{j.graph, first}],
 	}
 }
--- a/duty/report.go
+++ b/duty/report.go
@@ -195,7 +195,9 @@
 	if r.GetPercent() > known.percent {
 		known.percent, known.percentAt = r.GetPercent(), now
 	}
-	w.health.sample(known, known.percent, now)
+	if !j.moved {
+		w.health.sample(known, known.percent, now)
+	}
 	if r.GetCheckpoint() != "" {
 		known.checkpoint = r.GetCheckpoint()
 	}
--- a/duty/slow.go
+++ b/duty/slow.go
@@ -18,11 +18,12 @@
 )
 
 // moveSlow stops runs of urgent jobs on workers that have turned slow if they
-// would miss their objective there and end much sooner elsewhere. Work of other
+// would miss their objective there and end much sooner elsewhere. A job moves
+// once: if it is slow again, its declared time is wrong and not the worker. Work of other
 // queues has time to spare and waits for the worker to recover.
 func (st *state) moveSlow(now time.Duration) {
 	for _, j := range st.jobs {
-		if j.graph.Over() || j.graph.Spec.GetPriority() != 0 {
+		if j.graph.Over() || j.graph.Spec.GetPriority() != 0 || j.moved {
 			continue
 		}
 		objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
@@ -38,6 +39,7 @@
 			}
 			klog.InfoS("duty: slow run stopped", "job", j.graph.Spec.GetId(), "step", t.Ref.Step, "index", t.Ref.Index,
 				"worker", t.Place.Worker, "percent", r.percent, "slowness", r.slowness, "left_ms", left.Milliseconds())
+			j.moved = true
 			for _, ref := range j.graph.Members(t.Ref) {
 				if m := j.graph.Task(ref); m != nil && m.Active() && !m.Done {
 					st.stop(j, m)
--- a/duty/state.go
+++ b/duty/state.go
@@ -29,6 +29,8 @@
 	runs       map[graph.Ref]*run
 	// readySince is when the unit of a task became ready.
 	readySince map[graph.Ref]time.Duration
+	// moved tells that a run was stopped because its worker was slow.
+	moved bool
 	// failedAt has the workers on which a task of the job has failed.
 	failedAt map[string]bool
 }
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -21,6 +21,9 @@
 	// leastRemaining is the expected time to the end of a run that has outlived
 	// its declared time.
 	leastRemaining = 400 * time.Millisecond
+	// reserveStep is how finely the times are told apart at which a unit that
+	// waits may fit.
+	reserveStep = 200 * time.Millisecond
 	// maxReservations bounds the units for which room is kept free.
 	maxReservations = 4
 )
--- a/plan/input.go
+++ b/plan/input.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"time"
 
 	"catkinpoint/graph"
@@ -30,6 +31,17 @@
 	return a.CPU >= need.CPU && a.Memory >= need.Memory && a.Accelerators >= need.Accelerators
 }
 
+// holds returns how many tasks of a need fit into the amount.
+func (a Amount) holds(need Amount) int64 {
+	most := int64(math.MaxInt32)
+	for _, part := range [][2]int64{{a.CPU, need.CPU}, {a.Memory, need.Memory}, {a.Accelerators, need.Accelerators}} {
+		if part[1] > 0 {
+			most = min(most, part[0]/part[1])
+		}
+	}
+	return most
+}
+
 // acceleratorCores is what an accelerator counts for beside a processor core.
 const acceleratorCores = 8
 
@@ -92,6 +104,10 @@
 	Remaining time.Duration
 	// Unsaved is the work that a stop would throw away.
 	Unsaved time.Duration
+	// Expected is the time that the run takes from its start.
+	Expected time.Duration
+	// Spare is the slack that its job would have left after a stop now.
+	Spare time.Duration
 	// Stopping tells that a stop was ordered.
 	Stopping bool
 	// Guaranteed tells that a guarantee covers the run, so that it is not stopped.
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"catkinpoint/graph"
 )
@@ -17,8 +18,8 @@
 // may stop others, and returns the stops and where the room will be. There are
 // no stops if the room is on its way already.
 func (s *state) makeRoom(r *Request) (stops []Stop, held []int) {
-	if r.priority() != 0 && !r.Reclaims {
-		return nil, nil
+	if !r.Reclaims && (r.priority() != 0 || r.Slack <= 0) {
+		return nil, nil // a stop would not make the unit meet its objective
 	}
 	free := s.freeAfterStops(r)
 	if held := s.stillHeld(r, free); held != nil {
@@ -44,7 +45,7 @@
 	for _, g := range chosen {
 		for _, i := range groups[g].runs {
 			run := s.in.Running[i]
-			s.stopping[runKey{run.Job, run.Ref}] = true
+			s.stopping[i] = true
 			stops = append(stops, Stop{Running: run, For: r.Unit})
 		}
 	}
@@ -92,9 +93,9 @@
 		free[i] = s.workers[i].Free
 	}
 	for i := range s.in.Running {
-		r := &s.in.Running[i]
-		if w, ok := s.index[r.At]; ok && s.stopping[runKey{r.Job, r.Ref}] {
-			free[w] = free[w].Plus(r.Need)
+		run := &s.in.Running[i]
+		if w, ok := s.index[run.At]; ok && s.stopping[i] {
+			free[w] = free[w].Plus(run.Need)
 		}
 	}
 	for _, kept := range s.reservations {
@@ -118,7 +119,7 @@
 	for i := range s.in.Running {
 		run := &s.in.Running[i]
 		lower := run.Job.Spec.GetPriority() > r.priority()
-		if run.Guaranteed || s.stopping[runKey{run.Job, run.Ref}] || !lower && !r.Reclaims {
+		if run.Guaranteed || s.stopping[i] || !lower && !r.Reclaims {
 			continue
 		}
 		k := key{run.Job, run.Ref.Occurrence, run.Ref.Step, run.Ref.Index}
@@ -132,12 +133,25 @@
 			groups = append(groups, group{})
 		}
 		groups[g].runs = append(groups[g].runs, i)
-		groups[g].cost += run.Need.Cores() * run.Unsaved.Seconds()
+		groups[g].cost += s.stopCost(run)
 	}
 	slices.SortStableFunc(groups, func(a, b group) int { return cmp.Compare(a.cost, b.cost) })
 	return groups
 }
 
+// stopCost is what a stop costs, in core-seconds: the work that it throws away,
+// and all of the run's if its job then misses an objective that it would meet.
+func (s *state) stopCost(run *Running) float64 {
+	cost := run.Need.Cores() * run.Unsaved.Seconds()
+	if run.Spare < spareAfterStop && run.Spare+run.Unsaved > 0 {
+		cost += run.Need.Cores() * run.Expected.Seconds()
+	}
+	return cost
+}
+
+// spareAfterStop is the slack below which a stopped job is expected to be late.
+const spareAfterStop = 2 * time.Second
+
 // cheapest adds groups, cheapest first, until the unit fits, and then spares
 // those that were not needed, dearest first. It tries each rack alone as well.
 func (s *state) cheapest(r *Request, groups []group, free []Amount) (chosen, found []int) {
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -107,7 +107,8 @@
 			estimate := time.Duration(r.arrival.job.Step(r.ref).GetEstimateMs()) * time.Millisecond
 			in.Running = append(in.Running, Running{
 				Job: r.arrival.job, Ref: r.ref, Run: r.run, At: r.place, Need: r.need,
-				Remaining: max(0, r.began+estimate-now), Unsaved: now - r.began, Stopping: r.stopAt > 0,
+				Remaining: max(0, r.began+estimate-now), Unsaved: now - r.began, Stopping: r.stopAt > 0, Expected: estimate,
+				Spare: time.Duration(graph.ObjectiveMS(r.arrival.job.Spec))*time.Millisecond - (now - r.arrival.at) - estimate,
 			})
 		}
 		d := Decide(in)
--- a/plan/state.go
+++ b/plan/state.go
@@ -16,7 +16,12 @@
 	racks   map[string][]int
 	// reservations keep room for units that do not fit yet.
 	reservations []reservation
-	stopping     map[runKey]bool
+	// on has the running work of each worker, and stopping what is being
+	// stopped, by index of Running.
+	on       [][]int
+	stopping []bool
+	// rackRoom is the free cores on the usable workers of a rack.
+	rackRoom map[string]float64
 	// started counts the tasks of a step that this decision starts on a worker.
 	started map[stepOn]int32
 	// kept is the rack that is held open for urgent units, or "".
@@ -41,23 +46,23 @@
 	from   time.Duration
 }
 
-type runKey struct {
-	job *graph.Job
-	ref graph.Ref
-}
-
 func newState(in Input) *state {
 	s := &state{
-		in: in, workers: slices.Clone(in.Workers), index: map[graph.Place]int{},
-		racks: map[string][]int{}, stopping: map[runKey]bool{}, started: map[stepOn]int32{},
+		in: in, workers: slices.Clone(in.Workers), index: map[graph.Place]int{}, racks: map[string][]int{},
+		on: make([][]int, len(in.Workers)), stopping: make([]bool, len(in.Running)),
+		rackRoom: map[string]float64{}, started: map[stepOn]int32{},
 	}
 	for i, w := range s.workers {
 		s.index[w.Place] = i
 		s.racks[w.Rack] = append(s.racks[w.Rack], i)
+		if w.Usable {
+			s.rackRoom[w.Rack] += w.Free.Cores()
+		}
 	}
-	for _, r := range in.Running {
-		if r.Stopping {
-			s.stopping[runKey{r.Job, r.Ref}] = true
+	for i := range in.Running {
+		s.stopping[i] = in.Running[i].Stopping
+		if w, ok := s.index[in.Running[i].At]; ok {
+			s.on[w] = append(s.on[w], i)
 		}
 	}
 	s.kept, s.busy = s.emptiestRack(), s.mostlyBusy()
@@ -71,24 +76,13 @@
 		return best
 	}
 	for _, rack := range sortedKeys(s.racks) {
-		if free := s.rackFree(rack); free > bestFree {
+		if free := s.rackRoom[rack]; free > bestFree {
 			best, bestFree = rack, free
 		}
 	}
 	return best
 }
 
-// rackFree returns the free cores on the usable workers of a rack.
-func (s *state) rackFree(rack string) float64 {
-	free := 0.0
-	for _, w := range s.racks[rack] {
-		if s.workers[w].Usable {
-			free += s.workers[w].Free.Cores()
-		}
-	}
-	return free
-}
-
 // leaves tells whether a unit leaves a rack to urgent units for now. Work whose
 // data is there does not, and nothing waits for long while half of all room is
 // free.
@@ -125,6 +119,7 @@
 	first := r.Unit.Tasks[0]
 	for _, w := range workers {
 		s.workers[w].Free = s.workers[w].Free.Minus(r.Need)
+		s.rackRoom[s.workers[w].Rack] -= r.Need.Cores()
 		s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]++
 	}
 }
@@ -164,12 +159,18 @@
 
 // rackCouldHold tells whether some rack would hold the gang if it were empty.
 func (s *state) rackCouldHold(r *Request) bool {
-	empty := make([]Amount, len(s.workers))
-	for i := range s.workers {
-		empty[i] = s.workers[i].Capacity
+	for _, members := range s.racks {
+		fits := int64(0)
+		for _, w := range members {
+			if worker := &s.workers[w]; worker.Usable && worker.Service == r.Unit.Job.Spec.GetService() {
+				fits += worker.Capacity.holds(r.Need)
+			}
+		}
+		if fits >= int64(len(r.Unit.Tasks)) {
+			return true
+		}
 	}
-	_, ok := s.fitOneRack(r, empty)
-	return ok
+	return false
 }
 
 // fitOneRack finds the rack that the gang fills best.
@@ -234,7 +235,9 @@
 			room = free[best]
 		}
 		left[best] = room.Minus(r.Need)
-		used[best]++
+		if used != nil {
+			used[best]++
+		}
 		found = append(found, best)
 	}
 	return found, true
@@ -243,10 +246,10 @@
 // alreadyOn counts the tasks of the unit's step that hold a worker, for steps
 // with a limit.
 func (s *state) alreadyOn(r *Request) map[int]int32 {
-	used := map[int]int32{}
 	if r.Unit.Step.GetMaxPerWorker() == 0 {
-		return used
+		return nil
 	}
+	used := map[int]int32{}
 	first := r.Unit.Tasks[0]
 	for w := range s.workers {
 		used[w] = s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]
@@ -294,46 +297,51 @@
 // freeAt returns the room on a worker at a later time, as far as running work
 // is expected to have ended.
 func (s *state) freeAt(w int, room Amount, at time.Duration) Amount {
-	for i := range s.in.Running {
-		r := &s.in.Running[i]
-		if r.At == s.workers[w].Place && s.remaining(r) <= at {
-			room = room.Plus(r.Need)
+	for _, i := range s.on[w] {
+		if s.remaining(i) <= at {
+			room = room.Plus(s.in.Running[i].Need)
 		}
 	}
 	return room
 }
 
-func (s *state) remaining(r *Running) time.Duration {
-	if s.stopping[runKey{r.Job, r.Ref}] {
+// remaining returns the expected time to the end of running work.
+func (s *state) remaining(i int) time.Duration {
+	if s.stopping[i] {
 		return 0
 	}
-	return max(r.Remaining, leastRemaining)
+	return max(s.in.Running[i].Remaining, leastRemaining)
 }
 
 // cost is low for workers that the task fills well and for fast ones.
 func (s *state) cost(w int, after Amount) float64 {
-	return after.Cores() + rackWeight*s.rackFree(s.workers[w].Rack) + slowCost*max(0, s.workers[w].Slowness-1)
+	return after.Cores() + rackWeight*s.rackRoom[s.workers[w].Rack] + slowCost*max(0, s.workers[w].Slowness-1)
 }
 
 // reserve keeps the room where the unit fits soonest.
 func (s *state) reserve(r *Request) {
-	order := slices.Clone(s.in.Running)
-	slices.SortStableFunc(order, func(a, b Running) int { return cmp.Compare(s.remaining(&a), s.remaining(&b)) })
+	order := make([]int, len(s.in.Running))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.remaining(a), s.remaining(b)) })
 	free := make([]Amount, len(s.workers))
 	for i := range s.workers {
 		free[i] = s.workers[i].Free
 	}
-	for i := range order {
-		w, ok := s.index[order[i].At]
+	for n, i := range order {
+		run := &s.in.Running[i]
+		w, ok := s.index[run.At]
 		if !ok {
 			continue
 		}
-		free[w] = free[w].Plus(order[i].Need)
-		if i+1 < len(order) && s.remaining(&order[i+1]) == s.remaining(&order[i]) {
+		free[w] = free[w].Plus(run.Need)
+		// The fit is tried at a few moments, not after each end.
+		if n+1 < len(order) && s.remaining(order[n+1])/reserveStep == s.remaining(i)/reserveStep {
 			continue
 		}
 		if found, ok := s.fitInto(r, free, false); ok {
-			s.keep(r, found, s.remaining(&order[i]))
+			s.keep(r, found, s.remaining(i))
 			return
 		}
 	}
