--- a/cache/follower.go
+++ b/cache/follower.go
@@ -19,6 +19,10 @@
 	watchWait = 700 * time.Millisecond
 	// retryPause keeps a failing store from being called in a loop.
 	retryPause = 150 * time.Millisecond
+	// gatherPause lets changes gather before the next call, because each call
+	// counts against the store's rate and a busy scheduler writes many times a
+	// second.
+	gatherPause = 150 * time.Millisecond
 	// rangeTime bounds a read of all keys.
 	rangeTime = 3 * time.Second
 )
@@ -107,6 +111,7 @@
 	}
 	if len(changed) > 0 {
 		f.apply(changed)
+		clock.Sleep(ctx, gatherPause)
 	}
 	return max(after, next), nil
 }
