--- a/duty/claim.go
+++ b/duty/claim.go
@@ -87,6 +87,7 @@
 			}
 			continue
 		}
+		claimsCount.Add(ctx, 1)
 		klog.InfoS("duty: claimed", "holder", c.Name, "epoch", claim.Epoch, "revision", claim.Revision)
 		c.hold(ctx, claim)
 		klog.InfoS("duty: given up", "holder", c.Name, "epoch", claim.Epoch)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -147,7 +147,9 @@
 		// task gets a new run.
 		orders := b.attend(reportOf(1, 2, 2))
 		for sequence := int64(3); sequence < 6 && len(orders.GetStarts()) == 0; sequence++ {
-			orders = b.attend(reportOf(1, sequence, 2))
+			next := reportOf(1, sequence, 2)
+			next.OrdersVersion = orders.GetVersion()
+			orders = b.attend(next)
 		}
 		if len(orders.GetStarts()) != 1 || orders.GetStarts()[0].GetRun() != 2 {
 			t.Errorf("starts after the worker was listed: %v; want run 2", orders.GetStarts())
--- a/duty/place.go
+++ b/duty/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -24,7 +25,9 @@
 	if len(in.Requests) == 0 {
 		return
 	}
+	began := time.Now()
 	decision := plan.Decide(in)
+	observe(decisionTime, time.Since(began))
 	for _, a := range decision.Starts {
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
 		number := j.graph.Assign(a.Unit, a.Places)
@@ -33,6 +36,8 @@
 			delete(j.readySince, ref)
 		}
 		st.change(j)
+		startsCount.Add(context.Background(), int64(len(a.Places)))
+		observe(waitTime, now-j.submitted)
 		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
 			"run", number, "first", a.Places[0].Worker, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
@@ -43,6 +48,7 @@
 	for _, r := range decision.Stops {
 		j := st.jobs[r.Job.Spec.GetId()]
 		if t := j.graph.Task(r.Ref); t != nil && t.Active() {
+			stopsCount.Add(context.Background(), 1)
 			klog.InfoS("duty: run preempted", "job", r.Job.Spec.GetId(), "step", r.Ref.Step, "index", r.Ref.Index,
 				"unsaved_ms", r.Unsaved.Milliseconds(), "for", r.For.Job.Spec.GetId(), "for_tasks", len(r.For.Tasks))
 			st.stop(j, t)
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -177,6 +177,9 @@
 	if !st.writing {
 		s.flush(st)
 	}
+	if !st.sweeping && now >= st.sweepAt && s.claim.Valid() {
+		s.sweep(st, now)
+	}
 	for _, w := range st.workers {
 		if w.waiter != nil && w.changed {
 			st.answer(s, w.relay, w.waiter)
@@ -211,11 +214,13 @@
 // commit repeats the transaction until its outcome is certain.
 func (s *Scheduler) commit(b *batch) writeResult {
 	doubt := false
+	start := clock.Steady()
 	for {
 		call, cancel := context.WithTimeout(s.ctx, claimCallTime)
 		revision, err := s.kv.Commit(call, b.txn)
 		cancel()
 		if err == nil {
+			observe(writeTime, clock.Steady()-start)
 			return writeResult{revision: revision}
 		}
 		if conflict := asConflict(err); conflict != nil {
@@ -230,6 +235,7 @@
 			return writeResult{ended: true}
 		}
 		if !doubt {
+			doubtsCount.Add(s.ctx, 1)
 			klog.InfoS("duty: write not confirmed", "rows", b.txn.Rows(), "err", err)
 		}
 		doubt = true
--- a/duty/state.go
+++ b/duty/state.go
@@ -98,9 +98,11 @@
 	plan       bool
 	writing    bool
 	superseded bool
+	sweeping   bool
+	sweepAt    time.Duration
 	// held is where room is being made for units.
 	held map[unitKey][]graph.Place
-	seq        int64
+	seq  int64
 }
 
 // unitKey names a unit by its job and first task.
@@ -278,6 +280,8 @@
 	if !j.graph.End(ref, number, how, checkpoint) {
 		return false
 	}
+	count(endsCount, 1, "how", how)
+	count(thrownCount, int64(lost), "how", how)
 	klog.InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
 		"occurrence", ref.Occurrence, "run", number, "how", how, "worker", place.Worker, "saved", checkpoint != "",
 		"cancelled", j.graph.Cancelled, "lost_core_s", int64(lost))
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -142,6 +142,8 @@
 // create stores the job. It repeats a write without an answer, which succeeds
 // at most once, as long as the caller's time allows.
 func (g *Gate) create(ctx context.Context, call Call, job *flow.Job) Answer {
+	start := clock.Steady()
+	defer func() { acceptTook(clock.Steady() - start) }()
 	value, err := proto.Marshal(job)
 	if err != nil {
 		return Answer{Verdict: Invalid, Reason: fmt.Sprintf("encoding job: %v", err)}
@@ -202,6 +204,7 @@
 		return g.logged("state", id, *refusal)
 	}
 	if id == "" {
+		answered("pending", Done)
 		return Answer{Verdict: Done, Queued: true, Pending: g.board.pending(queue.Name)}
 	}
 	known, refusal := g.look(ctx, id)
@@ -211,6 +214,7 @@
 	if known.job.GetQueue() != queue.Name || known.job.GetCustomer() != customer {
 		return g.logged("state", id, Answer{Verdict: NoJob, Reason: "the job belongs to another queue or customer"})
 	}
+	answered("state", Done)
 	return Answer{Verdict: Done, Phase: known.phase()}
 }
 
@@ -282,12 +286,13 @@
 
 // logged writes the line of a decision on a call.
 func (g *Gate) logged(what, id string, a Answer) Answer {
+	answered(what, a.Verdict)
 	age, _ := g.orders.Age()
 	var version int64
 	if table := g.operator.Table(); table != nil {
 		version = table.Version
 	}
-	klog.InfoS("gate: "+what, "job", id, "verdict", a.Verdict, "reason", a.Reason,
+	klog.InfoS("gate: "+what, "job", id, "verdict", a.Verdict.String(), "reason", a.Reason,
 		"config_version", version, "config_age_ms", age.Milliseconds())
 	return a
 }
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/clock"
@@ -18,6 +22,7 @@
 	"catkinpoint/duty"
 	"catkinpoint/gate"
 	"catkinpoint/link"
+	"catkinpoint/logs"
 	"catkinpoint/platform"
 	"catkinpoint/wire"
 )
@@ -47,6 +52,11 @@
 	if err != nil {
 		return fmt.Errorf("loading settings: %w", err)
 	}
+	flush, err := logs.Start(os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer flush()
 	limitMemory(settings.Platform)
 	g := gate.New(gateOptions(settings))
 	server, err := link.NewServer()
@@ -60,7 +70,6 @@
 	if err != nil {
 		return err
 	}
-	defer klog.Flush()
 	klog.InfoS("gate: started", "id", settings.Node.GetId(), "data_centre", settings.Node.GetDataCentre())
 	callers := &http.Server{Handler: platform.Callers(g), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	ready := &http.Server{Handler: platform.Readiness(g), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
@@ -68,10 +77,11 @@
 	defer stop()
 	group, life := errgroup.WithContext(life)
 	group.Go(func() error { return g.Run(life) })
+	group.Go(func() error { return reload(life, v.Settings, settings, "gate") })
 	group.Go(func() error { return server.Serve(listeners[0]) })
 	group.Go(func() error { return serveHTTP(callers, listeners[1]) })
 	group.Go(func() error { return serveHTTP(ready, listeners[2]) })
-	group.Go(func() error { return serveMetricsOf(life, settings, "gate", nil) })
+	group.Go(func() error { return serveMetricsOf(life, settings, "gate") })
 	group.Go(func() error {
 		defer stop()
 		defer func() { _ = listeners[0].Close() }() // ends Serve
@@ -120,6 +130,30 @@
 	}
 }
 
+// reload reads the settings again on SIGHUP. The memory limit is applied at
+// once; addresses and times hold until the next start. Faults leave everything
+// as it is.
+func reload(ctx context.Context, path string, settings *conf.Settings, role string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+		}
+		fresh, err := conf.Load(path, "node", role, "platform")
+		if err != nil {
+			klog.ErrorS(err, "settings not reloaded", "path", path)
+			continue
+		}
+		limitMemory(fresh.Platform)
+		klog.InfoS("settings reloaded", "path", path, "memory_mb", fresh.Platform.GetMemoryMb(),
+			"needs_restart", !proto.Equal(fresh.Node, settings.Node) || !proto.Equal(fresh.Gate, settings.Gate) || !proto.Equal(fresh.Relay, settings.Relay))
+	}
+}
+
 // limitMemory makes the runtime keep to the process's limit.
 func limitMemory(p *wire.Platform) {
 	if mb := p.GetMemoryMb(); mb > 0 {
--- a/verbs/relay.go
+++ b/verbs/relay.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
@@ -18,6 +20,7 @@
 	"catkinpoint/flow"
 	"catkinpoint/gate"
 	"catkinpoint/link"
+	"catkinpoint/logs"
 	"catkinpoint/meter"
 	"catkinpoint/platform"
 	"catkinpoint/relay"
@@ -38,6 +41,11 @@
 	if err != nil {
 		return fmt.Errorf("loading settings: %w", err)
 	}
+	flush, err := logs.Start(os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer flush()
 	limitMemory(settings.Platform)
 	f := &finder{kv: platform.NewStore(conf.Address(settings.Platform.GetStoreAddress()))}
 	r := relay.New(relay.Options{
@@ -51,13 +59,13 @@
 	if err != nil {
 		return err
 	}
-	defer klog.Flush()
 	klog.InfoS("relay: started", "id", settings.Node.GetId(), "data_centre", settings.Node.GetDataCentre())
 	beats := &http.Server{Handler: platform.Beats(r), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.Run(ctx) })
 	group.Go(func() error { return serveHTTP(beats, listeners[0]) })
-	group.Go(func() error { return serveMetricsOf(ctx, settings, "relay", nil) })
+	group.Go(func() error { return serveMetricsOf(ctx, settings, "relay") })
+	group.Go(func() error { return reload(ctx, v.Settings, settings, "relay") })
 	group.Go(func() error {
 		<-ctx.Done()
 		return beats.Close()
@@ -166,7 +174,7 @@
 }
 
 // serveMetricsOf serves the metrics page of a process, if it has an address.
-func serveMetricsOf(ctx context.Context, settings *conf.Settings, role string, register func(*meter.Meter) error) error {
+func serveMetricsOf(ctx context.Context, settings *conf.Settings, role string) error {
 	addr, ok := metricsAddress(settings)
 	if !ok {
 		return nil
@@ -175,11 +183,7 @@
 	if err != nil {
 		return fmt.Errorf("starting metrics: %w", err)
 	}
-	if register != nil {
-		if err := register(page); err != nil {
-			return err
-		}
-	}
+	otel.SetMeterProvider(page.Provider())
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page.Handler())
 	server := &http.Server{Addr: addr.String(), Handler: mux, ReadHeaderTimeout: headerTime}
