--- /dev/null
+++ b/cache/follower_test.go
@@ -0,0 +1,84 @@
+package cache
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"catkinpoint/stand/fakekv"
+	"catkinpoint/store"
+)
+
+// follow runs a follower of "a/" and keeps the copy that it makes.
+func follow(t *testing.T, kv *fakekv.Server, copied map[string]string) (*Follower, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := New(kv, "a/", func(events []store.Event) {
+		for _, e := range events {
+			if e.Deleted {
+				delete(copied, e.Key)
+				continue
+			}
+			copied[e.Key] = string(e.Value)
+		}
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	return f, func() {
+		cancel()
+		<-done
+	}
+}
+
+func commit(t *testing.T, kv *fakekv.Server, txn store.Txn) {
+	t.Helper()
+	if _, err := kv.Commit(t.Context(), txn); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCopyFollowsChanges(t *testing.T) {
+	tests := []struct {
+		name    string
+		compact bool
+		down    time.Duration
+	}{
+		{name: "watch"},
+		{name: "history is dropped", compact: true},
+		{name: "store is away", down: 5 * time.Second},
+		{name: "store is away and drops its history", compact: true, down: 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := fakekv.New()
+				commit(t, kv, store.Txn{Writes: []store.Write{{Key: "a/1", Value: []byte("x")}, {Key: "a/2", Value: []byte("x")}, {Key: "b/1"}}})
+				copied := map[string]string{}
+				f, stop := follow(t, kv.WithCaller("f"), copied)
+				defer stop()
+				time.Sleep(time.Second)
+				kv.SetFaults("f", fakekv.Faults{Down: test.down > 0})
+				time.Sleep(test.down)
+				if test.down > 0 && f.Younger(test.down-time.Second) {
+					t.Error("the copy counts as young while the store is away")
+				}
+				commit(t, kv, store.Txn{Writes: []store.Write{{Key: "a/1", Value: []byte("y")}, {Key: "a/3", Value: []byte("z")}}, Deletes: []string{"a/2"}})
+				if test.compact {
+					kv.Compact()
+				}
+				kv.SetFaults("f", fakekv.Faults{})
+				time.Sleep(2 * time.Second)
+				if len(copied) != 2 || copied["a/1"] != "y" || copied["a/3"] != "z" {
+					t.Errorf("copy: %v", copied)
+				}
+				// One wait ended and the next is under way.
+				if !f.Younger(2*watchWait + gatherPause) {
+					t.Error("the copy is old although the store answers")
+				}
+			})
+		})
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -189,12 +189,27 @@
 
 // Tell takes a change that another gate has committed.
 func (c Calls) Tell(change *flow.Change, _ *flow.ChangeAnswer) error {
-	if s := c.gate.scheduler.Load(); s != nil {
-		s.Apply([]store.Event{{Item: store.Item{Key: change.GetKey(), Value: change.GetValue(), Revision: change.GetRevision()}}})
-	}
+	c.gate.take(change)
 	return nil
 }
 
+// take hands a change to the scheduler, if this gate holds the duty.
+func (g *Gate) take(change *flow.Change) bool {
+	s := g.scheduler.Load()
+	if s == nil {
+		return false
+	}
+	s.Apply([]store.Event{{Item: store.Item{Key: change.GetKey(), Value: change.GetValue(), Revision: change.GetRevision()}}})
+	return true
+}
+
+// tell makes a committed change known to the scheduler, here or elsewhere.
+func (g *Gate) tell(change *flow.Change) {
+	if !g.take(change) {
+		g.teller.tell(change)
+	}
+}
+
 // validID tells whether a caller may choose the id.
 func validID(id string) bool {
 	const idLength = 16
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -178,7 +178,7 @@
 		switch {
 		case err == nil:
 			for _, w := range txn.Writes {
-				g.teller.tell(&flow.Change{Key: w.Key, Value: w.Value, Revision: revision})
+				g.tell(&flow.Change{Key: w.Key, Value: w.Value, Revision: revision})
 			}
 			return nil, nil
 		case errors.As(err, &conflict):
--- a/gate/tell.go
+++ b/gate/tell.go
@@ -61,13 +61,13 @@
 			if conn != nil {
 				conn.Close()
 			}
-			if conn, err = dial(ctx, holder); err != nil {
+			if conn, err = dialHolder(ctx, holder); err != nil {
 				klog.InfoS("gate: scheduler not told", "key", change.GetKey(), "err", err)
 				continue
 			}
 			addr = holder
 		}
-		if err := call(ctx, conn, change); err != nil {
+		if err := sendChange(ctx, conn, change); err != nil {
 			klog.InfoS("gate: scheduler not told", "key", change.GetKey(), "err", err)
 			conn.Close()
 			conn = nil
@@ -75,13 +75,13 @@
 	}
 }
 
-func dial(ctx context.Context, addr netip.AddrPort) (*link.Conn, error) {
+func dialHolder(ctx context.Context, addr netip.AddrPort) (*link.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
 	return link.Dial(ctx, nil, addr)
 }
 
-func call(ctx context.Context, conn *link.Conn, change *flow.Change) error {
+func sendChange(ctx context.Context, conn *link.Conn, change *flow.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
 	if err := conn.Call(ctx, RPCName+".Tell", change, &flow.ChangeAnswer{}); err != nil {
--- /dev/null
+++ b/graph/job_test.go
@@ -0,0 +1,201 @@
+package graph
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"catkinpoint/flow"
+)
+
+func place(n int) Place { return Place{Worker: fmt.Sprint("w", n), Born: 1, Relay: "r"} }
+
+func placesFor(u Unit) []Place {
+	places := make([]Place, len(u.Tasks))
+	for i := range places {
+		places[i] = place(i)
+	}
+	return places
+}
+
+func TestStepsWaitForEarlierOnes(t *testing.T) {
+	j := New(&flow.Job{Id: "a", MaxAttempts: 2, Steps: []*flow.Step{{Count: 2}, {Count: 1, After: []int32{0}}}}, nil)
+	first := j.Ready(0)
+	if len(first) != 2 {
+		t.Fatalf("%d units are ready; want the 2 tasks of the first step", len(first))
+	}
+	for i, u := range first {
+		j.Assign(u, placesFor(u))
+		if len(j.Ready(0)) != 1-i {
+			t.Errorf("after %d starts: %d units are ready", i+1, len(j.Ready(0)))
+		}
+		j.End(u.Tasks[0], 1, EndDone, "")
+	}
+	second := j.Ready(0)
+	if len(second) != 1 || second[0].Tasks[0].Step != 1 {
+		t.Fatalf("after the first step: %v", second)
+	}
+	j.Assign(second[0], placesFor(second[0]))
+	j.End(second[0].Tasks[0], 1, EndDone, "")
+	if !j.Advance(7) || j.Phase != flow.Phase_COMPLETED || j.EndedUnixMS != 7 {
+		t.Errorf("phase %v", j.Phase)
+	}
+}
+
+func TestGangEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		hows   [2]string // of the two members, in order
+		phase  flow.Phase
+		ready  int
+		failed int32
+	}{
+		{"one done represents all", [2]string{EndDone, EndBroken}, flow.Phase_COMPLETED, 0, 0},
+		{"a failure counts once", [2]string{EndFailed, EndBroken}, flow.Phase_RUNNING, 1, 1},
+		{"alone is no failure", [2]string{EndAlone, EndStopped}, flow.Phase_RUNNING, 1, 0},
+		{"lost is no failure", [2]string{"gone", EndBroken}, flow.Phase_RUNNING, 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := New(&flow.Job{Id: "a", MaxAttempts: 2, Steps: []*flow.Step{{Count: 2, Gang: true}}}, nil)
+			u := j.Ready(0)[0]
+			run := j.Assign(u, placesFor(u))
+			j.End(u.Tasks[0], run, test.hows[0], "")
+			if test.phase == flow.Phase_RUNNING && len(j.Ready(0)) != 0 {
+				t.Error("the gang is ready while a member may run")
+			}
+			j.End(u.Tasks[1], run, test.hows[1], "")
+			j.Advance(1)
+			if j.Phase != test.phase || len(j.Ready(0)) != test.ready || j.Task(u.Tasks[1]).Failures != test.failed {
+				t.Errorf("phase %v, %d ready, %d failures", j.Phase, len(j.Ready(0)), j.Task(u.Tasks[1]).Failures)
+			}
+		})
+	}
+}
+
+func TestAttemptsRunOut(t *testing.T) {
+	j := New(&flow.Job{Id: "a", MaxAttempts: 2, Steps: []*flow.Step{{Count: 1}}}, nil)
+	for run := int64(1); run <= 2; run++ {
+		u := j.Ready(0)[0]
+		if got := j.Assign(u, placesFor(u)); got != run {
+			t.Errorf("run %d; want %d", got, run)
+		}
+		if j.End(u.Tasks[0], run-1, EndFailed, "") {
+			t.Error("the end of an earlier run counts")
+		}
+		j.End(u.Tasks[0], run, EndFailed, "")
+		if j.End(u.Tasks[0], run, EndFailed, "") {
+			t.Error("an end counts twice")
+		}
+		j.Advance(1)
+	}
+	if j.Phase != flow.Phase_FAILED || len(j.Ready(0)) != 0 {
+		t.Errorf("phase %v, %d ready", j.Phase, len(j.Ready(0)))
+	}
+}
+
+func TestScheduledAndLastingWork(t *testing.T) {
+	scheduled := New(&flow.Job{Id: "a", Repeats: 3, StartUnixMs: 1000, PeriodMs: 500, Steps: []*flow.Step{{Count: 1}}}, nil)
+	for _, test := range []struct{ now, want int64 }{{999, 0}, {1000, 1}, {1500, 2}, {9000, 3}} {
+		if got := len(scheduled.Ready(test.now)); got != int(test.want) {
+			t.Errorf("at %d: %d units are ready; want %d", test.now, got, test.want)
+		}
+	}
+	lasting := New(&flow.Job{Id: "b", MaxAttempts: 1, Steps: []*flow.Step{{Count: 1, LongRunning: true}}}, nil)
+	for range 5 {
+		u := lasting.Ready(0)
+		if len(u) != 1 {
+			t.Fatal("lasting work is not started again")
+		}
+		lasting.End(u[0].Tasks[0], lasting.Assign(u[0], placesFor(u[0])), EndFailed, "")
+		if lasting.Advance(1) {
+			t.Fatalf("lasting work reached phase %v", lasting.Phase)
+		}
+	}
+}
+
+func TestCheckpointIsKeptForTheNextRun(t *testing.T) {
+	j := New(&flow.Job{Id: "a", MaxAttempts: 3, Steps: []*flow.Step{{Count: 2, Gang: true, Checkpointing: true}}}, nil)
+	u := j.Ready(0)[0]
+	run := j.Assign(u, placesFor(u))
+	j.End(u.Tasks[0], run, EndStopped, "c1")
+	j.End(u.Tasks[1], run, EndBroken, "")
+	next := j.Ready(0)[0]
+	j.Assign(next, placesFor(next))
+	for _, ref := range next.Tasks {
+		if got := j.Task(ref).Checkpoint; got != "c1" {
+			t.Errorf("checkpoint of %v: %q", ref, got)
+		}
+	}
+}
+
+// Whatever happens to a job, its record gives back the same job, and a task
+// that is done or active is never ready.
+func TestRecordRoundTrip(t *testing.T) {
+	hows := []string{EndDone, EndFailed, EndStopped, EndLapsed, EndBroken, EndAlone, "gone"}
+	rapid.Check(t, func(t *rapid.T) {
+		spec := &flow.Job{Id: "a", MaxAttempts: 3, Steps: []*flow.Step{
+			{Count: 2, Gang: true, Checkpointing: true}, {Count: 2, After: []int32{0}},
+		}}
+		j := New(spec, nil)
+		for range rapid.IntRange(0, 20).Draw(t, "moves") {
+			units := j.Ready(0)
+			active := j.Active()
+			if len(units) > 0 && rapid.Bool().Draw(t, "start") {
+				u := units[rapid.IntRange(0, len(units)-1).Draw(t, "unit")]
+				j.Assign(u, placesFor(u))
+			} else if len(active) > 0 {
+				a := active[rapid.IntRange(0, len(active)-1).Draw(t, "task")]
+				j.End(a.Ref, a.Run, rapid.SampledFrom(hows).Draw(t, "how"), "c")
+			}
+			j.Advance(5)
+			again := New(spec, j.Record())
+			if diff := cmp.Diff(j.Record().String(), again.Record().String()); diff != "" || !proto.Equal(j.Record(), again.Record()) {
+				t.Fatalf("record differs: %s", diff)
+			}
+			for _, u := range again.Ready(0) {
+				for _, ref := range u.Tasks {
+					if task := again.Task(ref); task != nil && (task.Done || task.Active()) {
+						t.Fatalf("%v is ready: %+v", ref, task)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestParseTask(t *testing.T) {
+	job, ref, err := ParseTask(TaskName("ab", Ref{1, 2, 3}))
+	if err != nil || job != "ab" || ref != (Ref{1, 2, 3}) {
+		t.Errorf("parsed %q, %v, %v", job, ref, err)
+	}
+	for _, bad := range []string{"", "a", "a.1.2", "a.1.2.x", "a.1.-2.3", "a.1.2.3.4", "a.1.2.99999999999"} {
+		if _, _, err := ParseTask(bad); err == nil {
+			t.Errorf("%q was parsed", bad)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name string
+		job  *flow.Job
+		ok   bool
+	}{
+		{"simple", &flow.Job{Steps: []*flow.Step{{Count: 1}}}, true},
+		{"no steps", &flow.Job{}, false},
+		{"no tasks", &flow.Job{Steps: []*flow.Step{{}}}, false},
+		{"too many tasks", &flow.Job{Steps: []*flow.Step{{Count: MaxTasks}, {Count: 1}}}, false},
+		{"waits for itself", &flow.Job{Steps: []*flow.Step{{Count: 1, After: []int32{0}}}}, false},
+		{"negative room", &flow.Job{Steps: []*flow.Step{{Count: 1, Cpu: -1}}}, false},
+		{"no period", &flow.Job{Repeats: 2, Steps: []*flow.Step{{Count: 1}}}, false},
+	}
+	for _, test := range tests {
+		if err := Check(test.job); (err == nil) != test.ok {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+}
