A superseded holder stops writing

Cause: after its claim was gone a holder repeated the refused transaction without a pause until its lease ended.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -30,7 +31,6 @@
 	kv        *fakekv.Server
 	claim     *Claim
 	scheduler *Scheduler
-	after     int64
 }
 
 var testSettings = Settings{
@@ -74,27 +74,6 @@
 	return store.Event{Item: store.Item{Key: key, Value: value, Revision: revision}}
 }
 
-// work reads a job's stored progress.
-func (b *bench) work(id string) *graph.Job {
-	b.t.Helper()
-	record := &flow.Work{}
-	item, err := b.kv.Get(b.t.Context(), WorkKey(id))
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	if err := proto.Unmarshal(item.Value, record); err != nil {
-		b.t.Fatal(err)
-	}
-	spec := &flow.Job{}
-	if item, err = b.kv.Get(b.t.Context(), JobKey(id)); err != nil {
-		b.t.Fatal(err)
-	}
-	if err := proto.Unmarshal(item.Value, spec); err != nil {
-		b.t.Fatal(err)
-	}
-	return graph.New(spec, record)
-}
-
 func (b *bench) attend(r *flow.Report) *flow.Orders {
 	b.t.Helper()
 	orders, err := b.scheduler.Attend(r)
@@ -156,3 +135,159 @@
 		}
 	})
 }
+
+// stored reads a job's progress as the store has it.
+func (b *bench) stored(id string) *flow.Work {
+	b.t.Helper()
+	record := &flow.Work{}
+	item, err := b.kv.Get(b.t.Context(), WorkKey(id))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if err := proto.Unmarshal(item.Value, record); err != nil {
+		b.t.Fatal(err)
+	}
+	return record
+}
+
+// startOne submits a job and returns the orders with its start.
+func startOne(t *testing.T, b *bench, spec *flow.Job) (*flow.Orders, int64) {
+	t.Helper()
+	b.scheduler.Apply([]store.Event{put(t, b.kv, JobKey(spec.GetId()), spec)})
+	orders := b.attend(reportOf(1, 1, b.claim.Epoch))
+	sequence := int64(2)
+	for ; sequence < 6 && len(orders.GetStarts()) == 0; sequence++ {
+		next := reportOf(1, sequence, b.claim.Epoch)
+		next.OrdersVersion = orders.GetVersion()
+		orders = b.attend(next)
+	}
+	if len(orders.GetStarts()) == 0 {
+		t.Fatal("the job was not started")
+	}
+	return orders, sequence
+}
+
+// An end is acknowledged to its worker only after the store has it.
+func TestEndIsStoredBeforeItIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newBench(t, kv, 1)
+		orders, sequence := startOne(t, b, simpleJob(jobID, 1))
+		kv.SetFaults(fakekv.Everyone, fakekv.Faults{Down: true})
+		ended := reportOf(1, sequence, 1)
+		ended.Ends = []*flow.End{{Number: 1, Task: orders.GetStarts()[0].GetTask(), Run: 1, How: graph.EndDone}}
+		ended.OrdersVersion = orders.GetVersion()
+		if got := b.attend(ended); got.GetObserved() != 0 {
+			t.Errorf("observed %d while the store is away", got.GetObserved())
+		}
+		kv.SetFaults(fakekv.Everyone, fakekv.Faults{})
+		time.Sleep(time.Second)
+		ended.Sequence++
+		if got := b.attend(ended); got.GetObserved() != 1 {
+			t.Errorf("observed %d after the store returned", got.GetObserved())
+		}
+		if got := b.stored(jobID).GetPhase(); got != flow.Phase_COMPLETED {
+			t.Errorf("stored phase %v", got)
+		}
+	})
+}
+
+// A job that is cancelled while its start is written is not started: the write
+// needs that no cancellation exists.
+func TestCancelledJobIsNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newBench(t, kv, 1)
+		spec := simpleJob(jobID, 1)
+		put(t, kv, CancelKey(jobID), &flow.Cancellation{})
+		b.scheduler.Apply([]store.Event{put(t, kv, JobKey(jobID), spec)})
+		for sequence := int64(1); sequence < 6; sequence++ {
+			if orders := b.attend(reportOf(1, sequence, 1)); len(orders.GetStarts()) > 0 {
+				t.Fatalf("starts of a cancelled job: %v", orders.GetStarts())
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		if got := b.stored(jobID).GetPhase(); got != flow.Phase_CANCELLED {
+			t.Errorf("stored phase %v", got)
+		}
+	})
+}
+
+// A holder whose claim was taken over writes nothing and gives no orders.
+func TestSupersededHolderWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newBench(t, kv, 1)
+		if _, err := kv.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: claimKey, Value: []byte("other")}}}); err != nil {
+			t.Fatal(err)
+		}
+		b.scheduler.Apply([]store.Event{put(t, kv, JobKey(jobID), simpleJob(jobID, 1))})
+		for sequence := int64(1); sequence < 6; sequence++ {
+			orders, err := b.scheduler.Attend(reportOf(1, sequence, 1))
+			if len(orders.GetStarts()) > 0 || err != nil && !errors.Is(err, ErrNotHolder) {
+				t.Fatalf("orders of a superseded holder: %v, %v", orders, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if _, err := kv.Get(t.Context(), WorkKey(jobID)); err == nil {
+			t.Error("a superseded holder stored progress")
+		}
+		if calls := kv.Counts(fakekv.Everyone).Writes; calls > 20 {
+			t.Errorf("%d writes; a superseded holder tries again and again", calls)
+		}
+	})
+}
+
+// A task runs again only when its worker has answered, is replaced on its
+// machine, or its lease has run out on a slow clock.
+func TestRunOfSilentWorkerIsOverAfterItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newBench(t, kv, 1)
+		startOne(t, b, simpleJob(jobID, 1))
+		time.Sleep(9 * time.Second)
+		if task := b.stored(jobID).GetTasks()[0]; task.GetWorker() == "" {
+			t.Error("the run counts as over within its lease")
+		}
+		time.Sleep(2 * time.Second)
+		if task := b.stored(jobID).GetTasks()[0]; task.GetWorker() != "" {
+			t.Error("the run is not over after its lease")
+		}
+	})
+}
+
+func TestNewerProcessOnTheMachineEndsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newBench(t, kv, 1)
+		_, sequence := startOne(t, b, simpleJob(jobID, 1))
+		newer := reportOf(1, sequence, 1)
+		newer.Worker.Id, newer.Worker.BornMs = "w9", 200
+		b.attend(newer)
+		time.Sleep(time.Second)
+		if task := b.stored(jobID).GetTasks()[0]; task.GetRun() != 2 || task.GetWorker() != "w9" {
+			t.Errorf("task after the new process: %v", task)
+		}
+	})
+}
+
+func TestEndedJobsAreRemovedAfterTheRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		job := graph.New(simpleJob(jobID, 1), nil)
+		job.Cancelled = true
+		job.Advance(time.Now().UnixMilli())
+		put(t, kv, JobKey(jobID), job.Spec)
+		put(t, kv, WorkKey(jobID), job.Record())
+		newBench(t, kv, 1)
+		time.Sleep(testSettings.Retention - sweepPeriod)
+		if _, err := kv.Get(t.Context(), JobKey(jobID)); err != nil {
+			t.Errorf("the job is gone within its retention: %v", err)
+		}
+		time.Sleep(3 * sweepPeriod)
+		if _, err := kv.Get(t.Context(), JobKey(jobID)); err == nil {
+			t.Error("the job is still there after its retention")
+		}
+	})
+}
--- a/duty/keys.go
+++ b/duty/keys.go
@@ -7,7 +7,7 @@
 	// KeyPrefix begins all of them.
 	KeyPrefix    = "catkinpoint/"
 	jobPrefix    = KeyPrefix + "job/"
-	workPrefix   = KeyPrefix + "work/"
+	workPrefix   = KeyPrefix + "progress/"
 	cancelPrefix = KeyPrefix + "cancel/"
 	claimKey     = KeyPrefix + "duty"
 	epochKey     = KeyPrefix + "epoch"
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -174,7 +174,7 @@
 		st.place(s, now)
 	}
 	st.advance()
-	if !st.writing {
+	if !st.writing && !st.superseded {
 		s.flush(st)
 	}
 	if !st.sweeping && now >= st.sweepAt && s.claim.Valid() {
@@ -189,7 +189,7 @@
 
 // flush writes what has changed, one transaction at a time.
 func (s *Scheduler) flush(st *state) {
-	batch := st.batch(s.claim.Revision)
+	batch := st.batch(s.claim)
 	if len(batch.jobs) == 0 {
 		return
 	}
@@ -245,8 +245,9 @@
 
 // batch is one transaction and what it says.
 type batch struct {
-	txn  store.Txn
-	jobs []*job
+	claim *Claim
+	txn   store.Txn
+	jobs  []*job
 	// values are the records, by the index of the job.
 	values [][]byte
 	seq    []int64
@@ -269,8 +270,8 @@
 
 // batch collects changed jobs; starts are written only while their job is not
 // cancelled, all else only while the claim stands.
-func (st *state) batch(claimRevision int64) *batch {
-	b := &batch{txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claimRevision}}}}
+func (st *state) batch(claim *Claim) *batch {
+	b := &batch{claim: claim, txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claim.Revision}}}}
 	for _, j := range st.order() {
 		const rowsPerJob = 3
 		if !j.dirty || b.txn.Rows()+rowsPerJob > store.MaxTxnRows {
@@ -332,12 +333,15 @@
 		}
 		item, ok := conflict.Current(WorkKey(id))
 		if ok && item.Revision != j.workRevision {
-			klog.InfoS("duty: record changed by another holder", "job", id, "revision", item.Revision, "known", j.workRevision)
+			// Only the holder writes it, so an earlier write took effect late.
+			klog.InfoS("duty: revision of a record corrected", "job", id, "revision", item.Revision, "known", j.workRevision)
+			j.workRevision = item.Revision
 		}
 	}
 	if item, ok := conflict.Current(claimKey); !ok || item.Revision != b.txn.Conditions[0].Revision {
 		klog.InfoS("duty: claim is gone", "revision", item.Revision)
 		st.superseded = true
+		b.claim.until.Store(0)
 	}
 }
 
