--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"path"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -94,7 +95,7 @@
 func (g *Gate) Submit(ctx context.Context, call Call, decode func() (*flow.Job, error)) Answer {
 	queue, id, customer, refusal := g.admit(call)
 	if refusal != nil {
-		return g.logged("submit", id, *refusal)
+		return g.logged("submit", path.Base(call.Path), *refusal)
 	}
 	if !validID(id) {
 		return g.logged("submit", id, Answer{Verdict: Invalid, Reason: "a job's id has 16 hexadecimal digits"})
@@ -201,7 +202,7 @@
 func (g *Gate) State(ctx context.Context, call Call) Answer {
 	queue, id, customer, refusal := g.admit(call)
 	if refusal != nil {
-		return g.logged("state", id, *refusal)
+		return g.logged("state", path.Base(call.Path), *refusal)
 	}
 	if id == "" {
 		answered("pending", Done)
@@ -257,7 +258,7 @@
 func (g *Gate) Cancel(ctx context.Context, call Call) Answer {
 	queue, id, customer, refusal := g.admit(call)
 	if refusal != nil {
-		return g.logged("cancel", id, *refusal)
+		return g.logged("cancel", path.Base(call.Path), *refusal)
 	}
 	known, refusal := g.look(ctx, id)
 	if refusal != nil {
