--- a/cache/follower_test.go
+++ b/cache/follower_test.go
@@ -71,6 +71,7 @@
 				}
 				kv.SetFaults("f", fakekv.Faults{})
 				time.Sleep(2 * time.Second)
+				synctest.Wait()
 				if len(copied) != 2 || copied["a/1"] != "y" || copied["a/3"] != "z" {
 					t.Errorf("copy: %v", copied)
 				}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -96,6 +96,13 @@
 	return "", nil
 }
 
+// read looks at the worker under its lock.
+func (w *fakeWorker) read(look func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	look()
+}
+
 // end ends what runs; the caller holds the lock.
 func (w *fakeWorker) end(task, how string) {
 	r := w.running[task]
@@ -246,16 +253,20 @@
 			t.Errorf("report after the end: %v", r)
 		}
 		// While the end is not stored, the worker is not asked in a loop.
-		before := w.worker.holds
+		var before, after int
+		w.worker.read(func() { before = w.worker.holds })
 		time.Sleep(time.Second)
-		if looks := w.worker.holds - before; looks > 12 {
+		w.worker.read(func() { after = w.worker.holds })
+		if looks := after - before; looks > 12 {
 			t.Errorf("%d looks in a second", looks)
 		}
 		w.scheduler.set(func(o *flow.Orders) { o.Observed = 1 })
 		time.Sleep(time.Second)
-		if len(w.worker.ends) != 0 {
-			t.Errorf("ends that the worker still lists: %v", w.worker.ends)
-		}
+		w.worker.read(func() {
+			if len(w.worker.ends) != 0 {
+				t.Errorf("ends that the worker still lists: %v", w.worker.ends)
+			}
+		})
 	})
 }
 
@@ -263,16 +274,18 @@
 // the worker rejects it, and only then may the task run elsewhere.
 func TestLateStartNeverRuns(t *testing.T) {
 	withRelay(t, func(t *testing.T, w *relayWorld) {
-		w.worker.late = 8 * time.Second
+		w.worker.read(func() { w.worker.late = 8 * time.Second })
 		w.scheduler.set(oneStart)
 		time.Sleep(4 * time.Second)
 		if got := refusalsOf(w.scheduler.report()); got != "a.0.0.0/unanswered " {
 			t.Fatalf("refusals: %q", got)
 		}
 		time.Sleep(10 * time.Second)
-		if len(w.worker.starts) != 0 {
-			t.Errorf("late starts were carried out: %v", w.worker.starts)
-		}
+		w.worker.read(func() {
+			if len(w.worker.starts) != 0 {
+				t.Errorf("late starts were carried out: %v", w.worker.starts)
+			}
+		})
 	})
 }
 
@@ -284,7 +297,7 @@
 	for _, test := range tests {
 		t.Run(test.reason, func(t *testing.T) {
 			withRelay(t, func(t *testing.T, w *relayWorld) {
-				w.worker.refuse = test.reason
+				w.worker.read(func() { w.worker.refuse = test.reason })
 				w.scheduler.set(oneStart)
 				time.Sleep(2 * time.Second)
 				if got := refusalsOf(w.scheduler.report()); got != test.want {
@@ -302,9 +315,11 @@
 		w.beat(t, 2, true)
 		w.scheduler.set(oneStart)
 		time.Sleep(2 * time.Second)
-		if len(w.worker.starts) != 0 || w.worker.over["a.0.0.0"] != 1 {
-			t.Errorf("starts %v, run rejected up to %d", w.worker.starts, w.worker.over["a.0.0.0"])
-		}
+		w.worker.read(func() {
+			if len(w.worker.starts) != 0 || w.worker.over["a.0.0.0"] != 1 {
+				t.Errorf("starts %v, run rejected up to %d", w.worker.starts, w.worker.over["a.0.0.0"])
+			}
+		})
 		if got := refusalsOf(w.scheduler.report()); got != "a.0.0.0/draining " {
 			t.Errorf("refusals: %q", got)
 		}
@@ -321,9 +336,11 @@
 		w.scheduler.mu.Unlock()
 		cut := time.Since(w.worker.start) + time.Second // on the worker's clock
 		time.Sleep(15 * time.Second)
-		if w.worker.deadline > cut+9*time.Second {
-			t.Errorf("the lease was extended to %v after the cut", w.worker.deadline-cut)
-		}
+		w.worker.read(func() {
+			if w.worker.deadline > cut+9*time.Second {
+				t.Errorf("the lease was extended to %v after the cut", w.worker.deadline-cut)
+			}
+		})
 	})
 }
 
