--- a/plan/decide.go
+++ b/plan/decide.go
@@ -13,9 +13,6 @@
 	// keptSlack is the slack above which a unit leaves the emptiest rack to
 	// urgent units.
 	keptSlack = 4 * time.Second
-	// memoryCores is what a GB of free memory counts for beside a core when the
-	// fullest worker is sought.
-	memoryCores = 0.3
 	// keptPatience is how long it does so while most room is free.
 	keptPatience = 2 * time.Second
 	// rackWeight is what free room on a worker's rack counts against room on the
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -208,3 +208,28 @@
 			out.onTime, out.late, out.thrown, wantUrgent, wantOthers, mostThrown)
 	}
 }
+
+// Gangs whose tasks need half of a worker's memory each, beside a stream of
+// small tasks that need more memory than accelerators: the small ones fill
+// workers, so that the gangs find whole ones.
+func TestMemoryStaysWholeForWideTasks(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	var load []arrival
+	for n := range 140 {
+		at := time.Duration(random.IntN(40000)) * time.Millisecond
+		id := fmt.Sprintf("%016x", n)
+		if n%4 == 0 {
+			j := jobOf(id, 1, &flow.Step{Count: 4, Cpu: 26000, MemoryMb: 140000, Accelerators: 1 + random.Int64N(2), EstimateMs: 8500, Gang: true})
+			load = append(load, arrival{at: at, job: withObjective(j, 1.5, 1500*time.Millisecond), took: 8500 * time.Millisecond})
+			continue
+		}
+		j := jobOf(id, 2, &flow.Step{Count: 3 + random.Int32N(3), Cpu: 1000 + 1000*random.Int64N(9), MemoryMb: 30000, Accelerators: random.Int64N(2), EstimateMs: 6000})
+		load = append(load, arrival{at: at, job: withObjective(j, 3, 3*time.Second), took: 6 * time.Second})
+	}
+	out := replay(racksOf(5, 3), load, 150*time.Second)
+	t.Logf("on time %v, late %v", out.onTime, out.late)
+	const wantGangs = 16
+	if out.onTime[1] < wantGangs {
+		t.Errorf("%d of 35 gangs on time; want %d", out.onTime[1], wantGangs)
+	}
+}
--- a/plan/state.go
+++ b/plan/state.go
@@ -315,7 +315,7 @@
 
 // cost is low for workers that the task fills well and for fast ones.
 func (s *state) cost(w int, after Amount) float64 {
-	return after.Cores() + memoryCores*float64(after.Memory)/1000 + rackWeight*s.rackRoom[s.workers[w].Rack] + slowCost*max(0, s.workers[w].Slowness-1)
+	return after.Cores() + rackWeight*s.rackRoom[s.workers[w].Rack] + slowCost*max(0, s.workers[w].Slowness-1)
 }
 
 // reserve keeps the room where the unit fits soonest.
