--- a/duty/place.go
+++ b/duty/place.go
@@ -90,7 +90,7 @@
 
 // input is the state as package plan sees it.
 func (st *state) input(s *Scheduler, table *route.Table, now time.Duration) plan.Input {
-	in := plan.Input{RemoteFactor: s.settings.RemoteFactor}
+	in := plan.Input{}
 	guaranteed := st.guaranteed(table)
 	free := map[graph.Place]plan.Amount{}
 	for p, w := range st.byPlace {
--- a/duty/state.go
+++ b/duty/state.go
@@ -20,7 +20,7 @@
 type job struct {
 	graph        *graph.Job
 	workRevision int64
-	// seen is when this process first knew the job, less its age then.
+	// submitted is when the job was accepted, on this process's clock.
 	submitted time.Duration
 	dirty     bool
 	dirtySeq  int64 // of the last change
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -81,8 +81,8 @@
 	return Call{Host: "h", Path: path, Key: "k1", Budget: 3 * time.Second}
 }
 
-func job(text string) func() (*flow.Job, error) {
-	return func() (*flow.Job, error) {
+func job(text string) func(int64) (*flow.Job, error) {
+	return func(int64) (*flow.Job, error) {
 		return &flow.Job{Spec: text, Steps: []*flow.Step{{Count: 2, Cpu: 1000, EstimateMs: 1000}}}, nil
 	}
 }
@@ -101,7 +101,7 @@
 		tests := []struct {
 			name string
 			call Call
-			job  func() (*flow.Job, error)
+			job  func(int64) (*flow.Job, error)
 			want Verdict
 		}{
 			{"accepted", call("/q/" + testID), job("a"), Done},
@@ -110,8 +110,8 @@
 			{"no queue", call("/other/" + testID), job("a"), NoQueue},
 			{"unknown key", Call{Host: "h", Path: "/q/" + testID, Key: "k9"}, job("a"), NoKey},
 			{"bad id", call("/q/xyz"), job("a"), Invalid},
-			{"no steps", call("/q/00000000000000ac"), func() (*flow.Job, error) { return &flow.Job{}, nil }, Invalid},
-			{"unreadable body", call("/q/00000000000000ad"), func() (*flow.Job, error) { return nil, errors.New("not JSON") }, Invalid},
+			{"no steps", call("/q/00000000000000ac"), func(int64) (*flow.Job, error) { return &flow.Job{}, nil }, Invalid},
+			{"unreadable body", call("/q/00000000000000ad"), func(int64) (*flow.Job, error) { return nil, errors.New("not JSON") }, Invalid},
 		}
 		for _, test := range tests {
 			if got := g.Submit(t.Context(), test.call, test.job); got.Verdict != test.want {
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -91,8 +91,9 @@
 	return queue, rest, customer, nil
 }
 
-// Submit accepts a job. decode is called once the call may be made at all.
-func (g *Gate) Submit(ctx context.Context, call Call, decode func() (*flow.Job, error)) Answer {
+// Submit accepts a job. decode reads a body of at most so many bytes; it is
+// called once the call may be made at all.
+func (g *Gate) Submit(ctx context.Context, call Call, decode func(maxBytes int64) (*flow.Job, error)) Answer {
 	queue, id, customer, refusal := g.admit(call)
 	if refusal != nil {
 		return g.logged("submit", path.Base(call.Path), *refusal)
@@ -100,7 +101,7 @@
 	if !validID(id) {
 		return g.logged("submit", id, Answer{Verdict: Invalid, Reason: "a job's id has 16 hexadecimal digits"})
 	}
-	job, err := decode()
+	job, err := decode(g.operator.Table().MaxBodyBytes)
 	if err != nil {
 		return g.logged("submit", id, Answer{Verdict: Invalid, Reason: err.Error()})
 	}
--- a/plan/bench_test.go
+++ b/plan/bench_test.go
@@ -10,7 +10,7 @@
 
 // BenchmarkDecide is a full site of 60 workers with 300 tasks that wait.
 func BenchmarkDecide(b *testing.B) {
-	in := Input{Workers: racksOf(12, 5), RemoteFactor: 3}
+	in := Input{Workers: racksOf(12, 5)}
 	for n := range 40 {
 		j := jobOf(fmt.Sprintf("%016x", n), int32(n%3), &flow.Step{Count: 8, Cpu: 4000, MemoryMb: 20000, Accelerators: int64(1 + n%4), EstimateMs: 5000, Gang: n%3 < 2, SameRack: n%3 == 0})
 		in.Requests = append(in.Requests, requestsOf(j, nil)...)
--- a/plan/input.go
+++ b/plan/input.go
@@ -119,9 +119,6 @@
 	Workers  []Worker
 	Requests []Request
 	Running  []Running
-	// RemoteFactor is how many times as long a task takes away from its data's
-	// rack, or in a gang over several racks.
-	RemoteFactor float64
 }
 
 // Assignment is a unit to start, with the place of each of its tasks.
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -96,7 +96,7 @@
 				requests = append(requests, r)
 			}
 		}
-		in := Input{Workers: make([]Worker, len(workers)), Requests: requests, RemoteFactor: 3}
+		in := Input{Workers: make([]Worker, len(workers)), Requests: requests}
 		copy(in.Workers, workers)
 		for _, r := range running {
 			for i := range in.Workers {
