--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -169,6 +169,9 @@
 		if !g.Ready() {
 			t.Error("not ready with a store")
 		}
+		if got := g.Submit(t.Context(), call("/q/00000000000000aa"), job("a")); got.Verdict != Done {
+			t.Fatalf("submit with a store: %+v", got)
+		}
 		kv.SetFaults("g1", fakekv.Faults{Down: true})
 		time.Sleep(3 * time.Second)
 		start := time.Now()
@@ -179,6 +182,10 @@
 		if g.Ready() {
 			t.Error("ready without a store")
 		}
+		// The copy has the job, but the caller's key may be gone by now.
+		if got := g.State(t.Context(), call("/q/00000000000000aa")); got.Verdict != Refused || got.Reason != "no fresh configuration" {
+			t.Errorf("state without a store: %+v", got)
+		}
 		putKey(t, kv, "op/table", "2 k2")
 		kv.SetFaults("g1", fakekv.Faults{})
 		time.Sleep(time.Second)
