--- a/plan/bench_test.go
+++ b/plan/bench_test.go
@@ -8,7 +8,8 @@
 	"catkinpoint/flow"
 )
 
-// BenchmarkDecide is a full site of 60 workers with 300 tasks that wait.
+// BenchmarkDecide is a full site: 60 workers, 200 running tasks and 131 units
+// (320 tasks) that wait.
 func BenchmarkDecide(b *testing.B) {
 	in := Input{Workers: racksOf(12, 5)}
 	for n := range 40 {
