Trace the failure of the concurrent callers' test: a stall of the process

Cause: a stop of the whole test process for longer than the gang protocol's silence (2 s). With the agent's reason in the coordinator's, which was missing, freezing the test's process by SIGSTOP gives the failure that was seen: "a task ended in state TASK_REFUSED: the gang is broken: task 0 is silent". The members that hear nothing must stop, as their gang may be gone, and a job that may not run twice has then failed: the answer is true.

Ruled out: pauses of 0.5 s and 1 s (six in a row each, passed), one processor shared with other work (3 runs passed), the permit and the epoch (the reason names the silence). A quarter of a processor ends in the caller's own limit of 60 s, which is another failure and expected.

--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -26,6 +26,8 @@
 	// Unconfirmed means that the agent has told the endpoint to run the task, and
 	// the endpoint has not answered about it.
 	Unconfirmed bool
+	// Reason is what the agent says of the state.
+	Reason string
 	// Lost means that the agent restarted or is silent for long, so that
 	// nothing is known of the task: it may have run, and after a silence it may
 	// still run.
@@ -158,6 +160,7 @@
 	member.State = e.Status.GetState()
 	member.Started = member.Started || e.Status.GetStarted()
 	member.Unconfirmed = e.Status.GetUnconfirmed()
+	member.Reason = e.Status.GetReason()
 }
 
 func (c *Coordinator) needsStop(rank int) bool {
@@ -269,7 +272,11 @@
 	if c.Members[i].Lost {
 		return "a worker was lost"
 	}
-	return "a task ended in state " + c.Members[i].State.String()
+	reason := "a task ended in state " + c.Members[i].State.String()
+	if why := c.Members[i].Reason; why != "" {
+		reason += ": " + why
+	}
+	return reason
 }
 
 func (c *Coordinator) forEach(kind EffectKind, want func(CoordinatedMember) bool) []Effect {
--- a/gang/coordinator_test.go
+++ b/gang/coordinator_test.go
@@ -101,3 +101,17 @@
 		})
 	}
 }
+
+// Guards against a failed gang whose reason names a state but not its cause.
+func TestCoordinatorTellsTheAgentsReason(t *testing.T) {
+	c := NewCoordinator(1, true)
+	c.Step(taskEvent(0, "b1", wire.TaskState_TASK_PREPARED))
+	c.Step(Event{Kind: EventCommitted})
+	c.Step(Event{Kind: EventStatus, BootID: "b1", Status: &wire.TaskStatus{
+		State: wire.TaskState_TASK_REFUSED, Reason: "the gang is broken: task 0 is silent",
+	}})
+	const want = "a task ended in state TASK_REFUSED: the gang is broken: task 0 is silent"
+	if got := c.Verdict().Reason; got != want {
+		t.Errorf("reason %q, want %q", got, want)
+	}
+}
