duty, plan: keep and reuse what a decision and an answer compute again

Cause: on the grown sites the holder's processor binds. A benchmark of one report of each of 60 workers and three decisions (200 running tasks, 40 waiting jobs, 200 ended ones) shows where it goes: sorting all jobs and all active tasks for each report, answer and look at leases, ended jobs included; and in Decide one search for each waiting unit, though its siblings have just been refused in the same room.

Change: the active tasks of a job and the order of open jobs are kept until they change; a unit is refused without a search if one that needs no more has found no room; the search uses slices and not maps; leases are looked at each 100 ms; no second decision follows starts, which took their room already.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -60,6 +60,16 @@
 	return b
 }
 
+// itemOf returns a message as an item of the store.
+func itemOf(tb testing.TB, key string, m proto.Message, revision int64) store.Item {
+	tb.Helper()
+	value, err := proto.Marshal(m)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return store.Item{Key: key, Value: value, Revision: revision}
+}
+
 // put stores a message and tells the scheduler.
 func put(t *testing.T, kv *fakekv.Server, key string, m proto.Message) store.Event {
 	t.Helper()
--- a/duty/place.go
+++ b/duty/place.go
@@ -54,7 +54,7 @@
 			st.stop(j, t)
 		}
 	}
-	st.plan = len(decision.Starts) > 0
+	st.plan = false // the starts took their room within the decision
 }
 
 // expectedAt is the expected time of the unit's task i at its place.
@@ -90,14 +90,14 @@
 
 // input is the state as package plan sees it.
 func (st *state) input(s *Scheduler, table *route.Table, now time.Duration) plan.Input {
-	in := plan.Input{}
+	in := plan.Input{Workers: st.in.Workers[:0], Requests: st.in.Requests[:0], Running: st.in.Running[:0]}
 	guaranteed := st.guaranteed(table)
 	free := map[graph.Place]plan.Amount{}
 	for p, w := range st.byPlace {
 		free[p] = capacity(w.info)
 	}
 	unixMS := time.Now().UnixMilli()
-	for _, j := range st.order() {
+	for _, j := range st.open() {
 		for _, t := range j.graph.Active() {
 			need := amount(j.graph.Step(t.Ref))
 			free[t.Place] = free[t.Place].Minus(need)
@@ -114,6 +114,7 @@
 		})
 	}
 	sortWorkers(in.Workers)
+	st.in = in
 	return in
 }
 
@@ -172,7 +173,7 @@
 	urgent := func(j *job) bool {
 		return j.graph.Spec.GetPriority() == 0 && !j.graph.Over() && !j.graph.Cancelled
 	}
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		if !urgent(j) {
 			continue
 		}
@@ -181,7 +182,7 @@
 		}
 	}
 	covered := map[*job]bool{}
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		if urgent(j) {
 			customer := j.graph.Spec.GetCustomer()
 			covered[j] = need[customer] <= table.Guaranteed(customer)
--- a/duty/report.go
+++ b/duty/report.go
@@ -69,7 +69,7 @@
 
 // loseAll ends the runs at some places without an end of their own.
 func (st *state) loseAll(at func(graph.Place) bool, why string) {
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		for _, t := range j.graph.Active() {
 			if at(t.Place) {
 				st.over(j, t.Ref, t.Run, why, "")
@@ -123,7 +123,7 @@
 // has obeyed this epoch, so their orders are refused from now on.
 func (st *state) reconcile(s *Scheduler, w *worker, listed map[string]int64) {
 	adopted := 0
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		for _, t := range j.graph.Active() {
 			if t.Place != w.place {
 				continue
@@ -242,11 +242,14 @@
 
 // fill adds the starts that the worker has not confirmed, and the stops.
 func (st *state) fill(w *worker, orders *flow.Orders) {
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		id := j.graph.Spec.GetId()
 		for _, t := range j.graph.Active() {
+			if t.Place != w.place {
+				continue
+			}
 			r := j.runs[t.Ref]
-			if t.Place != w.place || r == nil || !r.stored {
+			if r == nil || !r.stored {
 				continue
 			}
 			name := graph.TaskName(id, t.Ref)
--- /dev/null
+++ b/duty/round_test.go
@@ -0,0 +1,90 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"catkinpoint/clock"
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/route"
+	"catkinpoint/store"
+)
+
+// loadedState is a scheduler of so many workers that are mostly taken, with
+// units that wait and jobs that have ended.
+func loadedState(tb testing.TB, workers, jobs, ended int) (*Scheduler, *state) {
+	tb.Helper()
+	claim := &Claim{Epoch: 1, Revision: 1, ttl: time.Hour, lost: make(chan struct{})}
+	claim.extend(clock.Steady())
+	operator := quietOperator{route.New(1, 1000, nil, []route.Customer{{Name: "c", Guaranteed: 16}}, nil)}
+	s := NewScheduler(testSettings, nil, operator, claim, func() []string { return nil })
+	s.ctx = context.Background()
+	st := newState(clock.Steady())
+	st.loaded = true
+	for n := range workers {
+		st.report(s, loadedReport(st, n, 1), make(chan *flow.Orders, 1))
+	}
+	for n := range jobs + ended {
+		id := fmt.Sprintf("%016x", n)
+		spec := &flow.Job{
+			Id: id, Queue: "q", Customer: "c", Service: "care", Priority: int32(n % 3), MaxAttempts: 3, SlackFactor: 3, TargetMs: 1000,
+			AcceptedUnixMs: time.Now().UnixMilli() + int64(n),
+			Steps:          []*flow.Step{{Count: 8, Cpu: 4000, MemoryMb: 20000, Accelerators: int64(1 + n%4), EstimateMs: 5000, Gang: n%3 < 2, SameRack: n%3 == 0}},
+		}
+		st.apply(store.Event{Item: itemOf(tb, JobKey(id), spec, int64(n+1))})
+		if n < ended {
+			st.jobs[id].graph.Cancelled = true
+			st.jobs[id].graph.Advance(time.Now().UnixMilli())
+		}
+	}
+	st.place(s, clock.Steady())
+	for _, j := range st.jobs {
+		j.dirty = false
+		for _, r := range j.runs {
+			r.stored = true
+		}
+	}
+	return s, st
+}
+
+// loadedReport is a report of worker n that lists what was given to it.
+func loadedReport(st *state, n int, sequence int64) *flow.Report {
+	r := reportOf(n, sequence, 1)
+	r.Worker.Labels = []string{"a", fmt.Sprint("r", n/5)}
+	for _, j := range st.jobs {
+		for _, t := range j.graph.Active() {
+			if t.Place == placeOf(n) {
+				r.Running = append(r.Running, &flow.Run{Task: graph.TaskName(j.graph.Spec.GetId(), t.Ref), Run: t.Run, Percent: 50})
+			}
+		}
+	}
+	return r
+}
+
+// BenchmarkRound is one report of each of 60 workers with its answer, and three
+// decisions, with 200 tasks running, 40 jobs that wait and 200 that have ended.
+func BenchmarkRound(b *testing.B) {
+	const workers = 60
+	s, st := loadedState(b, workers, 80, 200)
+	reports := make([]*flow.Report, workers)
+	for n := range reports {
+		reports[n] = loadedReport(st, n, 2)
+	}
+	sequence := int64(2)
+	b.ResetTimer()
+	for b.Loop() {
+		for n, r := range reports {
+			sequence++
+			r.Sequence = sequence
+			answer := make(chan *flow.Orders, 1)
+			st.report(s, r, answer)
+			st.plan = n%20 == 0
+			st.writing = true // keeps the store out
+			s.act(st)
+			st.answer(s, r.GetRelay(), answer)
+		}
+	}
+}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -20,6 +20,8 @@
 	answerWait = 700 * time.Millisecond
 	// planPeriod is the time between two decisions without an event.
 	planPeriod = 250 * time.Millisecond
+	// expirePeriod is the time between two looks for leases that have run out.
+	expirePeriod = 100 * time.Millisecond
 	// loadTime bounds the read of all jobs by a new holder.
 	loadTime = 5 * time.Second
 	// silence is the age of the last report after which a worker gets no starts.
@@ -272,7 +274,7 @@
 // cancelled, all else only while the claim stands.
 func (st *state) batch(claim *Claim) *batch {
 	b := &batch{claim: claim, txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claim.Revision}}}}
-	for _, j := range st.order() {
+	for _, j := range st.open() {
 		const rowsPerJob = 3
 		if !j.dirty || b.txn.Rows()+rowsPerJob > store.MaxTxnRows {
 			continue
@@ -348,7 +350,7 @@
 // acknowledge lets workers forget the ends that are stored by now.
 func (st *state) acknowledge() {
 	stored := st.seq
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		if j.dirty {
 			stored = min(stored, j.dirtySince-1)
 		}
--- a/duty/slow.go
+++ b/duty/slow.go
@@ -22,7 +22,7 @@
 // once: if it is slow again, its declared time is wrong and not the worker. Work of other
 // queues has time to spare and waits for the worker to recover.
 func (st *state) moveSlow(now time.Duration) {
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		if j.graph.Over() || j.graph.Spec.GetPriority() != 0 || j.moved {
 			continue
 		}
--- a/duty/state.go
+++ b/duty/state.go
@@ -100,9 +100,14 @@
 	superseded bool
 	sweeping   bool
 	sweepAt    time.Duration
+	expireAt   time.Duration
 	// held is where room is being made for units.
 	held map[unitKey][]graph.Place
 	seq  int64
+	// in is the last input, of which the next one uses the space.
+	in plan.Input
+	// sorted is the answer of open; it is nil after a change of the set.
+	sorted []*job
 }
 
 // unitKey names a unit by its job and first task.
@@ -118,18 +123,27 @@
 	}
 }
 
-// order returns the jobs in the order in which they were accepted.
-func (st *state) order() []*job {
-	list := make([]*job, 0, len(st.jobs))
+// open returns the jobs that are not settled, and perhaps some that have settled
+// since the last change of the set, in the order in which they were accepted.
+func (st *state) open() []*job {
+	if st.sorted != nil {
+		return st.sorted
+	}
+	st.sorted = make([]*job, 0, len(st.jobs))
 	for _, j := range st.jobs {
-		list = append(list, j)
+		if !j.settled() {
+			st.sorted = append(st.sorted, j)
+		}
 	}
-	slices.SortFunc(list, func(a, b *job) int {
+	slices.SortFunc(st.sorted, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.graph.Spec.GetId(), b.graph.Spec.GetId()))
 	})
-	return list
+	return st.sorted
 }
 
+// settled tells that nothing of the job can change any more.
+func (j *job) settled() bool { return j.graph.Over() && !j.dirty && len(j.graph.Active()) == 0 }
+
 // apply takes one change of a key. Progress is read only while loading: after
 // that this process alone writes it.
 func (st *state) apply(e store.Event) {
@@ -140,7 +154,7 @@
 	st.revisions[e.Key] = e.Revision
 	switch {
 	case e.Deleted && kind == KindJob:
-		delete(st.jobs, id)
+		st.forget(id)
 		delete(st.revisions, JobKey(id))
 	case e.Deleted:
 	case kind == KindJob:
@@ -165,6 +179,7 @@
 		return
 	}
 	age := max(0, time.Duration(time.Now().UnixMilli()-spec.GetAcceptedUnixMs())*time.Millisecond)
+	st.sorted = nil
 	st.jobs[id] = &job{
 		graph: graph.New(spec, nil), submitted: clock.Steady() - min(age, time.Hour),
 		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedAt: map[string]bool{},
@@ -195,10 +210,15 @@
 			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, percentAt: st.began, sampleAt: st.began, expected: expected(j, t.Ref)}
 		}
 	}
-	st.early = nil
+	st.early, st.sorted = nil, nil
 	st.plan = true
 }
 
+func (st *state) forget(id string) {
+	delete(st.jobs, id)
+	st.sorted = nil
+}
+
 func expected(j *job, ref graph.Ref) time.Duration {
 	return time.Duration(j.graph.Step(ref).GetEstimateMs()) * time.Millisecond
 }
@@ -318,7 +338,7 @@
 // advance moves jobs to the phases that their tasks imply.
 func (st *state) advance() {
 	now := time.Now().UnixMilli()
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		if j.dirty && j.graph.Advance(now) {
 			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase, "priority", j.graph.Spec.GetPriority(),
 				"took_ms", (clock.Steady() - j.submitted).Milliseconds(), "objective_ms", graph.ObjectiveMS(j.graph.Spec))
@@ -330,11 +350,12 @@
 
 // expire ends the runs of workers whose task lease has surely run out.
 func (st *state) expire(s *Scheduler, now time.Duration) {
-	if !s.claim.Valid() {
-		return // another process may have heard of the workers since
+	if now < st.expireAt || !s.claim.Valid() {
+		return // without a claim, another process may have heard of the workers since
 	}
+	st.expireAt = now + expirePeriod
 	limit := time.Duration(float64(s.settings.TaskLease)*leaseTolerance) + leaseMargin
-	for _, j := range st.jobs {
+	for _, j := range st.open() {
 		for _, t := range j.graph.Active() {
 			w := st.byPlace[t.Place]
 			last := st.began
--- a/duty/sweep.go
+++ b/duty/sweep.go
@@ -27,7 +27,7 @@
 			st.sweepAt = now // there may be more
 			break
 		}
-		if j.dirty || !j.graph.Over() || j.graph.EndedUnixMS > limit || len(j.graph.Active()) > 0 {
+		if !j.settled() || j.graph.EndedUnixMS > limit {
 			continue
 		}
 		ids = append(ids, id)
@@ -48,7 +48,7 @@
 				return
 			}
 			for _, id := range ids {
-				delete(st.jobs, id)
+				st.forget(id)
 			}
 			klog.InfoS("duty: ended jobs removed", "jobs", len(ids))
 		})
--- a/graph/job.go
+++ b/graph/job.go
@@ -50,6 +50,8 @@
 	// EndedUnixMS is when the job reached its last phase, or 0.
 	EndedUnixMS int64
 	tasks       map[Ref]*Task
+	// active is the answer of Active; it is nil after a change.
+	active []*Task
 }
 
 // New returns a job with the progress of its record, which may be nil.
@@ -109,16 +111,20 @@
 	return steps[ref.Step]
 }
 
-// Active returns the tasks with a run that is not over, in order.
+// Active returns the tasks with a run that is not over, in order. The slice is
+// shared, and later changes of the job do not touch it.
 func (j *Job) Active() []*Task {
-	var active []*Task
+	if j.active != nil {
+		return j.active
+	}
+	j.active = []*Task{}
 	for _, t := range j.tasks {
 		if t.Active() {
-			active = append(active, t)
+			j.active = append(j.active, t)
 		}
 	}
-	slices.SortFunc(active, func(a, b *Task) int { return compareRefs(a.Ref, b.Ref) })
-	return active
+	slices.SortFunc(j.active, func(a, b *Task) int { return compareRefs(a.Ref, b.Ref) })
+	return j.active
 }
 
 func compareRefs(a, b Ref) int {
@@ -221,6 +227,7 @@
 // Assign gives the unit's tasks a common new run at the given places, one for
 // each task, and returns its number.
 func (j *Job) Assign(unit Unit, places []Place) int64 {
+	j.active = nil
 	checkpoint := unit.Checkpoint()
 	var run int64
 	for _, ref := range unit.Tasks {
@@ -260,6 +267,7 @@
 	if t == nil || t.Run != run || !t.Active() {
 		return false
 	}
+	j.active = nil
 	t.Place, t.Started = Place{}, false
 	if checkpoint != "" {
 		j.Saved(ref, run, checkpoint)
--- a/graph/job_test.go
+++ b/graph/job_test.go
@@ -199,3 +199,21 @@
 		}
 	}
 }
+
+func TestActiveFollowsStartsAndEnds(t *testing.T) {
+	j := New(&flow.Job{Id: "a", MaxAttempts: 3, Steps: []*flow.Step{{Count: 2}}}, nil)
+	if n := len(j.Active()); n != 0 {
+		t.Errorf("%d active tasks before a start", n)
+	}
+	for _, u := range j.Ready(0) {
+		j.Assign(u, placesFor(u))
+	}
+	before := j.Active()
+	if len(before) != 2 || before[0].Ref.Index != 0 {
+		t.Errorf("active tasks after two starts: %v", before)
+	}
+	j.End(Ref{0, 0, 0}, 1, EndStopped, "")
+	if after := j.Active(); len(after) != 1 || after[0].Ref.Index != 1 || len(before) != 2 {
+		t.Errorf("active tasks after an end: %v, and %v in the slice from before", after, before)
+	}
+}
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -88,10 +88,7 @@
 // freeAfterStops is the room once all ordered stops are done, without what
 // other units that wait for such room will take.
 func (s *state) freeAfterStops(r *Request) []Amount {
-	free := make([]Amount, len(s.workers))
-	for i := range s.workers {
-		free[i] = s.workers[i].Free
-	}
+	free := slices.Clone(s.free)
 	for i := range s.in.Running {
 		run := &s.in.Running[i]
 		if w, ok := s.index[run.At]; ok && s.stopping[i] {
--- a/plan/state.go
+++ b/plan/state.go
@@ -10,7 +10,8 @@
 
 // state is the room that is left while a decision is made.
 type state struct {
-	in      Input
+	in Input
+	// workers are those of the input; free has the room that is left on them.
 	workers []Worker
 	index   map[graph.Place]int
 	racks   map[string][]int
@@ -24,6 +25,16 @@
 	rackRoom map[string]float64
 	// started counts the tasks of a step that this decision starts on a worker.
 	started map[stepOn]int32
+	// free is the room that is left on each worker.
+	free []Amount
+	// refused are requests that fit nowhere in the room that is left.
+	refused []*Request
+	// all has the index of each worker.
+	all []int
+	// fits, left and used are the scratch space of fitAmong.
+	fits []int
+	left []Amount
+	used []int32
 	// kept is the rack that is held open for urgent units, or "".
 	kept string
 	// busy tells whether more than half of the room was taken at the start.
@@ -48,11 +59,14 @@
 
 func newState(in Input) *state {
 	s := &state{
-		in: in, workers: slices.Clone(in.Workers), index: map[graph.Place]int{}, racks: map[string][]int{},
+		in: in, workers: in.Workers, index: map[graph.Place]int{}, racks: map[string][]int{},
 		on: make([][]int, len(in.Workers)), stopping: make([]bool, len(in.Running)),
 		rackRoom: map[string]float64{}, started: map[stepOn]int32{},
+		free: make([]Amount, len(in.Workers)), all: make([]int, len(in.Workers)),
+		left: make([]Amount, len(in.Workers)), used: make([]int32, len(in.Workers)),
 	}
 	for i, w := range s.workers {
+		s.all[i], s.free[i] = i, w.Free
 		s.index[w.Place] = i
 		s.racks[w.Rack] = append(s.racks[w.Rack], i)
 		if w.Usable {
@@ -98,7 +112,7 @@
 	free, all := 0.0, 0.0
 	for i := range s.workers {
 		if s.workers[i].Usable {
-			free += s.workers[i].Free.Cores()
+			free += s.free[i].Cores()
 			all += s.workers[i].Capacity.Cores()
 		}
 	}
@@ -118,7 +132,7 @@
 	s.release(r)
 	first := r.Unit.Tasks[0]
 	for _, w := range workers {
-		s.workers[w].Free = s.workers[w].Free.Minus(r.Need)
+		s.free[w] = s.free[w].Minus(r.Need)
 		s.rackRoom[s.workers[w].Rack] -= r.Need.Cores()
 		s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]++
 	}
@@ -127,17 +141,39 @@
 // fit finds workers for all tasks of the unit, one for each, in the room that
 // is free now. With anywhere set, the unit does not wait for its rack.
 func (s *state) fit(r *Request, anywhere bool) ([]int, bool) {
-	free := make([]Amount, len(s.workers))
-	for i := range s.workers {
-		free[i] = s.workers[i].Free
+	for _, f := range s.refused {
+		if tighter(r, f, s.leaves(r, s.kept), s.leaves(f, s.kept)) {
+			return nil, false
+		}
 	}
-	return s.fitInto(r, free, anywhere)
+	found, ok := s.fitInto(r, s.free, anywhere)
+	if !ok && !anywhere && !r.patient() && len(r.Held) == 0 {
+		s.refused = append(s.refused, r)
+	}
+	return found, ok
+}
+
+// tighter tells whether r fits nowhere if f, which looked at all workers, does
+// not: room is only taken while requests are looked at.
+func tighter(r, f *Request, rLeaves, fLeaves bool) bool {
+	rs, fs := r.Unit.Step, f.Unit.Step
+	return len(r.Held) == 0 && r.Need.Covers(f.Need) && len(r.Unit.Tasks) >= len(f.Unit.Tasks) && r.Duration >= f.Duration &&
+		(rLeaves || !fLeaves) && r.Unit.Job.Spec.GetService() == f.Unit.Job.Spec.GetService() &&
+		(fs.GetRequiredLabel() == "" || fs.GetRequiredLabel() == rs.GetRequiredLabel()) &&
+		(fs.GetMaxPerWorker() == 0 || fs == rs && r.Unit.Tasks[0].Occurrence == f.Unit.Tasks[0].Occurrence)
+}
+
+// patient tells whether the unit still waits for room on the right rack.
+func (r *Request) patient() bool {
+	step := r.Unit.Step
+	racked := step.GetDataRack() != "" || step.GetGang() && step.GetSameRack() && step.GetCount() > 1
+	return racked && r.Ready < rackPatience && r.Slack > 0
 }
 
 // fitInto is fit with the given room on each worker.
 func (s *state) fitInto(r *Request, free []Amount, anywhere bool) ([]int, bool) {
 	step := r.Unit.Step
-	patient := !anywhere && r.Ready < rackPatience && r.Slack > 0
+	patient := !anywhere && r.patient()
 	if rack := step.GetDataRack(); rack != "" && len(s.racks[rack]) > 0 {
 		if found, ok := s.fitAmong(r, s.racks[rack], free); ok {
 			return found, true
@@ -204,80 +240,62 @@
 // fitAmong finds workers among the given ones; nil means all.
 func (s *state) fitAmong(r *Request, among []int, free []Amount) ([]int, bool) {
 	if among == nil {
-		among = make([]int, len(s.workers))
-		for i := range among {
-			among[i] = i
+		among = s.all
+	}
+	limited := r.Unit.Step.GetMaxPerWorker() > 0
+	if limited {
+		s.countUsed(r)
+	}
+	s.fits = s.fits[:0]
+	for _, w := range among {
+		if s.suits(r, w) && free[w].Covers(r.Need) {
+			s.fits = append(s.fits, w)
+			s.left[w] = free[w]
 		}
 	}
-	left := make(map[int]Amount, len(among))
-	used := s.alreadyOn(r)
 	found := make([]int, 0, len(r.Unit.Tasks))
 	for range r.Unit.Tasks {
 		best, bestCost := -1, 0.0
-		for _, w := range among {
-			room, seen := left[w]
-			if !seen {
-				room = free[w]
-			}
-			if !s.allows(r, w, room, used[w]) {
+		for _, w := range s.fits {
+			if !s.left[w].Covers(r.Need) || limited && s.used[w] >= r.Unit.Step.GetMaxPerWorker() {
 				continue
 			}
-			cost := s.cost(w, room.Minus(r.Need))
-			if best < 0 || cost < bestCost {
+			cost := s.cost(w, s.left[w].Minus(r.Need))
+			if (best < 0 || cost < bestCost) && s.leavesReserved(r, w, s.left[w]) {
 				best, bestCost = w, cost
 			}
 		}
 		if best < 0 {
 			return nil, false
 		}
-		room, seen := left[best]
-		if !seen {
-			room = free[best]
-		}
-		left[best] = room.Minus(r.Need)
-		if used != nil {
-			used[best]++
-		}
+		s.left[best] = s.left[best].Minus(r.Need)
+		s.used[best]++
 		found = append(found, best)
 	}
 	return found, true
 }
 
-// alreadyOn counts the tasks of the unit's step that hold a worker, for steps
-// with a limit.
-func (s *state) alreadyOn(r *Request) map[int]int32 {
-	if r.Unit.Step.GetMaxPerWorker() == 0 {
-		return nil
-	}
-	used := map[int]int32{}
+// countUsed counts the tasks of the unit's step that hold each worker.
+func (s *state) countUsed(r *Request) {
 	first := r.Unit.Tasks[0]
 	for w := range s.workers {
-		used[w] = s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]
+		s.used[w] = s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]
 	}
 	for _, t := range r.Unit.Job.Active() {
 		if t.Ref.Step == first.Step && t.Ref.Occurrence == first.Occurrence {
 			if w, ok := s.index[t.Place]; ok {
-				used[w]++
+				s.used[w]++
 			}
 		}
 	}
-	return used
 }
 
-func (s *state) allows(r *Request, w int, room Amount, used int32) bool {
+// suits tells whether the unit may run on a worker, whatever room there is.
+func (s *state) suits(r *Request, w int) bool {
 	worker := &s.workers[w]
-	step := r.Unit.Step
-	switch {
-	case s.leaves(r, worker.Rack):
-		return false
-	case !worker.Usable || worker.Service != r.Unit.Job.Spec.GetService() || !room.Covers(r.Need):
-		return false
-	case step.GetRequiredLabel() != "" && !worker.hasLabel(step.GetRequiredLabel()):
-		return false
-	case step.GetMaxPerWorker() > 0 && used >= step.GetMaxPerWorker():
-		return false
-	}
-	return s.leavesReserved(r, w, room)
+	label := r.Unit.Step.GetRequiredLabel()
+	return worker.Usable && worker.Service == r.Unit.Job.Spec.GetService() &&
+		(label == "" || worker.hasLabel(label)) && !s.leaves(r, worker.Rack)
 }
 
 // leavesReserved tells whether the reservations on a worker survive a start.
@@ -325,10 +343,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.remaining(a), s.remaining(b)) })
-	free := make([]Amount, len(s.workers))
-	for i := range s.workers {
-		free[i] = s.workers[i].Free
-	}
+	free := slices.Clone(s.free)
 	for n, i := range order {
 		run := &s.in.Running[i]
 		w, ok := s.index[run.At]
@@ -360,7 +375,11 @@
 
 // release drops what is kept for a unit.
 func (s *state) release(r *Request) {
+	n := len(s.reservations)
 	s.reservations = slices.DeleteFunc(s.reservations, func(kept reservation) bool { return kept.owner == r })
+	if len(s.reservations) < n {
+		s.refused = nil // others may use the room now
+	}
 }
 
 // holdEarlier keeps the room that an earlier decision makes for a unit, so that
