relay: take a worker as ended when nothing listens at its address

Worker and relay are on one machine, so no network lies between. Two refusals 100 ms apart are needed, and a later heartbeat of the same process makes the worker usable again.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,9 @@
 	endPause = 100 * time.Millisecond
 	// callPause is the pause after a failed call to the worker.
 	callPause = 300 * time.Millisecond
+	// absentPause is the pause after a call for which nothing listened; the
+	// worker has ended if nothing listens then either.
+	absentPause = 100 * time.Millisecond
 	// tickPeriod is the time between two looks at what is due.
 	tickPeriod = 100 * time.Millisecond
 )
@@ -98,7 +101,7 @@
 		if s.worker.GetId() == worker && !s.worker.GetGone() {
 			klog.InfoS("relay: worker left", "worker", worker)
 			s.worker = cloneWorker(s.worker)
-			s.worker.Gone = true
+			s.worker.Gone, s.left = true, true
 			s.news()
 		}
 	})
@@ -134,9 +137,13 @@
 		klog.InfoS("relay: worker drains", "worker", b.Worker.GetId(), "draining", b.Worker.GetDraining(), "remaining_ms", b.Worker.GetRemainingMs())
 		s.news()
 	}
-	gone := same && s.worker.GetGone()
-	s.worker, s.beatSeq = b.Worker, b.Sequence
-	s.worker.Gone = gone
+	left := same && s.left
+	if same && s.worker.GetGone() && !left {
+		klog.InfoS("relay: worker lives", "worker", b.Worker.GetId(), "sequence", b.Sequence)
+		s.news()
+	}
+	s.worker, s.beatSeq, s.left, s.absentSince = b.Worker, b.Sequence, left, 0
+	s.worker.Gone = left
 	if !same || s.workerClock == 0 {
 		s.setClock(b.Clock, now)
 	}
@@ -209,8 +216,22 @@
 		klog.InfoS("relay: worker answers", "worker", s.worker.GetId(), "answers", ok, "err", err)
 	}
 	s.lost, s.leaseOpen = !ok, !ok
-	if !ok {
-		s.holdNotUntil = now + callPause
+	if !errors.Is(err, ErrNoWorker) {
+		s.absentSince = 0
+		if !ok {
+			s.holdNotUntil = now + callPause
+		}
+		return
+	}
+	s.holdNotUntil = now + absentPause
+	if s.absentSince == 0 {
+		s.absentSince = now
+	}
+	if now-s.absentSince >= absentPause && !s.worker.GetGone() {
+		klog.InfoS("relay: worker ended", "worker", s.worker.GetId(), "absent_ms", (now - s.absentSince).Milliseconds(), "err", err)
+		s.worker = cloneWorker(s.worker)
+		s.worker.Gone = true
+		s.news()
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -25,6 +25,7 @@
 	ends     []*flow.End
 	deadline time.Duration
 	silent   bool
+	absent   bool // nothing listens at its address
 	// late makes starts unanswered; they are carried out after it.
 	late    time.Duration
 	refuse  string
@@ -40,6 +41,9 @@
 var errSilent = errors.New("no answer")
 
 func (w *fakeWorker) enter(call Call) (string, error) {
+	if w.absent {
+		return "", ErrNoWorker
+	}
 	if w.silent {
 		return "", errSilent
 	}
@@ -116,6 +120,9 @@
 	w.mu.Lock()
 	answer, err := w.enter(call)
 	w.mu.Unlock()
+	if errors.Is(err, ErrNoWorker) {
+		return Lists{}, err
+	}
 	if err != nil {
 		<-ctx.Done() // a silent worker does not answer
 		return Lists{}, err
@@ -377,3 +384,48 @@
 		}
 	})
 }
+
+// A worker at whose address nothing listens has ended, and with it what it ran;
+// its lease need not run out. One refused connection proves nothing, and a
+// heartbeat after that shows that it lives.
+func TestWorkerWithoutListenerIsGone(t *testing.T) {
+	withRelay(t, func(t *testing.T, w *relayWorld) {
+		w.scheduler.set(oneStart)
+		time.Sleep(time.Second)
+		w.worker.mu.Lock()
+		w.worker.absent = true
+		w.worker.mu.Unlock()
+		time.Sleep(time.Second)
+		if !w.scheduler.report().GetWorker().GetGone() {
+			t.Error("not gone a second after its end")
+		}
+		w.worker.mu.Lock()
+		w.worker.absent = false
+		w.worker.mu.Unlock()
+		w.beat(t, 2, false)
+		time.Sleep(time.Second)
+		if w.scheduler.report().GetWorker().GetGone() {
+			t.Error("gone after a heartbeat")
+		}
+	})
+}
+
+func TestOneRefusedConnectionIsNoEnd(t *testing.T) {
+	withRelay(t, func(t *testing.T, w *relayWorld) {
+		w.scheduler.set(oneStart)
+		time.Sleep(time.Second)
+		for range 5 {
+			w.worker.mu.Lock()
+			w.worker.absent = true
+			w.worker.mu.Unlock()
+			time.Sleep(absentPause - 10*time.Millisecond)
+			w.worker.mu.Lock()
+			w.worker.absent = false
+			w.worker.mu.Unlock()
+			time.Sleep(time.Second)
+			if w.scheduler.report().GetWorker().GetGone() {
+				t.Fatal("gone after one refused connection")
+			}
+		}
+	})
+}
--- a/relay/state.go
+++ b/relay/state.go
@@ -70,6 +70,8 @@
 	holdNotUntil time.Duration // relay's clock; pause after a failed call
 	endsNotUntil time.Duration // relay's clock; pause while ends are not stored
 	lost         bool          // calls to the worker fail
+	absentSince  time.Duration // relay's clock; nothing has listened since, or 0
+	left         bool          // the worker has said that it ends
 
 	ordersVersion int64
 	reportSeq     int64
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -15,6 +15,10 @@
 // ErrOtherWorker means that another process answers at the worker's address.
 var ErrOtherWorker = Error.New("another worker answered")
 
+// ErrNoWorker means that nothing listens at the worker's address. The worker is
+// on this machine, so its process has ended or does not listen yet.
+var ErrNoWorker = Error.New("nothing listens at the worker's address")
+
 // Answers of a worker to a start.
 const (
 	// AnswerStarted means that the run is there.
@@ -44,8 +48,8 @@
 	Ends    []*flow.End
 }
 
-// Worker is the worker's interface. An error that is not ErrOtherWorker leaves
-// open whether the call was or will be carried out.
+// Worker is the worker's interface. An error that is neither ErrOtherWorker nor
+// ErrNoWorker leaves open whether the call was or will be carried out.
 type Worker interface {
 	// Start starts a run and returns one of the answers above, or the reason
 	// of a rejection.
