duty: leave draining workers in time, and tell slow workers from wrong times

Cause 1: a run on a worker that drains and ends before the run was lost whole with it. It is stopped as soon as that is known, so that it saves what it can and starts elsewhere. Tasks that last stay until the end.

A reading of one job now says nothing of its worker: other jobs must be slow there too.

Moves as such gain little; wrong ones cost much.

--- a/duty/health.go
+++ b/duty/health.go
@@ -30,8 +30,10 @@
 	maxSlowness = 20
 	// slowRun is the slowness from which a run counts as slow.
 	slowRun = 3
-	// speedWeight is the weight of a new speed against the old.
-	speedWeight = 0.5
+	// readingAge is how long a reading of a speed counts.
+	readingAge = 5 * time.Second
+	// soundBelow is the slowness below which readings are too rough to matter.
+	soundBelow = 2
 )
 
 // health is what a worker's runs say of it.
@@ -39,8 +41,15 @@
 	failures    int
 	bannedUntil time.Duration
 	ban         time.Duration
-	// slowness is how many times as long tasks take as declared; 0 is not known.
+	// readings are the last of each job that ran there, which tells a slow
+	// worker from a job whose declared time is wrong.
+	readings map[*job]reading
+}
+
+// reading is how many times as long as declared a task was taking.
+type reading struct {
 	slowness float64
+	at       time.Duration
 }
 
 // ended takes the end of a run.
@@ -73,34 +82,49 @@
 	h.bannedUntil = max(h.bannedUntil, now+ban)
 }
 
-// sample takes the progress of a run, from which the worker's speed is known.
-func (h *health) sample(r *run, percent int32, now time.Duration) {
+// sample takes the progress of a job's run.
+func (h *health) sample(j *job, r *run, percent int32, now time.Duration) {
 	took := now - r.sampleAt
 	if r.expected <= 0 || took < max(minSample, r.expected*minPercent/100) {
 		return
 	}
 	share := float64(percent-r.samplePercent) / 100
 	r.sampleAt, r.samplePercent = now, percent
-	slowness := min(maxSlowness, took.Seconds()/(r.expected.Seconds()*max(share, leastShare)))
-	if slowness < slowRun {
+	r.slowness = min(maxSlowness, took.Seconds()/(r.expected.Seconds()*max(share, leastShare)))
+	if r.slowness < slowRun {
 		r.slowSamples = 0
 	} else {
 		r.slowSamples++
 	}
-	r.slowness = slowness
-	if h.slowness == 0 {
-		h.slowness = slowness
-		return
+	if h.readings == nil {
+		h.readings = map[*job]reading{}
+	}
+	h.readings[j] = reading{r.slowness, now}
+}
+
+// besides returns how slow the worker is by the runs of other jobs, and how
+// many these are. All of them must agree, so the least slow one counts.
+func (h *health) besides(except *job, now time.Duration) (slowness float64, jobs int) {
+	for j, r := range h.readings {
+		switch {
+		case now-r.at > readingAge:
+			delete(h.readings, j)
+		case j != except:
+			if jobs == 0 || r.slowness < slowness {
+				slowness = r.slowness
+			}
+			jobs++
+		}
 	}
-	h.slowness += speedWeight * (slowness - h.slowness)
+	return slowness, jobs
 }
 
-// speed returns how many times as long tasks take; estimates are too rough to
-// tell apart what is near 1.
-func (h *health) speed() float64 {
-	const soundBelow = 2
-	if h.slowness < soundBelow {
+// speed returns how many times as long tasks take on the worker, from two jobs
+// or more.
+func (h *health) speed(now time.Duration) float64 {
+	slowness, jobs := h.besides(nil, now)
+	if jobs < 2 || slowness < soundBelow {
 		return 1
 	}
-	return h.slowness
+	return slowness
 }
--- a/duty/place.go
+++ b/duty/place.go
@@ -54,7 +54,7 @@
 			st.stop(j, t)
 		}
 	}
-	st.plan = false // the starts took their room within the decision
+	st.plan = len(decision.Starts) > 0
 }
 
 // expectedAt is the expected time of the unit's task i at its place.
@@ -110,7 +110,7 @@
 	for p, w := range st.byPlace {
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
-			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: w.health.speed(),
+			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: w.health.speed(now),
 		})
 	}
 	sortWorkers(in.Workers)
@@ -134,7 +134,6 @@
 		return plan.Running{Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Guaranteed: guaranteed}
 	}
 	done := time.Duration(float64(r.expected) * float64(r.percent) / 100)
-	remaining := max(0, r.expected-max(done, 0)-(now-r.percentAt))
 	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
 	tail := time.Duration(graph.TailMS(j.graph.Spec, t.Ref.Step)) * time.Millisecond
 	spare := objective - (now - j.submitted) - tail
@@ -142,11 +141,17 @@
 		spare += done
 	}
 	return plan.Running{
-		Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Remaining: remaining, Expected: r.expected, Spare: spare,
+		Job: j.graph, Ref: t.Ref, Run: t.Run, At: t.Place, Need: need, Remaining: r.remaining(now), Expected: r.expected, Spare: spare,
 		Unsaved: st.unsaved(j, t.Ref, now), Stopping: r.stop, Guaranteed: guaranteed,
 	}
 }
 
+// remaining returns the expected time to the end of the run.
+func (r *run) remaining(now time.Duration) time.Duration {
+	done := time.Duration(float64(r.expected) * float64(r.percent) / 100)
+	return max(0, r.expected-done-(now-r.percentAt))
+}
+
 func (st *state) request(j *job, unit graph.Unit, reclaims bool, now time.Duration) plan.Request {
 	first := unit.Tasks[0]
 	since, ok := j.readySince[first]
--- a/duty/report.go
+++ b/duty/report.go
@@ -50,7 +50,7 @@
 		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.Born, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
 		delete(st.byPlace, w.place)
 		w.place, w.reconciled, w.applied, w.observed, w.ends, w.strays = place, false, 0, 0, nil, nil
-		w.health = health{}
+		w.health, w.endsAt = health{}, 0
 		w.version++
 		w.changed = true
 		st.byPlace[place] = w
@@ -62,6 +62,12 @@
 		st.plan = true
 	}
 	w.info = info
+	if left := info.GetRemainingMs(); info.GetDraining() && left > 0 {
+		end := clock.Steady() + time.Duration(left)*time.Millisecond
+		if w.endsAt == 0 || end < w.endsAt {
+			w.endsAt = end
+		}
+	}
 	if info.GetGone() {
 		st.loseAll(func(p graph.Place) bool { return p == place }, "gone")
 	}
@@ -195,9 +201,7 @@
 	if r.GetPercent() > known.percent {
 		known.percent, known.percentAt = r.GetPercent(), now
 	}
-	if !j.moved {
-		w.health.sample(known, known.percent, now)
-	}
+	w.health.sample(j, known, known.percent, now)
 	if r.GetCheckpoint() != "" {
 		known.checkpoint = r.GetCheckpoint()
 	}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -172,6 +172,7 @@
 	st.expire(s, now)
 	if st.plan && s.claim.Valid() {
 		st.plan = false
+		st.leaveDraining(now)
 		st.moveSlow(now)
 		st.place(s, now)
 	}
--- a/duty/slow.go
+++ b/duty/slow.go
@@ -18,9 +18,10 @@
 )
 
 // moveSlow stops runs of urgent jobs on workers that have turned slow if they
-// would miss their objective there and end much sooner elsewhere. A job moves
-// once: if it is slow again, its declared time is wrong and not the worker. Work of other
-// queues has time to spare and waits for the worker to recover.
+// would miss their objective there and end much sooner elsewhere. Other jobs must
+// be slow there too, or the job's declared time is wrong; for the same reason it
+// moves once. Work of other queues has time to spare and waits for the worker to
+// recover.
 func (st *state) moveSlow(now time.Duration) {
 	for _, j := range st.open() {
 		if j.graph.Over() || j.graph.Spec.GetPriority() != 0 || j.moved {
@@ -32,6 +33,13 @@
 			if r == nil || r.stop || t.Done || r.slowSamples < slowReadings {
 				continue
 			}
+			w := st.byPlace[t.Place]
+			if w == nil {
+				continue
+			}
+			if slowness, jobs := w.health.besides(j, now); jobs == 0 || slowness < slowRun {
+				continue // the job's declared time may be wrong
+			}
 			left := time.Duration(r.slowness * float64(r.expected) * float64(100-r.percent) / 100)
 			fresh := stopTime + r.expected
 			if now-j.submitted+left < objective || float64(left) < moveGain*float64(fresh) {
@@ -40,11 +48,7 @@
 			klog.InfoS("duty: slow run stopped", "job", j.graph.Spec.GetId(), "step", t.Ref.Step, "index", t.Ref.Index,
 				"worker", t.Place.Worker, "percent", r.percent, "slowness", r.slowness, "left_ms", left.Milliseconds())
 			j.moved = true
-			for _, ref := range j.graph.Members(t.Ref) {
-				if m := j.graph.Task(ref); m != nil && m.Active() && !m.Done {
-					st.stop(j, m)
-				}
-			}
+			st.stopUnit(j, t.Ref)
 		}
 	}
 }
