--- a/plan/decide.go
+++ b/plan/decide.go
@@ -10,6 +10,8 @@
 	// rackPatience is how long a unit waits for room on the right rack while
 	// there is room elsewhere.
 	rackPatience = 1500 * time.Millisecond
+	// keptRacks is the number of racks of which one is held open for urgent units.
+	keptRacks = 4
 	// keptSlack is the slack above which a unit leaves the emptiest rack to
 	// urgent units.
 	keptSlack = 4 * time.Second
--- a/plan/doc.go
+++ b/plan/doc.go
@@ -13,6 +13,8 @@
 //     of small tasks).
 //   - Tasks go to the fullest worker that has room, so that whole workers and
 //     racks stay free for wide tasks and gangs (a mix of 1 and 8 accelerators).
+//   - The emptiest racks, one in four, are left to urgent units by units with
+//     time to spare (bursts of urgent gangs on a site that is otherwise full).
 //   - A unit waits a little for its data's rack or for one rack for its gang,
 //     and then runs elsewhere.
 package plan
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -233,3 +233,51 @@
 		t.Errorf("%d of 35 gangs on time; want %d", out.onTime[1], wantGangs)
 	}
 }
+
+// Bursts of urgent gangs on a large site that a stream of wide jobs with time to
+// spare would fill: several racks stay open, so that the gangs do about as well
+// as on the site alone, and what is stopped for them is small beside their work.
+func TestUrgentBurstsOnLargeSite(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	urgent := func(n int, at time.Duration) arrival {
+		j := jobOf(fmt.Sprintf("%016x", 1000+n), 0, &flow.Step{Count: 3 + random.Int32N(6), Cpu: 7500, MemoryMb: 39000, Accelerators: 1 + random.Int64N(8), EstimateMs: 2500, Gang: true})
+		return arrival{at: at, job: withObjective(j, 1.2, 600*time.Millisecond), took: 2500 * time.Millisecond}
+	}
+	load := func(others bool) []arrival {
+		random = rand.New(rand.NewPCG(5, 6))
+		var load []arrival
+		for n := range 60 {
+			// Three bursts of 6 s, 10 s apart.
+			at := time.Duration(10000*(n%3)+3000+random.IntN(6000)) * time.Millisecond
+			load = append(load, urgent(n, at))
+		}
+		for n := range 40 {
+			if !others {
+				break
+			}
+			at := time.Duration(random.IntN(30000)) * time.Millisecond
+			j := jobOf(fmt.Sprintf("%016x", n), 2, &flow.Step{Count: 20 + random.Int32N(40), Cpu: 5600, MemoryMb: 23000, Accelerators: 1, EstimateMs: 6100})
+			load = append(load, arrival{at: at, job: withObjective(j, 3, 10*time.Second), took: 6100 * time.Millisecond})
+		}
+		return load
+	}
+	work := 0.0 // core-seconds of the urgent gangs
+	for _, a := range load(false) {
+		step := a.job.Spec.GetSteps()[0]
+		work += Amount{CPU: step.GetCpu(), Accelerators: step.GetAccelerators()}.Cores() * a.took.Seconds() * float64(step.GetCount())
+	}
+	alone := replay(racksOf(12, 5), load(false), 60*time.Second)
+	out := replay(racksOf(12, 5), load(true), 120*time.Second)
+	t.Logf("alone: on time %v, late %v; beside others: on time %v, late %v, stops %d, thrown away %.0f core-seconds",
+		alone.onTime, alone.late, out.onTime, out.late, out.stops, out.thrown)
+	const (
+		share      = 0.9 // of what the site could do for urgent work alone
+		mostThrown = 0.2 // of the urgent work
+	)
+	if got, ideal := out.onTime[0], alone.onTime[0]; float64(got) < share*float64(ideal) {
+		t.Errorf("%d urgent gangs on time; %d of 60 are on the site alone", got, ideal)
+	}
+	if out.thrown > mostThrown*work {
+		t.Errorf("%.0f core-seconds thrown away for %.0f of urgent work", out.thrown, work)
+	}
+}
--- a/plan/state.go
+++ b/plan/state.go
@@ -35,8 +35,8 @@
 	fits []int
 	left []Amount
 	used []int32
-	// kept is the rack that is held open for urgent units, or "".
-	kept string
+	// kept are the racks that are held open for urgent units.
+	kept map[string]bool
 	// busy tells whether more than half of the room was taken at the start.
 	busy bool
 }
@@ -79,29 +79,32 @@
 			s.on[w] = append(s.on[w], i)
 		}
 	}
-	s.kept, s.busy = s.emptiestRack(), s.mostlyBusy()
+	s.kept, s.busy = s.emptiestRacks(), s.mostlyBusy()
 	return s
 }
 
-// emptiestRack returns the rack with the most free room on usable workers.
-func (s *state) emptiestRack() string {
-	best, bestFree := "", 0.0
+// emptiestRacks returns the racks with the most free room on usable workers:
+// one in keptRacks, and none if there is only one rack.
+func (s *state) emptiestRacks() map[string]bool {
 	if len(s.racks) < 2 {
-		return best
-	}
-	for _, rack := range sortedKeys(s.racks) {
-		if free := s.rackRoom[rack]; free > bestFree {
-			best, bestFree = rack, free
+		return nil
+	}
+	racks := sortedKeys(s.racks)
+	slices.SortStableFunc(racks, func(a, b string) int { return cmp.Compare(s.rackRoom[b], s.rackRoom[a]) })
+	kept := map[string]bool{}
+	for _, rack := range racks[:(len(racks)+keptRacks-1)/keptRacks] {
+		if s.rackRoom[rack] > 0 {
+			kept[rack] = true
 		}
 	}
-	return best
+	return kept
 }
 
 // leaves tells whether a unit leaves a rack to urgent units for now. Work whose
 // data is there does not, and nothing waits for long while half of all room is
 // free.
 func (s *state) leaves(r *Request, rack string) bool {
-	if rack != s.kept || r.priority() == 0 || r.Slack <= keptSlack || r.Unit.Step.GetDataRack() == rack {
+	if !s.kept[rack] || r.priority() == 0 || r.Slack <= keptSlack || r.Unit.Step.GetDataRack() == rack {
 		return false
 	}
 	return r.Ready < keptPatience || s.busy
@@ -142,7 +145,7 @@
 // is free now. With anywhere set, the unit does not wait for its rack.
 func (s *state) fit(r *Request, anywhere bool) ([]int, bool) {
 	for _, f := range s.refused {
-		if tighter(r, f, s.leaves(r, s.kept), s.leaves(f, s.kept)) {
+		if s.tighter(r, f) {
 			return nil, false
 		}
 	}
@@ -155,14 +158,24 @@
 
 // tighter tells whether r fits nowhere if f, which looked at all workers, does
 // not: room is only taken while requests are looked at.
-func tighter(r, f *Request, rLeaves, fLeaves bool) bool {
+func (s *state) tighter(r, f *Request) bool {
 	rs, fs := r.Unit.Step, f.Unit.Step
 	return len(r.Held) == 0 && r.Need.Covers(f.Need) && len(r.Unit.Tasks) >= len(f.Unit.Tasks) && r.Duration >= f.Duration &&
-		(rLeaves || !fLeaves) && r.Unit.Job.Spec.GetService() == f.Unit.Job.Spec.GetService() &&
+		s.leavesNoLess(r, f) && r.Unit.Job.Spec.GetService() == f.Unit.Job.Spec.GetService() &&
 		(fs.GetRequiredLabel() == "" || fs.GetRequiredLabel() == rs.GetRequiredLabel()) &&
 		(fs.GetMaxPerWorker() == 0 || fs == rs && r.Unit.Tasks[0].Occurrence == f.Unit.Tasks[0].Occurrence)
 }
 
+// leavesNoLess tells whether r leaves each rack to urgent units that f leaves.
+func (s *state) leavesNoLess(r, f *Request) bool {
+	for rack := range s.kept {
+		if s.leaves(f, rack) && !s.leaves(r, rack) {
+			return false
+		}
+	}
+	return true
+}
+
 // patient tells whether the unit still waits for room on the right rack.
 func (r *Request) patient() bool {
 	step := r.Unit.Step
