--- a/duty/health.go
+++ b/duty/health.go
@@ -74,9 +74,9 @@
 func (h *health) refused(reason string, now time.Duration) {
 	ban := unhealthyBan
 	switch reason {
-	case "room":
+	case graph.RefusedRoom:
 		ban = roomBan
-	case "stopped", "old", "draining":
+	case graph.RefusedStopped, graph.RefusedRun, graph.RefusedDraining:
 		return
 	}
 	h.bannedUntil = max(h.bannedUntil, now+ban)
--- a/graph/job.go
+++ b/graph/job.go
@@ -7,14 +7,33 @@
 	"catkinpoint/flow"
 )
 
-// Ends of a run, as workers name them.
+// Ends of a run.
 const (
 	EndDone    = "done"
 	EndFailed  = "failed"
 	EndStopped = "stopped"
-	EndLapsed  = "lapsed"
-	EndBroken  = "broken"
-	EndAlone   = "alone"
+	// EndLapsed is the end of a run whose task lease ran out.
+	EndLapsed = "lapsed"
+	// EndBroken is the end of a gang's member after that of another one.
+	EndBroken = "broken"
+	// EndAlone is the end of a gang's member for which the others did not come.
+	EndAlone = "alone"
+)
+
+// Reasons for which a run never starts.
+const (
+	// RefusedEpoch means that the worker has seen a later scheduler.
+	RefusedEpoch = "stale_epoch"
+	// RefusedRun means that this or a later run of the task has ended there.
+	RefusedRun = "stale_run"
+	// RefusedLate means that the order came after its deadline.
+	RefusedLate       = "expired"
+	RefusedRoom       = "no_room"
+	RefusedUnhealthy  = "unhealthy"
+	RefusedInvalid    = "invalid"
+	RefusedStopped    = "stopped"
+	RefusedDraining   = "draining"
+	RefusedUnanswered = "unanswered"
 )
 
 // Place is a worker's process: its id, the start of its process in Unix
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
 // applyOrders takes the answer to a report that was sent at the given time, on
@@ -73,7 +74,7 @@
 			continue
 		}
 		if st, ok := s.starts[key]; ok {
-			st.phase, st.reason = startRevoking, "stopped"
+			st.phase, st.reason = startRevoking, graph.RefusedStopped
 		}
 		if _, ok := s.stops[key]; !ok {
 			s.stops[key] = &stop{order: order}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"catkinpoint/clock"
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 	"catkinpoint/owner"
 )
 
@@ -188,9 +189,9 @@
 	}
 	switch {
 	case s.worker.GetDraining():
-		s.giveUp(key, st, "draining")
+		s.giveUp(key, st, graph.RefusedDraining)
 	case st.tries >= maxTries:
-		s.giveUp(key, st, "unanswered")
+		s.giveUp(key, st, graph.RefusedUnanswered)
 	case now < s.permitUntil && s.leaseUntil > s.clockNow(now):
 		r.sendStart(s, key, st)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
 // fakeWorker keeps the rules of a worker: epochs, run numbers, ends that are
@@ -80,7 +81,7 @@
 		return w.refuse, nil
 	}
 	if s.GetRun() <= w.over[s.GetTask()] {
-		return AnswerOld, nil
+		return graph.RefusedRun, nil
 	}
 	w.starts = append(w.starts, s.GetTask())
 	w.running[s.GetTask()] = &flow.Run{Task: s.GetTask(), Run: s.GetRun()}
@@ -298,8 +299,8 @@
 
 func TestRejectedStartIsRefused(t *testing.T) {
 	tests := []struct{ reason, want string }{
-		{"room", "a.0.0.0/room "},
-		{"unhealthy", "a.0.0.0/unhealthy "},
+		{graph.RefusedRoom, "a.0.0.0/no_room "},
+		{graph.RefusedUnhealthy, "a.0.0.0/unhealthy "},
 	}
 	for _, test := range tests {
 		t.Run(test.reason, func(t *testing.T) {
--- a/relay/state.go
+++ b/relay/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
 // runKey names a run of a task.
@@ -222,7 +223,7 @@
 		if _, ok := s.running[key]; ok || s.ended(key) {
 			continue
 		}
-		s.refuse(key, "stopped")
+		s.refuse(key, graph.RefusedStopped)
 	}
 	for key, st := range s.starts {
 		if st.phase == startRevoking && s.ended(key) {
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/errs"
 
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
 // Error is the class of all errors of this package.
@@ -19,14 +20,12 @@
 // on this machine, so its process has ended or does not listen yet.
 var ErrNoWorker = Error.New("nothing listens at the worker's address")
 
-// Answers of a worker to a start.
+// Answers of a worker to a call, beside the reasons of package graph.
 const (
 	// AnswerStarted means that the run is there.
 	AnswerStarted = "started"
 	// AnswerFenced means that the worker has seen a higher epoch.
-	AnswerFenced = "fence"
-	// AnswerOld means that the worker has ended this or a later run of the task.
-	AnswerOld = "old"
+	AnswerFenced = graph.RefusedEpoch
 )
 
 // Call is what each call to a worker carries.
@@ -51,8 +50,7 @@
 // Worker is the worker's interface. An error that is neither ErrOtherWorker nor
 // ErrNoWorker leaves open whether the call was or will be carried out.
 type Worker interface {
-	// Start starts a run and returns one of the answers above, or the reason
-	// of a rejection.
+	// Start starts a run and returns AnswerStarted, or the reason of a refusal.
 	Start(ctx context.Context, call Call, start *flow.Start) (string, error)
 	// Stop ends a run, or makes the worker reject it for good.
 	Stop(ctx context.Context, call Call, stop *flow.Stop) (string, error)
