gate: refuse at once a job that all workers together cannot hold

The scheduler counts the workers that were heard of in the last minute, whatever their state, and tells the count with its answer to each change that a gate reports. A gate with a count younger than 20 s refuses such a job with when to come back; without one it accepts.

Ruled out: failing the job after it was accepted, which tells the caller less, later, and breaks the promise of an accepted job. A count of usable workers only: zones that are cut off or workers that are replaced would refuse jobs that run some seconds later.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -357,3 +357,27 @@
 		})
 	}
 }
+
+// Workers count for a while after they were heard last, and a scheduler that is
+// new tells nothing, as its workers have yet to report.
+func TestRoomsKeepWorkersThatMayReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, fakekv.New(), 1)
+		b.attend(reportOf(1, 1, 1))
+		b.attend(reportOf(2, 1, 1))
+		if rooms := b.scheduler.Rooms(); rooms != nil {
+			t.Errorf("rooms of a new scheduler: %v", rooms)
+		}
+		time.Sleep(roomSettle)
+		b.attend(reportOf(1, 2, 1))
+		if rooms := b.scheduler.Rooms(); len(rooms) != 1 || rooms[0].GetWorkers() != 2 {
+			t.Errorf("rooms: %v; want two workers that are alike", rooms)
+		}
+		time.Sleep(roomMemory - roomSettle)
+		b.attend(reportOf(1, 3, 1))
+		time.Sleep(2 * planPeriod)
+		if rooms := b.scheduler.Rooms(); len(rooms) != 1 || rooms[0].GetWorkers() != 1 {
+			t.Errorf("rooms later: %v; want one worker", rooms)
+		}
+	})
+}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -65,6 +66,7 @@
 	gates    func() []string
 	own      *owner.Owner[*state]
 	ctx      context.Context
+	rooms    atomic.Pointer[[]*flow.Room]
 }
 
 // NewScheduler returns a scheduler for a claim; Run starts it.
@@ -170,6 +172,7 @@
 		return
 	}
 	st.expire(s, now)
+	st.countRooms(s, now)
 	if st.plan && s.claim.Valid() {
 		st.plan = false
 		st.leaveDraining(now)
--- a/duty/state.go
+++ b/duty/state.go
@@ -103,6 +103,7 @@
 	sweeping   bool
 	sweepAt    time.Duration
 	expireAt   time.Duration
+	roomsAt    time.Duration
 	// held is where room is being made for units.
 	held map[unitKey][]graph.Place
 	seq  int64
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -59,6 +59,7 @@
 	leaving   atomic.Bool
 	vacant    chan struct{}
 	teller    teller
+	rooms     rooms
 }
 
 // New returns a gate; Run starts it.
@@ -66,7 +67,7 @@
 	g := &Gate{opts: opts, board: newBoard(), vacant: make(chan struct{})}
 	g.jobs = cache.New(opts.KV, duty.KeyPrefix, g.applyJobs)
 	g.orders = cache.New(opts.KV, opts.Operator.Prefix, g.applyOperator)
-	g.teller = newTeller(g.board.holder)
+	g.teller = newTeller(g.board.holder, g.rooms.set)
 	g.operator = &operator{evacuated: map[string]bool{}, age: g.orders.Age}
 	return g
 }
@@ -188,8 +189,11 @@
 }
 
 // Tell takes a change that another gate has committed.
-func (c Calls) Tell(change *flow.Change, _ *flow.ChangeAnswer) error {
+func (c Calls) Tell(change *flow.Change, answer *flow.ChangeAnswer) error {
 	c.gate.take(change)
+	if s := c.gate.scheduler.Load(); s != nil {
+		answer.Rooms = s.Rooms()
+	}
 	return nil
 }
 
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -243,3 +243,36 @@
 		}
 	})
 }
+
+// A job that all workers together cannot hold is refused at once, by a count of
+// workers that is not too old; a repeated call for an accepted job is not.
+func TestJobTooWideForAllWorkersIsRefused(t *testing.T) {
+	world(t, func(t *testing.T, kv *fakekv.Server, _ *Gate) {
+		time.Sleep(5 * time.Second) // the first gate holds the duty
+		g := run(t, kv, "g2")
+		wide := func(tasks int32) func(int64) (*flow.Job, error) {
+			return func(int64) (*flow.Job, error) {
+				return &flow.Job{Steps: []*flow.Step{{Count: tasks, Accelerators: 8, EstimateMs: 1000, Gang: true}}}, nil
+			}
+		}
+		if got := g.Submit(t.Context(), call("/q/00000000000000a0"), wide(5)); got.Verdict != Done {
+			t.Errorf("without a count: %v (%s)", got.Verdict, got.Reason)
+		}
+		time.Sleep(time.Second)
+		g.rooms.set([]*flow.Room{{Service: "s", Cpu: 64000, MemoryMb: 1000, Accelerators: 8, Workers: 4}})
+		got := g.Submit(t.Context(), call("/q/00000000000000a1"), wide(5))
+		if got.Verdict != Busy || got.RetryAfter <= 0 {
+			t.Errorf("too wide: %v (%s), come back after %v", got.Verdict, got.Reason, got.RetryAfter)
+		}
+		if _, err := kv.Get(t.Context(), duty.JobKey("00000000000000a1")); err == nil {
+			t.Error("the refused job is stored")
+		}
+		if got := g.Submit(t.Context(), call("/q/00000000000000a0"), wide(5)); got.Verdict != Done {
+			t.Errorf("the accepted job again: %v (%s)", got.Verdict, got.Reason)
+		}
+		time.Sleep(roomAge + time.Second)
+		if got := g.Submit(t.Context(), call("/q/00000000000000a2"), wide(5)); got.Verdict != Done {
+			t.Errorf("by an old count: %v (%s)", got.Verdict, got.Reason)
+		}
+	})
+}
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -15,6 +15,7 @@
 	"catkinpoint/duty"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/plan"
 	"catkinpoint/route"
 	"catkinpoint/store"
 )
@@ -70,6 +71,9 @@
 	budgetShare = 0.6
 	// storeReturn is when a caller should come back to a gate without the store.
 	storeReturn = time.Second
+	// roomReturn is when a caller should come back with a job for which there are
+	// not enough workers; it is about the time in which machines are added.
+	roomReturn = 30 * time.Second
 	// retryWritePause is the pause between two tries of one write.
 	retryWritePause = 50 * time.Millisecond
 )
@@ -121,6 +125,12 @@
 	if queue.Advised {
 		return g.logged("submit", id, Answer{Verdict: Refused, Reason: "queues with a hint service are not served", RetryAfter: time.Minute})
 	}
+	if rooms, age := g.knownRooms(); len(rooms) > 0 && !plan.CouldHold(rooms, job) {
+		return g.logged("submit", id, Answer{
+			Verdict: Busy, RetryAfter: roomReturn,
+			Reason: fmt.Sprintf("all workers together cannot hold a step of the job, by a count that is %d ms old", age.Milliseconds()),
+		})
+	}
 	return g.logged("submit", id, g.create(ctx, call, job))
 }
 
--- a/gate/tell.go
+++ b/gate/tell.go
@@ -24,10 +24,12 @@
 type teller struct {
 	holder  func() *flow.Claim
 	changes chan *flow.Change
+	// answered takes the workers that the scheduler knows.
+	answered func([]*flow.Room)
 }
 
-func newTeller(holder func() *flow.Claim) teller {
-	return teller{holder: holder, changes: make(chan *flow.Change, tellQueue)}
+func newTeller(holder func() *flow.Claim, answered func([]*flow.Room)) teller {
+	return teller{holder: holder, changes: make(chan *flow.Change, tellQueue), answered: answered}
 }
 
 // tell queues a change; it never blocks.
@@ -67,11 +69,14 @@
 			}
 			addr = holder
 		}
-		if err := sendChange(ctx, conn, change); err != nil {
+		answer, err := sendChange(ctx, conn, change)
+		if err != nil {
 			klog.InfoS("gate: scheduler not told", "key", change.GetKey(), "err", err)
 			conn.Close()
 			conn = nil
+			continue
 		}
+		t.answered(answer.GetRooms())
 	}
 }
 
@@ -81,11 +86,12 @@
 	return link.Dial(ctx, nil, addr)
 }
 
-func sendChange(ctx context.Context, conn *link.Conn, change *flow.Change) error {
+func sendChange(ctx context.Context, conn *link.Conn, change *flow.Change) (*flow.ChangeAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
-	if err := conn.Call(ctx, RPCName+".Tell", change, &flow.ChangeAnswer{}); err != nil {
-		return fmt.Errorf("telling %s: %w", change.GetKey(), err)
+	answer := &flow.ChangeAnswer{}
+	if err := conn.Call(ctx, RPCName+".Tell", change, answer); err != nil {
+		return nil, fmt.Errorf("telling %s: %w", change.GetKey(), err)
 	}
-	return nil
+	return answer, nil
 }
