--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -54,8 +54,8 @@
 	claim := &Claim{Epoch: epoch, Revision: revision, ttl: time.Hour, lost: make(chan struct{})}
 	claim.extend(clock.Steady())
 	operator := quietOperator{route.New(1, 1000, nil, []route.Customer{{Name: "c", Guaranteed: 16}}, nil)}
-	b := &bench{t: t, kv: kv, claim: claim, scheduler: NewScheduler(testSettings, kv, operator, claim, func() []string { return nil })}
-	go b.scheduler.Run(ctx)
+	b := &bench{t: t, kv: kv, claim: claim, scheduler: NewScheduler(ctx, testSettings, kv, operator, claim, func() []string { return nil })}
+	go b.scheduler.Run()
 	synctest.Wait()
 	return b
 }
--- a/duty/report.go
+++ b/duty/report.go
@@ -43,7 +43,9 @@
 }
 
 // meet takes what a worker says of itself. A newer process in its place, or
-// its end, ends all that ran there.
+// its end, ends all that ran there; but a process that has kept the id takes
+// orders that were meant for the one before, so each of these runs is stopped
+// there first.
 func (st *state) meet(s *Scheduler, w *worker, info *flow.Worker) {
 	place := graph.Place{Worker: info.GetId(), Born: info.GetBornMs(), Relay: w.relay}
 	if place != w.place {
@@ -54,7 +56,7 @@
 		w.version++
 		w.changed = true
 		st.byPlace[place] = w
-		st.loseAll(func(p graph.Place) bool { return p.Relay == w.relay && p != place }, "replaced")
+		st.loseAll(func(p graph.Place) bool { return p.Relay == w.relay && p.Worker != place.Worker }, "replaced")
 		st.plan = true
 	}
 	if w.info.GetDraining() != info.GetDraining() || w.info.GetGone() != info.GetGone() {
@@ -69,10 +71,16 @@
 		}
 	}
 	if info.GetGone() {
-		st.loseAll(func(p graph.Place) bool { return p == place }, "gone")
+		st.loseAll(w.has, "gone")
 	}
 }
 
+// has tells whether a run that was ordered to a place can only be in this
+// worker's process.
+func (w *worker) has(p graph.Place) bool {
+	return p.Relay == w.relay && p.Worker == w.place.Worker
+}
+
 // loseAll ends the runs at some places without an end of their own.
 func (st *state) loseAll(at func(graph.Place) bool, why string) {
 	for _, j := range st.open() {
@@ -154,7 +162,7 @@
 		return
 	}
 	t := j.graph.Task(ref)
-	if t == nil || t.Place != w.place {
+	if t == nil || !w.has(t.Place) {
 		return
 	}
 	w.health.ended(j, w.place.Worker, e.GetHow(), clock.Steady())
@@ -171,7 +179,7 @@
 		return
 	}
 	t := j.graph.Task(ref)
-	if t == nil || t.Place != w.place || t.Run != refusal.GetRun() {
+	if t == nil || !w.has(t.Place) || t.Run != refusal.GetRun() {
 		return
 	}
 	w.health.refused(refusal.GetReason(), clock.Steady())
@@ -249,14 +257,18 @@
 	for _, j := range st.open() {
 		id := j.graph.Spec.GetId()
 		for _, t := range j.graph.Active() {
+			if !w.has(t.Place) {
+				continue
+			}
+			name := graph.TaskName(id, t.Ref)
 			if t.Place != w.place {
+				orders.Stops = append(orders.Stops, &flow.Stop{Task: name, Run: t.Run})
 				continue
 			}
 			r := j.runs[t.Ref]
 			if r == nil || !r.stored {
 				continue
 			}
-			name := graph.TaskName(id, t.Ref)
 			switch {
 			case r.stop:
 				orders.Stops = append(orders.Stops, &flow.Stop{Task: name, Run: t.Run})
--- a/duty/round_test.go
+++ b/duty/round_test.go
@@ -20,8 +20,7 @@
 	claim := &Claim{Epoch: 1, Revision: 1, ttl: time.Hour, lost: make(chan struct{})}
 	claim.extend(clock.Steady())
 	operator := quietOperator{route.New(1, 1000, nil, []route.Customer{{Name: "c", Guaranteed: 16}}, nil)}
-	s := NewScheduler(testSettings, nil, operator, claim, func() []string { return nil })
-	s.ctx = context.Background()
+	s := NewScheduler(context.Background(), testSettings, nil, operator, claim, func() []string { return nil })
 	st := newState(clock.Steady())
 	st.loaded = true
 	for n := range workers {
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -69,17 +69,18 @@
 	rooms    atomic.Pointer[[]*flow.Room]
 }
 
-// NewScheduler returns a scheduler for a claim; Run starts it.
-func NewScheduler(settings Settings, kv store.TxnKV, operator Operator, claim *Claim, gates func() []string) *Scheduler {
+// NewScheduler returns a scheduler for a claim that lives until ctx ends; Run
+// starts it.
+func NewScheduler(ctx context.Context, settings Settings, kv store.TxnKV, operator Operator, claim *Claim, gates func() []string) *Scheduler {
 	return &Scheduler{
-		settings: settings, kv: kv, operator: operator, claim: claim, gates: gates,
+		ctx: ctx, settings: settings, kv: kv, operator: operator, claim: claim, gates: gates,
 		own: owner.New(newState(clock.Steady())),
 	}
 }
 
-// Run loads all jobs and schedules until ctx ends.
-func (s *Scheduler) Run(ctx context.Context) {
-	s.ctx = ctx
+// Run loads all jobs and schedules until the scheduler's context ends.
+func (s *Scheduler) Run() {
+	ctx := s.ctx
 	items, err := s.load(ctx)
 	if err != nil {
 		return // only when ctx ends
--- a/duty/state.go
+++ b/duty/state.go
@@ -360,9 +360,9 @@
 	limit := time.Duration(float64(s.settings.TaskLease)*leaseTolerance) + leaseMargin
 	for _, j := range st.open() {
 		for _, t := range j.graph.Active() {
-			w := st.byPlace[t.Place]
+			w := st.workers[t.Place.Relay]
 			last := st.began
-			if w != nil {
+			if w != nil && w.has(t.Place) {
 				last = max(last, w.heard)
 			}
 			if now-last > limit {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -137,10 +137,10 @@
 
 // serve does the duty under a claim.
 func (g *Gate) serve(ctx context.Context, claim *duty.Claim) {
-	s := duty.NewScheduler(g.opts.Settings, g.opts.KV, g.operator, claim, g.addresses)
+	s := duty.NewScheduler(ctx, g.opts.Settings, g.opts.KV, g.operator, claim, g.addresses)
 	g.scheduler.Store(s)
 	defer g.scheduler.Store(nil)
-	s.Run(ctx)
+	s.Run()
 }
 
 // addresses returns where relays may ask for the scheduler.
