gate, relay: list gates in the store, so that relays find a new holder

Cause: a relay that the store refused asked only the last holder. Gates now write their address under their name when they start; orders name the holder's and up to five others; a relay without the store asks all of them at once and takes the claim with the highest epoch.

--- a/duty/keys.go
+++ b/duty/keys.go
@@ -9,6 +9,7 @@
 	jobPrefix    = KeyPrefix + "job/"
 	workPrefix   = KeyPrefix + "progress/"
 	cancelPrefix = KeyPrefix + "cancel/"
+	gatePrefix   = KeyPrefix + "gate/"
 	claimKey     = KeyPrefix + "duty"
 	epochKey     = KeyPrefix + "epoch"
 )
@@ -22,6 +23,9 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id string) string { return cancelPrefix + id }
 
+// GateKey returns the key of a gate's address.
+func GateKey(name string) string { return gatePrefix + name }
+
 // Kind is what a key of the product stands for.
 type Kind int
 
@@ -32,9 +36,11 @@
 	KindWork
 	KindCancel
 	KindClaim
+	KindGate
 )
 
-// KindOf returns what a key stands for, and the id of its job.
+// KindOf returns what a key stands for, and the id of its job or the name of its
+// gate.
 func KindOf(key string) (Kind, string) {
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
 		return KindJob, id
@@ -45,6 +51,9 @@
 	if id, ok := strings.CutPrefix(key, cancelPrefix); ok {
 		return KindCancel, id
 	}
+	if name, ok := strings.CutPrefix(key, gatePrefix); ok {
+		return KindGate, name
+	}
 	if key == claimKey {
 		return KindClaim, ""
 	}
--- a/duty/state.go
+++ b/duty/state.go
@@ -151,7 +151,7 @@
 // that this process alone writes it.
 func (st *state) apply(e store.Event) {
 	kind, id := KindOf(e.Key)
-	if kind == KindOther || kind == KindClaim || e.Revision <= st.revisions[e.Key] {
+	if kind == KindOther || kind == KindClaim || kind == KindGate || e.Revision <= st.revisions[e.Key] {
 		return
 	}
 	st.revisions[e.Key] = e.Revision
--- a/gate/board.go
+++ b/gate/board.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,9 +37,11 @@
 	mu    sync.RWMutex
 	jobs  map[string]*entry
 	claim *flow.Claim
+	// gates are the addresses of gates by name; one may have ended.
+	gates map[string]string
 }
 
-func newBoard() *board { return &board{jobs: map[string]*entry{}} }
+func newBoard() *board { return &board{jobs: map[string]*entry{}, gates: map[string]string{}} }
 
 // apply takes changes of the product's keys.
 func (b *board) apply(events []store.Event) {
@@ -61,6 +65,12 @@
 	case kind == duty.KindClaim:
 		b.claim = &flow.Claim{}
 		decode(b.claim)
+	case kind == duty.KindGate && e.Deleted:
+		delete(b.gates, id)
+	case kind == duty.KindGate:
+		known := &flow.Claim{}
+		decode(known)
+		b.gates[id] = known.GetAddress()
 	case kind == duty.KindJob && e.Deleted:
 		delete(b.jobs, id)
 	case kind == duty.KindJob:
@@ -117,6 +127,19 @@
 	return b.claim
 }
 
+// addresses returns up to so many addresses of other gates.
+func (b *board) addresses(except string, most int) []string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(b.gates)) {
+		if name != except && len(list) < most {
+			list = append(list, b.gates[name])
+		}
+	}
+	return list
+}
+
 // operator is this gate's copy of the operator's wishes.
 type operator struct {
 	mu        sync.RWMutex
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,6 +23,12 @@
 const (
 	// vacancyPeriod is the time between two looks at the claim.
 	vacancyPeriod = 100 * time.Millisecond
+	// toldGates bounds the other gates that a relay is told of.
+	toldGates = 5
+	// announceTime bounds one try to list this gate; announcePause is the pause
+	// after one that failed.
+	announceTime  = time.Second
+	announcePause = 500 * time.Millisecond
 	// boardAge is the oldest copy of the jobs from which a state is answered.
 	boardAge = 2 * time.Second
 )
@@ -90,6 +96,7 @@
 	start(g.watchClaim)
 	start(candidate.Run)
 	start(g.teller.run)
+	start(g.announce)
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("running gate: %w", err)
 	}
@@ -144,7 +151,30 @@
 }
 
 // addresses returns where relays may ask for the scheduler.
-func (g *Gate) addresses() []string { return []string{g.opts.Address.String()} }
+func (g *Gate) addresses() []string {
+	return append([]string{g.opts.Address.String()}, g.board.addresses(g.opts.Name, toldGates)...)
+}
+
+// announce lists this gate's address in the store, under its name, for relays
+// that cannot ask the store who holds the duty.
+func (g *Gate) announce(ctx context.Context) {
+	value, err := proto.Marshal(&flow.Claim{Holder: g.opts.Name, Address: g.opts.Address.String()})
+	if err != nil {
+		klog.ErrorS(err, "gate: address not encoded")
+		return
+	}
+	txn := store.Txn{Writes: []store.Write{{Key: duty.GateKey(g.opts.Name), Value: value}}}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, announceTime)
+		_, err := g.opts.KV.Commit(call, txn)
+		cancel()
+		if err == nil {
+			return
+		}
+		klog.InfoS("gate: address not listed", "err", err)
+		clock.Sleep(ctx, announcePause)
+	}
+}
 
 // configured tells whether the configuration is known and not too old.
 func (g *Gate) configured() bool {
--- a/gate/path_test.go
+++ b/gate/path_test.go
@@ -369,3 +369,22 @@
 	}
 	return flow.Phase_QUEUED
 }
+
+// A relay learns the addresses of all gates, so that it finds a new holder when
+// neither the store nor the old one answers.
+func TestRelayKnowsAllGates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life, stop := context.WithCancel(t.Context())
+		p := newPath(life, t)
+		p.mu.Lock()
+		known := p.relays[0].Gates()
+		p.mu.Unlock()
+		for n := range pathGates {
+			if !slices.Contains(known, gateAddr(n)) {
+				t.Errorf("known gates %v; want %v among them", known, gateAddr(n))
+			}
+		}
+		stop()
+		time.Sleep(5 * time.Second) // calls under way end
+	})
+}
--- a/verbs/relay.go
+++ b/verbs/relay.go
@@ -95,15 +95,35 @@
 	if errors.Is(err, store.ErrNotFound) {
 		return netip.AddrPort{}, fmt.Errorf("nobody holds the duty: %w", err)
 	}
-	for _, addr := range f.gates() {
-		claim, asked := f.ask(ctx, addr)
-		if asked == nil && claim.GetAddress() != "" {
-			return parseAddress(claim)
-		}
+	if claim := f.askAll(ctx); claim.GetAddress() != "" {
+		return parseAddress(claim)
 	}
 	return netip.AddrPort{}, err
 }
 
+// askAll asks all known gates at once and returns the latest claim that one of
+// them knows: others may have lost the store before it was made.
+func (f *finder) askAll(ctx context.Context) *flow.Claim {
+	gates := f.gates()
+	claims := make(chan *flow.Claim, len(gates))
+	for _, addr := range gates {
+		go func() {
+			claim, err := f.ask(ctx, addr)
+			if err != nil {
+				klog.InfoS("relay: gate does not tell the scheduler", "gate", addr, "err", err)
+			}
+			claims <- claim
+		}()
+	}
+	var latest *flow.Claim
+	for range gates {
+		if claim := <-claims; claim.GetEpoch() > latest.GetEpoch() {
+			latest = claim
+		}
+	}
+	return latest
+}
+
 func parseAddress(claim *flow.Claim) (netip.AddrPort, error) {
 	addr, err := netip.ParseAddrPort(claim.GetAddress())
 	if err != nil {
