stand/fakewk: gangs; the matrix: gangs and the loss of all processes

The stand-in for workers starts a gang's members together, ends them together and gives up on one that stays alone, as the real ones do.

--- a/gate/path_test.go
+++ b/gate/path_test.go
@@ -75,8 +75,9 @@
 		p.startGate(n)
 		time.Sleep(time.Second) // the first one takes the duty
 	}
+	site := fakewk.NewSite()
 	for n := range pathWorkers {
-		p.workers = append(p.workers, fakewk.New(fmt.Sprint("w", n), pathTook))
+		p.workers = append(p.workers, fakewk.New(site, fmt.Sprint("w", n), pathTook))
 	}
 	for n := range pathWorkers {
 		p.startRelay(n)
@@ -120,14 +121,39 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.kill[addr] == nil || len(p.gates) < pathGates {
-		return
+	if p.kill[addr] != nil && len(p.gates) == pathGates {
+		p.killGate(addr)
 	}
+}
+
+// killGate ends a gate; the caller holds the lock.
+func (p *path) killGate(addr netip.AddrPort) {
 	p.kv.SetFaults(fmt.Sprint("g", addr.Port()-1), fakekv.Faults{Down: true})
 	p.kill[addr]()
 	delete(p.gates, addr)
 }
 
+// killAll ends all gates and relays; workers go on.
+func (p *path) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr := range p.gates {
+		p.killGate(addr)
+	}
+	for n := range p.relays {
+		p.restart[n]()
+	}
+}
+
+// startAll starts what killAll has ended.
+func (p *path) startAll() {
+	for n := range pathGates {
+		p.kv.SetFaults(fmt.Sprint("g", n), fakekv.Faults{})
+		p.startGate(n)
+	}
+	p.each(func(n int, _ *fakewk.Worker) { p.startRelay(n) })
+}
+
 func (p *path) startRelay(n int) {
 	ctx, cancel := context.WithCancel(p.life)
 	reached := func() bool {
@@ -212,6 +238,7 @@
 		p.killHolder()
 	}, end: (*path).storeBack},
 	{name: "store answers lost", during: 2 * time.Second, begin: func(p *path) { p.kv.SetFaults(fakekv.Everyone, fakekv.Faults{LoseProbability: 0.5, Seed: 1}) }, end: (*path).storeBack},
+	{name: "all gates and relays killed", during: 2 * time.Second, begin: (*path).killAll, end: (*path).startAll},
 	{name: "relays restarted", begin: func(p *path) {
 		p.each(func(n int, _ *fakewk.Worker) {
 			p.mu.Lock()
@@ -303,10 +330,16 @@
 		g := p.gates[gateAddr(try%pathGates)]
 		p.mu.Unlock()
 		if g == nil {
+			time.Sleep(time.Second)
 			continue
 		}
 		answer := g.Submit(p.life, gate.Call{Host: "h", Path: "/q/" + id, Budget: 3 * time.Second}, func(int64) (*flow.Job, error) {
-			return &flow.Job{Spec: id, Steps: []*flow.Step{{Count: 2, Cpu: 1000, EstimateMs: pathTook.Milliseconds()}}}, nil
+			step := &flow.Step{Count: 2, Cpu: 1000, EstimateMs: pathTook.Milliseconds()}
+			if id[len(id)-1]%2 == 0 {
+				step.Gang = true
+				return &flow.Job{Spec: fakewk.Gang(2), Steps: []*flow.Step{step}}, nil
+			}
+			return &flow.Job{Spec: id, Steps: []*flow.Step{step}}, nil
 		})
 		if verdict != gate.Unknown || answer.Verdict == gate.Done {
 			verdict = answer.Verdict // an unknown outcome stays so after a refusal
--- a/stand/fakewk/worker.go
+++ b/stand/fakewk/worker.go
@@ -35,11 +35,14 @@
 	Ended time.Time
 	// How is the end that the worker lists; it is empty after a crash.
 	How string
+	// members is the size of its gang, or 0.
+	members int
 }
 
 // Worker is one worker and its successors at the same address.
 type Worker struct {
 	mu      sync.Mutex
+	site    *Site
 	id      string
 	born    int64
 	started time.Time
@@ -59,9 +62,9 @@
 
 var _ relay.Worker = (*Worker)(nil)
 
-// New returns a worker whose tasks take the given time.
-func New(id string, took time.Duration) *Worker {
-	w := &Worker{id: id, took: took, refused: map[string]int64{}, running: map[string]*Run{}}
+// New returns a worker of a site whose tasks take the given time.
+func New(site *Site, id string, took time.Duration) *Worker {
+	w := &Worker{site: site, id: id, took: took, refused: map[string]int64{}, running: map[string]*Run{}}
 	w.restart()
 	return w
 }
@@ -128,6 +131,7 @@
 func (w *Worker) crash() {
 	for _, r := range w.running {
 		r.Ended = time.Now()
+		w.leave(r, r.Ended)
 	}
 	w.running = map[string]*Run{}
 }
@@ -149,20 +153,41 @@
 	left := time.Duration(float64(w.deadline-w.clock()) / clockRate)
 	lapse := time.Now().Add(left)
 	for task, r := range w.running {
-		done := r.Began.Add(w.took)
+		how, at := w.fate(r)
 		switch {
-		case !done.After(time.Now()) && !done.After(lapse):
-			w.end(task, graph.EndDone, done)
+		case how != "" && !at.After(lapse):
+			w.end(task, how, at)
 		case left <= 0:
 			w.end(task, graph.EndLapsed, lapse)
 		}
 	}
 }
 
+// fate returns how and when a run ends by itself or by its gang, or "".
+func (w *Worker) fate(r *Run) (how string, at time.Time) {
+	if r.members > 0 {
+		return w.site.end(r.Task, r.Run, r.Began, w.took)
+	}
+	if done := r.Began.Add(w.took); !done.After(time.Now()) {
+		return graph.EndDone, done
+	}
+	return "", time.Time{}
+}
+
+// leave tells the others of a gang that a run has ended without being done.
+func (w *Worker) leave(r *Run, at time.Time) {
+	if r.members > 0 {
+		w.site.leave(r.Task, r.Run, at)
+	}
+}
+
 func (w *Worker) end(task, how string, at time.Time) {
 	r := w.running[task]
 	delete(w.running, task)
 	r.Ended, r.How = at, how
+	if how != graph.EndDone {
+		w.leave(r, at)
+	}
 	w.refused[task] = max(w.refused[task], r.Run)
 	w.number++
 	w.ends = append(w.ends, &flow.End{Number: w.number, Task: task, Run: r.Run, How: how})
@@ -217,7 +242,10 @@
 	case call.Deadline <= w.clock():
 		return graph.RefusedLate, nil
 	}
-	r := &Run{Task: start.GetTask(), Run: start.GetRun(), Began: time.Now()}
+	r := &Run{Task: start.GetTask(), Run: start.GetRun(), Began: time.Now(), members: membersOf(start.GetSpec())}
+	if r.members > 0 {
+		w.site.join(r.Task, r.Run, r.members)
+	}
 	w.running[start.GetTask()] = r
 	w.record = append(w.record, r)
 	return relay.AnswerStarted, nil
--- a/stand/fakewk/worker_test.go
+++ b/stand/fakewk/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,7 +69,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := New("w", 2*time.Second)
+				w := New(NewSite(), "w", 2*time.Second)
 				test.do(t, w)
 				record := w.Record()
 				if len(record) != len(test.want) {
@@ -95,7 +96,7 @@
 // at once.
 func TestEndsAreListedUntilObserved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := New("w", time.Second)
+		w := New(NewSite(), "w", time.Second)
 		call := relay.Call{Worker: "w", Epoch: 1, Deadline: 20 * time.Second}
 		must(t, w, call, order(1), relay.AnswerStarted)
 		began := time.Now()
@@ -113,3 +114,51 @@
 		}
 	})
 }
+
+// A gang's members work from when all are there, end together, and give up when
+// one of them ends or does not come.
+func TestGangs(t *testing.T) {
+	tests := []struct {
+		name   string
+		starts int
+		then   func(t *testing.T, workers []*Worker, call relay.Call)
+		want   string
+		after  time.Duration // from the first start to the end
+	}{
+		{"all come", 3, func(*testing.T, []*Worker, relay.Call) {}, graph.EndDone, 3 * time.Second},
+		{"one does not come", 2, func(*testing.T, []*Worker, relay.Call) {}, graph.EndAlone, gangWait},
+		{"one is stopped", 3, func(t *testing.T, workers []*Worker, call relay.Call) {
+			call.Worker = "w0"
+			if reason, err := workers[0].Stop(t.Context(), call, &flow.Stop{Task: "a.0.0.0", Run: 1}); reason != "" || err != nil {
+				t.Errorf("stop: %q, %v", reason, err)
+			}
+		}, graph.EndBroken, time.Second},
+		{"one crashes", 3, func(_ *testing.T, workers []*Worker, _ relay.Call) { workers[0].Crash() }, graph.EndBroken, time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				site := NewSite()
+				var workers []*Worker
+				call := relay.Call{Epoch: 1, Deadline: 20 * time.Second}
+				began := time.Now()
+				for n := range 3 {
+					workers = append(workers, New(site, fmt.Sprint("w", n), 2*time.Second))
+				}
+				for n := range test.starts {
+					if n == test.starts-1 {
+						time.Sleep(time.Second)
+					}
+					call.Worker = fmt.Sprint("w", n)
+					must(t, workers[n], call, &flow.Start{Task: fmt.Sprint("a.0.0.", n), Run: 1, Spec: Gang(3)}, relay.AnswerStarted)
+				}
+				test.then(t, workers, call)
+				time.Sleep(10 * time.Second)
+				last := workers[1].Record()[0]
+				if got := last.Ended.Sub(began); last.How != test.want || test.want != graph.EndAlone && got != test.after {
+					t.Errorf("ended %q after %v; want %q after %v", last.How, got, test.want, test.after)
+				}
+			})
+		})
+	}
+}
