--- a/gate/path_test.go
+++ b/gate/path_test.go
@@ -126,6 +126,21 @@
 	}
 }
 
+// stopHolder ends the holder as planned: it leaves and gives up the duty.
+func (p *path) stopHolder() {
+	addr, err := p.holder()
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g := p.gates[addr]; g != nil && len(p.gates) == pathGates {
+		g.Leave()
+		p.kill[addr]()
+		delete(p.gates, addr)
+	}
+}
+
 // killGate ends a gate; the caller holds the lock.
 func (p *path) killGate(addr netip.AddrPort) {
 	p.kv.SetFaults(fmt.Sprint("g", addr.Port()-1), fakekv.Faults{Down: true})
@@ -227,6 +242,7 @@
 var pathFaults = []pathFault{
 	{name: "none", begin: func(*path) {}},
 	{name: "holder killed", begin: (*path).killHolder},
+	{name: "holder stopped as planned", begin: (*path).stopHolder},
 	{name: "store down", during: 4 * time.Second, begin: func(p *path) { p.kv.SetFaults(fakekv.Everyone, fakekv.Faults{Down: true}) }, end: (*path).storeBack},
 	{name: "store down and holder killed", during: 3 * time.Second, begin: func(p *path) {
 		p.killHolder()
