duty, gate: the largest gate holds the duty

Cause: on the large site half of the gates have 0.8 of a core and half 0.192, and the duty went to the gate that is nearest to the store.

A gate lists what processor it may use beside its address. A candidate waits up to 0.6 s in proportion to what it lacks against the largest listed gate, so sites with equal gates are as fast as before.

Ruled out: a wait by size alone, which would delay each takeover on sites where all gates are small.

--- a/duty/claim.go
+++ b/duty/claim.go
@@ -24,6 +24,9 @@
 // ErrNotHolder means that this process does not hold the duty now.
 var ErrNotHolder = Error.New("not the holder of the duty")
 
+// ErrPressed means that the duty is not given up while guaranteed work waits.
+var ErrPressed = Error.New("guaranteed work waits")
+
 const (
 	// renewalsPerTTL leaves room for lost renewals in one time to live.
 	renewalsPerTTL = 4
@@ -35,6 +38,9 @@
 	nearness = 4
 	// maxNearness bounds that wait.
 	maxNearness = 400 * time.Millisecond
+	// maxDeference is how long a candidate with hardly any processor waits, so
+	// that a larger one claims first.
+	maxDeference = 600 * time.Millisecond
 	// claimCallTime bounds one call for the claim.
 	claimCallTime = 700 * time.Millisecond
 )
@@ -47,6 +53,16 @@
 	ttl      time.Duration
 	until    atomic.Int64 // steady time up to which the claim surely holds
 	lost     chan struct{}
+	// yield is signalled when the claim is to be given up for a better holder.
+	yield chan struct{}
+}
+
+// Yield asks the holder to give up the claim as planned; it does not wait.
+func (c *Claim) Yield() {
+	select {
+	case c.yield <- struct{}{}:
+	default: // asked before
+	}
 }
 
 // Valid tells whether no other process can hold the duty now.
@@ -65,6 +81,10 @@
 	Name    string
 	Address netip.AddrPort
 	TTL     time.Duration
+	// Processor is what this process may use, in thousandths of a processor, and
+	// Best what the largest candidate may; nil means that all are alike.
+	Processor int64
+	Best      func() int64
 	// Vacant is signalled when the copy of the store shows no claim.
 	Vacant <-chan struct{}
 	// Serve does the duty until its context ends.
@@ -102,7 +122,7 @@
 		return nil, err
 	}
 	roundTrip := clock.Steady() - sent
-	clock.Sleep(ctx, min(nearness*roundTrip, maxNearness))
+	clock.Sleep(ctx, min(nearness*roundTrip, maxNearness)+c.deference())
 	call, cancel := context.WithTimeout(ctx, 2*claimCallTime)
 	defer cancel()
 	granted := clock.Steady()
@@ -110,8 +130,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("granting lease of the claim: %w", err)
 	}
-	claim := &Claim{Epoch: epoch + 1, lease: lease, ttl: c.TTL, lost: make(chan struct{})}
-	value, err := proto.Marshal(&flow.Claim{Epoch: claim.Epoch, Holder: c.Name, Address: c.Address.String()})
+	claim := &Claim{Epoch: epoch + 1, lease: lease, ttl: c.TTL, lost: make(chan struct{}), yield: make(chan struct{}, 1)}
+	value, err := proto.Marshal(&flow.Claim{Epoch: claim.Epoch, Holder: c.Name, Address: c.Address.String(), Processor: c.Processor})
 	if err != nil {
 		return nil, fmt.Errorf("encoding claim: %w", err)
 	}
@@ -130,6 +150,19 @@
 	return claim, nil
 }
 
+// deference is the wait of a candidate that is smaller than others, in
+// proportion to what it lacks.
+func (c *Candidate) deference() time.Duration {
+	if c.Best == nil {
+		return 0
+	}
+	best := c.Best()
+	if best <= 0 || c.Processor >= best {
+		return 0
+	}
+	return time.Duration(float64(maxDeference) * (1 - float64(c.Processor)/float64(best)))
+}
+
 func (c *Candidate) readEpoch(ctx context.Context) (epoch, revision int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, claimCallTime)
 	defer cancel()
@@ -165,7 +198,15 @@
 
 func (c *Candidate) renew(ctx context.Context, claim *Claim) {
 	valid := true
-	for clock.Sleep(ctx, c.TTL/renewalsPerTTL) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-claim.yield:
+			klog.InfoS("duty: claim yielded", "epoch", claim.Epoch)
+			return
+		case <-time.After(c.TTL / renewalsPerTTL):
+		}
 		sent := clock.Steady()
 		call, cancel := context.WithTimeout(ctx, claimCallTime)
 		err := c.KV.KeepAlive(call, claim.lease)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -381,3 +381,25 @@
 		}
 	})
 }
+
+// The duty is not handed to a better holder while guaranteed work waits for its
+// place, and is once that has it.
+func TestHolderKeepsTheDutyWhileGuaranteedWorkWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, fakekv.New(), 1)
+		spec := simpleJob(jobID, 1)
+		spec.Priority = 0
+		b.scheduler.Apply([]store.Event{put(t, b.kv, JobKey(jobID), spec)})
+		time.Sleep(planPeriod)
+		if err := b.scheduler.Yield(1); !errors.Is(err, ErrPressed) {
+			t.Errorf("yield while guaranteed work waits: %v", err)
+		}
+		for sequence := int64(1); sequence < 4; sequence++ {
+			b.attend(reportOf(1, sequence, 1))
+		}
+		time.Sleep(2 * planPeriod)
+		if err := b.scheduler.Yield(1); err != nil {
+			t.Errorf("yield after its start: %v", err)
+		}
+	})
+}
--- a/duty/place.go
+++ b/duty/place.go
@@ -22,6 +22,7 @@
 		return
 	}
 	in := st.input(s, table, now)
+	s.pressed.Store(slices.ContainsFunc(in.Requests, func(r plan.Request) bool { return r.Reclaims }))
 	if len(in.Requests) == 0 {
 		return
 	}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -67,6 +67,8 @@
 	own      *owner.Owner[*state]
 	ctx      context.Context
 	rooms    atomic.Pointer[[]*flow.Room]
+	// pressed tells that guaranteed work waits for its place.
+	pressed atomic.Bool
 }
 
 // NewScheduler returns a scheduler for a claim that lives until ctx ends; Run
@@ -116,6 +118,19 @@
 	}
 }
 
+// Yield gives up the claim of an epoch for a better holder, unless guaranteed
+// work waits; it fails if nothing was given up.
+func (s *Scheduler) Yield(epoch int64) error {
+	if epoch != s.claim.Epoch || !s.claim.Valid() {
+		return ErrNotHolder
+	}
+	if s.pressed.Load() {
+		return ErrPressed
+	}
+	s.claim.Yield()
+	return nil
+}
+
 // Apply takes changes of the product's keys.
 func (s *Scheduler) Apply(events []store.Event) {
 	s.own.Post(func(st *state) {
--- a/gate/board.go
+++ b/gate/board.go
@@ -37,11 +37,11 @@
 	mu    sync.RWMutex
 	jobs  map[string]*entry
 	claim *flow.Claim
-	// gates are the addresses of gates by name; one may have ended.
-	gates map[string]string
+	// gates are the listed gates by name; one may have ended.
+	gates map[string]*flow.Claim
 }
 
-func newBoard() *board { return &board{jobs: map[string]*entry{}, gates: map[string]string{}} }
+func newBoard() *board { return &board{jobs: map[string]*entry{}, gates: map[string]*flow.Claim{}} }
 
 // apply takes changes of the product's keys.
 func (b *board) apply(events []store.Event) {
@@ -70,7 +70,7 @@
 	case kind == duty.KindGate:
 		known := &flow.Claim{}
 		decode(known)
-		b.gates[id] = known.GetAddress()
+		b.gates[id] = known
 	case kind == duty.KindJob && e.Deleted:
 		delete(b.jobs, id)
 	case kind == duty.KindJob:
@@ -134,12 +134,24 @@
 	var list []string
 	for _, name := range slices.Sorted(maps.Keys(b.gates)) {
 		if name != except && len(list) < most {
-			list = append(list, b.gates[name])
+			list = append(list, b.gates[name].GetAddress())
 		}
 	}
 	return list
 }
 
+// bestProcessor returns the most processor that a listed gate may use, in
+// thousandths.
+func (b *board) bestProcessor() int64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	best := int64(0)
+	for _, known := range b.gates {
+		best = max(best, known.GetProcessor())
+	}
+	return best
+}
+
 // operator is this gate's copy of the operator's wishes.
 type operator struct {
 	mu        sync.RWMutex
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -47,7 +47,12 @@
 type Options struct {
 	Name string
 	// Address is where relays reach this process.
-	Address  netip.AddrPort
+	Address netip.AddrPort
+	// Processor is what the process may use, in thousandths of a processor; 0 is
+	// not known.
+	Processor int64
+	// Yield asks the holder at an address to give up its claim; nil never asks.
+	Yield    func(ctx context.Context, holder netip.AddrPort, request *flow.YieldRequest) error
 	KV       store.TxnKV
 	Operator Operator
 	ClaimTTL time.Duration
@@ -89,7 +94,7 @@
 	}
 	candidate := &duty.Candidate{
 		KV: g.opts.KV, Name: g.opts.Name, Address: g.opts.Address, TTL: g.opts.ClaimTTL,
-		Vacant: g.vacant, Serve: g.serve,
+		Processor: g.opts.Processor, Best: g.board.bestProcessor, Vacant: g.vacant, Serve: g.serve,
 	}
 	start(g.jobs.Run)
 	start(g.orders.Run)
@@ -97,6 +102,7 @@
 	start(candidate.Run)
 	start(g.teller.run)
 	start(g.announce)
+	start(g.askToYield)
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("running gate: %w", err)
 	}
@@ -158,7 +164,7 @@
 // announce lists this gate's address in the store, under its name, for relays
 // that cannot ask the store who holds the duty.
 func (g *Gate) announce(ctx context.Context) {
-	value, err := proto.Marshal(&flow.Claim{Holder: g.opts.Name, Address: g.opts.Address.String()})
+	value, err := proto.Marshal(&flow.Claim{Holder: g.opts.Name, Address: g.opts.Address.String(), Processor: g.opts.Processor})
 	if err != nil {
 		klog.ErrorS(err, "gate: address not encoded")
 		return
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -20,6 +20,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/conf"
 	"catkinpoint/duty"
+	"catkinpoint/flow"
 	"catkinpoint/gate"
 	"catkinpoint/link"
 	"catkinpoint/logs"
@@ -37,6 +38,8 @@
 	// garbage eagerly; the rest is for stacks, buffers and the C library.
 	memoryShare = 0.6
 	bytesPerMB  = 1 << 20
+	// milli is the number of thousandths in a processor.
+	milli = 1000
 	// serveShare and closeShare are the parts of the drain time after which a
 	// leaving gate asks callers to reconnect elsewhere and closes.
 	serveShare = 0.45
@@ -117,11 +120,13 @@
 func gateOptions(settings *conf.Settings) gate.Options {
 	s := settings.Gate
 	return gate.Options{
-		Name:     settings.Node.GetId(),
-		Address:  conf.Address(settings.Node.GetRpcAddress()),
-		KV:       platform.NewStore(conf.Address(settings.Platform.GetStoreAddress())),
-		Operator: platform.Operator(),
-		ClaimTTL: conf.Duration(s.GetClaimTtl()),
+		Name:      settings.Node.GetId(),
+		Address:   conf.Address(settings.Node.GetRpcAddress()),
+		Processor: int64(milli * settings.Platform.GetProcessorShare() * settings.Platform.GetProcessorSpeed()),
+		Yield:     yieldOf,
+		KV:        platform.NewStore(conf.Address(settings.Platform.GetStoreAddress())),
+		Operator:  platform.Operator(),
+		ClaimTTL:  conf.Duration(s.GetClaimTtl()),
 		Settings: duty.Settings{
 			TaskLease: conf.Duration(s.GetTaskLease()), ConfigAge: conf.Duration(s.GetConfigAge()),
 			StartAge: conf.Duration(s.GetStartAge()), Retention: conf.Duration(s.GetRetention()),
@@ -130,6 +135,19 @@
 	}
 }
 
+// yieldOf asks the holder of the duty at an address to give it up.
+func yieldOf(ctx context.Context, holder netip.AddrPort, request *flow.YieldRequest) error {
+	conn, err := link.Dial(ctx, nil, holder)
+	if err != nil {
+		return fmt.Errorf("reaching the holder: %w", err)
+	}
+	defer conn.Close()
+	if err := conn.Call(ctx, gate.RPCName+".Yield", request, &flow.YieldResponse{}); err != nil {
+		return fmt.Errorf("asking the holder to yield: %w", err)
+	}
+	return nil
+}
+
 // reload reads the settings again on SIGHUP. The memory limit is applied at
 // once; addresses and times hold until the next start. Faults leave everything
 // as it is.
