guard: a panic costs the event, record or call that caused it

Owner.Run confines each event and decision; the scheduler then gives up its claim, as its state may be half changed, and leaves the duty to others for 3 s; relays go on, since each heartbeat and list replaces what they know. Records and keys are taken one by one.

Also: a claim that is found gone in a write ends at once; before, a renewal that was under way could make it look valid again.

--- a/duty/claim.go
+++ b/duty/claim.go
@@ -41,6 +41,9 @@
 	// maxDeference is how long a candidate with hardly any processor waits, so
 	// that a larger one claims first.
 	maxDeference = 600 * time.Millisecond
+	// failurePause is how long a process leaves the duty to others after it could
+	// not do it.
+	failurePause = 3 * time.Second
 	// claimCallTime bounds one call for the claim.
 	claimCallTime = 700 * time.Millisecond
 )
@@ -55,6 +58,16 @@
 	lost     chan struct{}
 	// yield is signalled when the claim is to be given up for a better holder.
 	yield chan struct{}
+	// ended tells that the holder must not act under the claim any more.
+	ended atomic.Bool
+	// failed tells that this process could not do the duty.
+	failed atomic.Bool
+}
+
+// End stops all that is done under the claim at once and gives it up.
+func (c *Claim) End() {
+	c.ended.Store(true)
+	c.Yield()
 }
 
 // Yield asks the holder to give up the claim as planned; it does not wait.
@@ -66,7 +79,9 @@
 }
 
 // Valid tells whether no other process can hold the duty now.
-func (c *Claim) Valid() bool { return int64(clock.Steady()) < c.until.Load() }
+func (c *Claim) Valid() bool {
+	return !c.ended.Load() && int64(clock.Steady()) < c.until.Load()
+}
 
 // Lost is closed when the claim has ended for good.
 func (c *Claim) Lost() <-chan struct{} { return c.lost }
@@ -110,7 +125,10 @@
 		claimsCount.Add(ctx, 1)
 		klog.InfoS("duty: claimed", "holder", c.Name, "epoch", claim.Epoch, "revision", claim.Revision)
 		c.hold(ctx, claim)
-		klog.InfoS("duty: given up", "holder", c.Name, "epoch", claim.Epoch)
+		klog.InfoS("duty: given up", "holder", c.Name, "epoch", claim.Epoch, "failed", claim.failed.Load())
+		if claim.failed.Load() {
+			clock.Sleep(ctx, failurePause)
+		}
 	}
 }
 
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -403,3 +404,59 @@
 		}
 	})
 }
+
+// failingOperator panics while bad is set.
+type failingOperator struct {
+	quietOperator
+	bad *atomic.Bool
+}
+
+func (o failingOperator) Age() (time.Duration, bool) {
+	if o.bad.Load() {
+		panic("an unexpected fault")
+	}
+	return o.quietOperator.Age()
+}
+
+// A fault in a decision ends the claim and not the process: no orders go out
+// under it, and the duty is free for another holder.
+func TestFaultInDecisionGivesUpTheDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		kv, bad := fakekv.New(), &atomic.Bool{}
+		operator := failingOperator{quietOperator{route.New(1, 1000, nil, nil, nil)}, bad}
+		vacant := make(chan struct{})
+		var claims []*Claim
+		var scheduler *Scheduler
+		c := &Candidate{KV: kv, Name: "g", TTL: 1500 * time.Millisecond, Vacant: vacant, Serve: func(ctx context.Context, claim *Claim) {
+			claims = append(claims, claim)
+			scheduler = NewScheduler(ctx, testSettings, kv, operator, claim, func() []string { return nil })
+			scheduler.Run()
+		}}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.Run(ctx)
+		}()
+		vacant <- struct{}{}
+		time.Sleep(time.Second)
+		bad.Store(true)
+		put(t, kv, JobKey(jobID), simpleJob(jobID, 1))
+		time.Sleep(time.Second)
+		if claims[0].Valid() {
+			t.Error("the claim is valid after a fault in a decision")
+		}
+		if _, err := ReadClaim(t.Context(), kv); !errors.Is(err, store.ErrNotFound) {
+			t.Errorf("claim in the store after the fault: %v", err)
+		}
+		bad.Store(false)
+		time.Sleep(failurePause)
+		vacant <- struct{}{}
+		time.Sleep(time.Second)
+		if len(claims) != 2 || !claims[1].Valid() {
+			t.Errorf("%d claims; want a second, valid one", len(claims))
+		}
+		cancel()
+		<-done
+	})
+}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -100,7 +100,16 @@
 			s.own.Post(func(st *state) { st.plan = true })
 		}
 	}()
-	s.own.Run(ctx, s.act)
+	s.own.Run(ctx, s.act, s.broken)
+}
+
+// broken gives up the duty after a panic, as the state may be wrong: the next
+// holder reads all of it from the store.
+func (s *Scheduler) broken(st *state, err error) {
+	klog.ErrorS(err, "duty: given up after a panic", "epoch", s.claim.Epoch)
+	st.superseded = true
+	s.claim.failed.Store(true)
+	s.claim.End()
 }
 
 func (s *Scheduler) load(ctx context.Context) ([]store.Item, error) {
@@ -363,7 +372,7 @@
 	if item, ok := conflict.Current(claimKey); !ok || item.Revision != b.txn.Conditions[0].Revision {
 		klog.InfoS("duty: claim is gone", "revision", item.Revision)
 		st.superseded = true
-		b.claim.until.Store(0)
+		b.claim.End()
 	}
 }
 
--- a/duty/state.go
+++ b/duty/state.go
@@ -12,6 +12,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/guard"
 	"catkinpoint/plan"
 	"catkinpoint/store"
 )
@@ -150,6 +151,13 @@
 // apply takes one change of a key. Progress is read only while loading: after
 // that this process alone writes it.
 func (st *state) apply(e store.Event) {
+	// One record that cannot be taken must not keep the others out.
+	if err := guard.Run("record "+e.Key, func() { st.applyOne(e) }); err != nil {
+		klog.ErrorS(err, "duty: record passed over", "key", e.Key, "revision", e.Revision)
+	}
+}
+
+func (st *state) applyOne(e store.Event) {
 	kind, id := KindOf(e.Key)
 	if kind == KindOther || kind == KindClaim || kind == KindGate || e.Revision <= st.revisions[e.Key] {
 		return
--- a/gate/board.go
+++ b/gate/board.go
@@ -11,6 +11,7 @@
 
 	"catkinpoint/duty"
 	"catkinpoint/flow"
+	"catkinpoint/guard"
 	"catkinpoint/route"
 	"catkinpoint/store"
 )
@@ -48,7 +49,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range events {
-		b.change(e)
+		if err := guard.Run("record "+e.Key, func() { b.change(e) }); err != nil {
+			klog.ErrorS(err, "gate: record passed over", "key", e.Key, "revision", e.Revision)
+		}
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -16,6 +16,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/duty"
 	"catkinpoint/flow"
+	"catkinpoint/guard"
 	"catkinpoint/route"
 	"catkinpoint/store"
 )
@@ -118,23 +119,28 @@
 
 func (g *Gate) applyOperator(events []store.Event) {
 	for _, e := range events {
-		if dataCentre := g.opts.Operator.Evacuation(e.Key); dataCentre != "" {
-			g.operator.evacuate(dataCentre, !e.Deleted)
-			continue
-		}
-		if e.Deleted {
-			continue
-		}
-		table, err := g.opts.Operator.Table(e.Key, e.Value)
-		switch {
-		case err != nil:
+		if err := guard.Call("key "+e.Key, func() error { return g.applyOrder(e) }); err != nil {
 			klog.ErrorS(err, "gate: configuration not decoded", "key", e.Key, "revision", e.Revision)
-		case table != nil:
-			g.operator.set(table)
 		}
 	}
 }
 
+// applyOrder takes one key of the operator.
+func (g *Gate) applyOrder(e store.Event) error {
+	if dataCentre := g.opts.Operator.Evacuation(e.Key); dataCentre != "" {
+		g.operator.evacuate(dataCentre, !e.Deleted)
+		return nil
+	}
+	if e.Deleted {
+		return nil
+	}
+	table, err := g.opts.Operator.Table(e.Key, e.Value)
+	if table != nil {
+		g.operator.set(table)
+	}
+	return err
+}
+
 // watchClaim tells the candidate when nobody holds the duty.
 func (g *Gate) watchClaim(ctx context.Context) {
 	for clock.Sleep(ctx, vacancyPeriod) {
@@ -206,6 +212,10 @@
 
 // Attend takes a report and returns orders; it fails if another gate holds the duty.
 func (c Calls) Attend(report *flow.Report, orders *flow.Orders) error {
+	return guard.Call("report", func() error { return c.attend(report, orders) })
+}
+
+func (c Calls) attend(report *flow.Report, orders *flow.Orders) error {
 	s := c.gate.scheduler.Load()
 	if s == nil {
 		return duty.ErrNotHolder
@@ -226,11 +236,12 @@
 
 // Tell takes a change that another gate has committed.
 func (c Calls) Tell(change *flow.Change, answer *flow.ChangeAnswer) error {
-	c.gate.take(change)
-	if s := c.gate.scheduler.Load(); s != nil {
-		answer.Rooms = s.Rooms()
-	}
-	return nil
+	return guard.Run("change", func() {
+		c.gate.take(change)
+		if s := c.gate.scheduler.Load(); s != nil {
+			answer.Rooms = s.Rooms()
+		}
+	})
 }
 
 // take hands a change to the scheduler, if this gate holds the duty.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/zeebo/errs"
+
+	"catkinpoint/guard"
 )
 
 // Error is the class of all errors of this package.
@@ -28,33 +30,44 @@
 	return &Owner[S]{state: state, calls: make(chan func(S), queueLength), done: make(chan struct{})}
 }
 
-// Run executes functions until ctx ends; after is called after each batch.
-func (o *Owner[S]) Run(ctx context.Context, after func(S)) {
+// Run executes functions until ctx ends; after is called after each batch. A
+// panic ends the function that caused it, and broken is told: the state may be
+// left half changed.
+func (o *Owner[S]) Run(ctx context.Context, after func(S), broken func(S, error)) {
 	defer close(o.done)
+	run := func(what string, f func(S)) {
+		if err := guard.Run(what, func() { f(o.state) }); err != nil {
+			broken(o.state, err)
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case f := <-o.calls:
-			f(o.state)
+			run("event", f)
 		}
-		o.drain()
-		after(o.state)
+		o.drain(run)
+		run("decision", after)
 	}
 }
 
 // drain runs what already waits, so that after runs once for a burst.
-func (o *Owner[S]) drain() {
+func (o *Owner[S]) drain(run func(string, func(S))) {
 	for range queueLength {
 		select {
 		case f := <-o.calls:
-			f(o.state)
+			run("event", f)
 		default:
 			return
 		}
 	}
 }
 
+// Tolerate goes on after a panic, for state of which each part is checked or
+// replaced by later events.
+func Tolerate[S any](S, error) {}
+
 // Post hands over f without waiting for it to run; it reports false after the end.
 func (o *Owner[S]) Post(f func(S)) bool {
 	select {
--- a/relay/attend.go
+++ b/relay/attend.go
@@ -119,7 +119,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, attendTime)
 		defer cancel()
-		orders, err := r.opts.Attend(ctx, scheduler, report)
+		orders, err := guarded("report", func() (*flow.Orders, error) { return r.opts.Attend(ctx, scheduler, report) })
 		if err == nil {
 			r.gates.set(orders.GetGates())
 			r.own.Post(func(s *state) { s.applyOrders(orders, sent, sentWorker) })
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/guard"
 	"catkinpoint/owner"
 )
 
@@ -68,7 +69,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	r.ctx = ctx
 	group.Go(func() error {
-		r.own.Run(ctx, r.act)
+		r.own.Run(ctx, r.act, owner.Tolerate)
 		return nil
 	})
 	group.Go(func() error {
@@ -242,7 +243,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTime)
 		defer cancel()
-		answer, err := r.opts.Worker.Start(ctx, call, order)
+		answer, err := guarded("start", func() (string, error) { return r.opts.Worker.Start(ctx, call, order) })
 		r.own.Post(func(s *state) {
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
 				s.startAnswered(key, st, answer, err)
@@ -283,7 +284,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTime)
 		defer cancel()
-		answer, err := r.opts.Worker.Stop(ctx, call, st.order)
+		answer, err := guarded("stop", func() (string, error) { return r.opts.Worker.Stop(ctx, call, st.order) })
 		r.own.Post(func(s *state) {
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
 				s.stopAnswered(key, st, answer, err)
@@ -335,7 +336,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTime+wait)
 		defer cancel()
-		lists, err := r.opts.Worker.Hold(ctx, call, observed, wait)
+		lists, err := guarded("hold", func() (Lists, error) { return r.opts.Worker.Hold(ctx, call, observed, wait) })
 		r.own.Post(func(s *state) {
 			s.holding = false
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() && s.epoch == call.Epoch {
@@ -345,6 +346,15 @@
 	}()
 }
 
+// guarded makes a panic in a call to the worker a failure of that call.
+func guarded[T any](what string, f func() (T, error)) (answer T, err error) {
+	err = guard.Call(what, func() error {
+		answer, err = f()
+		return err
+	})
+	return answer, err
+}
+
 func (s *state) held(lists Lists, number, observed int64, err error) {
 	now := clock.Steady()
 	if err == nil && lists.Born != 0 && s.worker.GetBornMs() != 0 && lists.Born != s.worker.GetBornMs() {
