duty: find a worker's runs by its relay

Cause: the answer to each report, a worker's lists, its end and each look for leases that have run out went through all open jobs and their tasks; with 160 workers and some 1,300 running tasks that is the square of the site's size. Tasks with a place are now kept by the relay of that place.

BenchmarkRound gets a second size, 160 workers and 400 open jobs.

--- a/duty/drain.go
+++ b/duty/drain.go
@@ -13,13 +13,13 @@
 // while the worker is still there. Tasks that last are left until the worker
 // ends, because each second at work counts.
 func (st *state) leaveDraining(now time.Duration) {
-	for _, j := range st.open() {
-		if j.graph.Over() {
+	for _, w := range st.workers {
+		if w.endsAt == 0 || w.info.GetGone() {
 			continue
 		}
-		for _, t := range j.graph.Active() {
-			w, r := st.byPlace[t.Place], j.runs[t.Ref]
-			if w == nil || w.endsAt == 0 || w.info.GetGone() || r == nil || r.stop || t.Done || j.graph.Step(t.Ref).GetLongRunning() {
+		for _, t := range st.on(w.relay) {
+			j, r := t.job, t.job.runs[t.Ref]
+			if t.Place != w.place || r == nil || r.stop || t.Done || j.graph.Over() || j.graph.Step(t.Ref).GetLongRunning() {
 				continue
 			}
 			left := w.endsAt - now
--- a/duty/place.go
+++ b/duty/place.go
@@ -35,6 +35,7 @@
 		for i, ref := range a.Unit.Tasks {
 			j.runs[ref] = &run{run: number, at: now, percentAt: now, sampleAt: now, expected: st.expectedAt(j, ref, a.Places, i, s)}
 			delete(j.readySince, ref)
+			st.put(j, j.graph.Task(ref))
 		}
 		st.change(j)
 		startsCount.Add(context.Background(), int64(len(a.Places)))
--- a/duty/report.go
+++ b/duty/report.go
@@ -56,7 +56,7 @@
 		w.version++
 		w.changed = true
 		st.byPlace[place] = w
-		st.loseAll(func(p graph.Place) bool { return p.Relay == w.relay && p.Worker != place.Worker }, "replaced")
+		st.loseAll(w, func(p graph.Place) bool { return p.Worker != place.Worker }, "replaced")
 		st.plan = true
 	}
 	if w.info.GetDraining() != info.GetDraining() || w.info.GetGone() != info.GetGone() {
@@ -71,7 +71,7 @@
 		}
 	}
 	if info.GetGone() {
-		st.loseAll(w.has, "gone")
+		st.loseAll(w, w.has, "gone")
 	}
 }
 
@@ -81,13 +81,11 @@
 	return p.Relay == w.relay && p.Worker == w.place.Worker
 }
 
-// loseAll ends the runs at some places without an end of their own.
-func (st *state) loseAll(at func(graph.Place) bool, why string) {
-	for _, j := range st.open() {
-		for _, t := range j.graph.Active() {
-			if at(t.Place) {
-				st.over(j, t.Ref, t.Run, why, "")
-			}
+// loseAll ends the runs at some places of a relay without an end of their own.
+func (st *state) loseAll(w *worker, at func(graph.Place) bool, why string) {
+	for _, t := range st.on(w.relay) {
+		if at(t.Place) {
+			st.over(t.job, t.Ref, t.Run, why, "")
 		}
 	}
 }
@@ -137,18 +135,16 @@
 // has obeyed this epoch, so their orders are refused from now on.
 func (st *state) reconcile(s *Scheduler, w *worker, listed map[string]int64) {
 	adopted := 0
-	for _, j := range st.open() {
-		for _, t := range j.graph.Active() {
-			if t.Place != w.place {
-				continue
-			}
-			if listed[graph.TaskName(j.graph.Spec.GetId(), t.Ref)] == t.Run {
-				adopted++
-				continue
-			}
-			if r := j.runs[t.Ref]; r == nil || r.at <= st.began {
-				st.over(j, t.Ref, t.Run, "never_started", "")
-			}
+	for _, t := range st.on(w.relay) {
+		if t.Place != w.place {
+			continue
+		}
+		if listed[graph.TaskName(t.job.graph.Spec.GetId(), t.Ref)] == t.Run {
+			adopted++
+			continue
+		}
+		if r := t.job.runs[t.Ref]; r == nil || r.at <= st.began {
+			st.over(t.job, t.Ref, t.Run, "never_started", "")
 		}
 	}
 	klog.InfoS("duty: worker reconciled", "worker", w.place.Worker, "epoch", s.claim.Epoch, "runs", len(listed), "adopted", adopted)
@@ -254,27 +250,19 @@
 
 // fill adds the starts that the worker has not confirmed, and the stops.
 func (st *state) fill(w *worker, orders *flow.Orders) {
-	for _, j := range st.open() {
-		id := j.graph.Spec.GetId()
-		for _, t := range j.graph.Active() {
-			if !w.has(t.Place) {
-				continue
-			}
-			name := graph.TaskName(id, t.Ref)
-			if t.Place != w.place {
-				orders.Stops = append(orders.Stops, &flow.Stop{Task: name, Run: t.Run})
-				continue
-			}
-			r := j.runs[t.Ref]
-			if r == nil || !r.stored {
-				continue
-			}
-			switch {
-			case r.stop:
-				orders.Stops = append(orders.Stops, &flow.Stop{Task: name, Run: t.Run})
-			case !t.Started:
-				orders.Starts = append(orders.Starts, &flow.Start{Task: name, Run: t.Run, Spec: j.graph.Spec.GetSpec(), Checkpoint: t.Checkpoint})
-			}
+	for _, t := range st.on(w.relay) {
+		if !w.has(t.Place) {
+			continue
+		}
+		r := t.job.runs[t.Ref]
+		switch {
+		case t.Place != w.place:
+			orders.Stops = append(orders.Stops, &flow.Stop{Task: t.name(), Run: t.Run})
+		case r == nil || !r.stored:
+		case r.stop:
+			orders.Stops = append(orders.Stops, &flow.Stop{Task: t.name(), Run: t.Run})
+		case !t.Started:
+			orders.Starts = append(orders.Starts, &flow.Start{Task: t.name(), Run: t.Run, Spec: t.job.graph.Spec.GetSpec(), Checkpoint: t.Checkpoint})
 		}
 	}
 	for task, numbers := range w.strays {
--- a/duty/round_test.go
+++ b/duty/round_test.go
@@ -63,27 +63,33 @@
 	return r
 }
 
-// BenchmarkRound is one report of each of 60 workers with its answer, and three
-// decisions, with 200 tasks running, 40 jobs that wait and 200 that have ended.
+// BenchmarkRound is one report of each worker with its answer and a decision
+// after each 20 reports, with as many jobs that have run their course.
 func BenchmarkRound(b *testing.B) {
-	const workers = 60
-	s, st := loadedState(b, workers, 80, 200)
-	reports := make([]*flow.Report, workers)
-	for n := range reports {
-		reports[n] = loadedReport(st, n, 2)
-	}
-	sequence := int64(2)
-	b.ResetTimer()
-	for b.Loop() {
-		for n, r := range reports {
-			sequence++
-			r.Sequence = sequence
-			answer := make(chan *flow.Orders, 1)
-			st.report(s, r, answer)
-			st.plan = n%20 == 0
-			st.writing = true // keeps the store out
-			s.act(st)
-			st.answer(s, r.GetRelay(), answer)
-		}
+	sizes := []struct{ workers, jobs, ended int }{{60, 80, 200}, {160, 400, 400}}
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size.workers), func(b *testing.B) {
+			s, st := loadedState(b, size.workers, size.jobs, size.ended)
+			reports := make([]*flow.Report, size.workers)
+			running := 0
+			for n := range reports {
+				reports[n] = loadedReport(st, n, 2)
+				running += len(reports[n].GetRunning())
+			}
+			b.ReportMetric(float64(running), "running")
+			sequence := int64(2)
+			for b.Loop() {
+				for n, r := range reports {
+					sequence++
+					r.Sequence = sequence
+					answer := make(chan *flow.Orders, 1)
+					st.report(s, r, answer)
+					st.plan = n%20 == 0
+					st.writing = true // keeps the store out
+					s.act(st)
+					st.answer(s, r.GetRelay(), answer)
+				}
+			}
+		})
 	}
 }
--- a/duty/state.go
+++ b/duty/state.go
@@ -92,6 +92,8 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	byPlace map[graph.Place]*worker
+	// at has the tasks with a run that is not over, by the relay of their place.
+	at map[string]map[*graph.Task]*job
 	// revisions are those of the keys that were applied.
 	revisions  map[string]int64
 	cancelled  map[string]bool // cancellations of jobs that are not known yet
@@ -122,7 +124,7 @@
 
 func newState(now time.Duration) *state {
 	return &state{
-		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{},
+		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{}, at: map[string]map[*graph.Task]*job{},
 		revisions: map[string]int64{}, cancelled: map[string]bool{}, early: map[string]store.Item{}, began: now,
 	}
 }
@@ -139,9 +141,7 @@
 			st.sorted = append(st.sorted, j)
 		}
 	}
-	slices.SortFunc(st.sorted, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.graph.Spec.GetId(), b.graph.Spec.GetId()))
-	})
+	slices.SortFunc(st.sorted, compareJobs)
 	return st.sorted
 }
 
@@ -218,6 +218,7 @@
 		j.graph.Cancelled = cancelled
 		j.workRevision = item.Revision
 		for _, t := range j.graph.Active() {
+			st.put(j, t)
 			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, percentAt: st.began, sampleAt: st.began, expected: expected(j, t.Ref)}
 		}
 	}
@@ -225,7 +226,50 @@
 	st.plan = true
 }
 
+// put notes a task that has got a place.
+func (st *state) put(j *job, t *graph.Task) {
+	at := st.at[t.Place.Relay]
+	if at == nil {
+		at = map[*graph.Task]*job{}
+		st.at[t.Place.Relay] = at
+	}
+	at[t] = j
+}
+
+// placed is a task with a run that is not over.
+type placed struct {
+	*graph.Task
+	job *job
+}
+
+func (t placed) name() string { return graph.TaskName(t.job.graph.Spec.GetId(), t.Ref) }
+
+// on returns the tasks that have a place with the relay's workers, in the order
+// in which their jobs were accepted.
+func (st *state) on(relay string) []placed {
+	list := make([]placed, 0, len(st.at[relay]))
+	for t, j := range st.at[relay] {
+		list = append(list, placed{t, j})
+	}
+	slices.SortFunc(list, func(a, b placed) int {
+		return cmp.Or(compareJobs(a.job, b.job), graph.CompareRefs(a.Ref, b.Ref))
+	})
+	return list
+}
+
+func compareJobs(a, b *job) int {
+	if a == b {
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.graph.Spec.GetId(), b.graph.Spec.GetId()))
+}
+
 func (st *state) forget(id string) {
+	if j := st.jobs[id]; j != nil {
+		for _, t := range j.graph.Active() {
+			delete(st.at[t.Place.Relay], t)
+		}
+	}
 	delete(st.jobs, id)
 	st.sorted = nil
 }
@@ -311,6 +355,7 @@
 	if !j.graph.End(ref, number, how, checkpoint) {
 		return false
 	}
+	delete(st.at[place.Relay], t)
 	count(endsCount, 1, "how", how)
 	count(thrownCount, int64(lost), "how", how)
 	klog.InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
@@ -366,15 +411,18 @@
 	}
 	st.expireAt = now + expirePeriod
 	limit := time.Duration(float64(s.settings.TaskLease)*leaseTolerance) + leaseMargin
-	for _, j := range st.open() {
-		for _, t := range j.graph.Active() {
-			w := st.workers[t.Place.Relay]
+	for relay := range st.at {
+		w := st.workers[relay]
+		if w != nil && now-w.heard <= limit && now-st.began <= limit {
+			continue
+		}
+		for _, t := range st.on(relay) {
 			last := st.began
 			if w != nil && w.has(t.Place) {
 				last = max(last, w.heard)
 			}
 			if now-last > limit {
-				st.over(j, t.Ref, t.Run, "unreachable", "")
+				st.over(t.job, t.Ref, t.Run, "unreachable", "")
 			}
 		}
 	}
--- a/graph/job.go
+++ b/graph/job.go
@@ -142,11 +142,12 @@
 			j.active = append(j.active, t)
 		}
 	}
-	slices.SortFunc(j.active, func(a, b *Task) int { return compareRefs(a.Ref, b.Ref) })
+	slices.SortFunc(j.active, func(a, b *Task) int { return CompareRefs(a.Ref, b.Ref) })
 	return j.active
 }
 
-func compareRefs(a, b Ref) int {
+// CompareRefs orders tasks by occurrence, step and index.
+func CompareRefs(a, b Ref) int {
 	return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
