plan: choose by worker what is stopped, and index what a decision reads again

Each task of the unit now takes the worker where the least work has to be stopped for it; work that is picked for one task counts for the next ones. Units for which no stop makes room spare those after them that need no less the search.

--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -8,10 +8,28 @@
 	"catkinpoint/graph"
 )
 
+const (
+	// stopShare is the most thrown-away work that a unit outside a guarantee may
+	// cause, as a share of its own.
+	stopShare = 1.5
+	// spareAfterStop is the slack below which a stopped job is expected to be late.
+	spareAfterStop = 2 * time.Second
+)
+
 // group is what a stop ends: a whole gang or one task.
 type group struct {
-	runs []int // indices of Running
-	cost float64
+	runs     []int // indices of Running
+	priority int32
+	cost     float64
+	stopped  bool
+	// picked is the search that chose the group last.
+	picked int
+}
+
+// groupOn is what a group holds on one worker.
+type groupOn struct {
+	group int
+	need  Amount
 }
 
 // makeRoom finds the cheapest running work whose stop makes room for a unit that
@@ -30,25 +48,28 @@
 		s.keep(r, found, 0)
 		return nil, found
 	}
-	groups := s.groups(r)
-	chosen, found := s.cheapest(r, groups, free)
-	if found == nil {
-		return nil, nil
+	for _, f := range s.hopeless {
+		if s.tighter(r, f) && (f.Reclaims || !r.Reclaims) {
+			return nil, nil
+		}
 	}
-	cost := 0.0
-	for _, g := range chosen {
-		cost += groups[g].cost
+	chosen, found, cost := s.cheapest(r, free)
+	if found == nil && len(r.Held) == 0 {
+		s.hopeless = append(s.hopeless, r)
 	}
-	if !r.Reclaims && cost > s.worth(r) {
+	if found == nil || !r.Reclaims && cost > s.worth(r) {
 		return nil, nil
 	}
 	for _, g := range chosen {
-		for _, i := range groups[g].runs {
-			run := s.in.Running[i]
+		s.groups[g].stopped = true
+		for _, i := range s.groups[g].runs {
 			s.stopping[i] = true
-			stops = append(stops, Stop{Running: run, For: r.Unit})
+			stops = append(stops, Stop{Running: s.in.Running[i], For: r.Unit})
 		}
 	}
+	if len(chosen) > 0 {
+		s.ending = nil
+	}
 	s.keep(r, found, 0)
 	return stops, found
 }
@@ -56,17 +77,19 @@
 // stillHeld returns the workers where an earlier decision makes room for the
 // unit, if that room is still to be expected.
 func (s *state) stillHeld(r *Request, free []Amount) []int {
-	var workers []int
-	for _, kept := range s.reservations {
-		if kept.owner != r {
-			continue
-		}
-		if !free[kept.worker].Covers(kept.need) {
-			return nil
+	any := false
+	for w, list := range s.reserved {
+		for _, kept := range list {
+			if kept.owner != r {
+				continue
+			}
+			if !free[w].Covers(kept.need) {
+				return nil
+			}
+			any = true
 		}
-		workers = append(workers, kept.worker)
 	}
-	if workers == nil {
+	if !any {
 		return nil
 	}
 	held := make([]int, len(r.Held))
@@ -76,35 +99,38 @@
 	return held
 }
 
-// stopShare is the most thrown-away work that a unit outside a guarantee may
-// cause, as a share of its own.
-const stopShare = 1.5
-
 // worth bounds the core-seconds that may be thrown away for the unit.
 func (s *state) worth(r *Request) float64 {
 	return stopShare * r.Need.Cores() * r.Duration.Seconds() * float64(len(r.Unit.Tasks))
 }
 
 // freeAfterStops is the room once all ordered stops are done, without what
-// other units that wait for such room will take.
+// other units that wait for such room will take. It is valid until the next call.
 func (s *state) freeAfterStops(r *Request) []Amount {
-	free := slices.Clone(s.free)
-	for i := range s.in.Running {
-		run := &s.in.Running[i]
-		if w, ok := s.index[run.At]; ok && s.stopping[i] {
-			free[w] = free[w].Plus(run.Need)
+	free := s.after
+	copy(free, s.free)
+	for w, list := range s.on {
+		for _, i := range list {
+			if s.stopping[i] {
+				free[w] = free[w].Plus(s.in.Running[i].Need)
+			}
 		}
 	}
-	for _, kept := range s.reservations {
-		if kept.from == 0 && kept.owner != r {
-			free[kept.worker] = free[kept.worker].Minus(kept.need)
+	for w, list := range s.reserved {
+		for _, kept := range list {
+			if kept.from == 0 && kept.owner != r {
+				free[w] = free[w].Minus(kept.need)
+			}
 		}
 	}
 	return free
 }
 
-// groups lists the running work that may be stopped for the unit.
-func (s *state) groups(r *Request) []group {
+// listGroups lists the running work that may be stopped for some unit.
+func (s *state) listGroups() {
+	if s.groupsOn != nil {
+		return
+	}
 	type key struct {
 		job        *graph.Job
 		occurrence int32
@@ -112,11 +138,9 @@
 		index      int32
 	}
 	byKey := map[key]int{}
-	var groups []group
 	for i := range s.in.Running {
 		run := &s.in.Running[i]
-		lower := run.Job.Spec.GetPriority() > r.priority()
-		if run.Guaranteed || s.stopping[i] || !lower && !r.Reclaims {
+		if run.Guaranteed || s.stopping[i] {
 			continue
 		}
 		k := key{run.Job, run.Ref.Occurrence, run.Ref.Step, run.Ref.Index}
@@ -125,15 +149,32 @@
 		}
 		g, ok := byKey[k]
 		if !ok {
-			g = len(groups)
+			g = len(s.groups)
 			byKey[k] = g
-			groups = append(groups, group{})
+			s.groups = append(s.groups, group{priority: run.Job.Spec.GetPriority()})
+		}
+		s.groups[g].runs = append(s.groups[g].runs, i)
+		s.groups[g].cost += s.stopCost(run)
+	}
+	s.groupsOn = make([][]groupOn, len(s.workers))
+	for g := range s.groups {
+		for _, i := range s.groups[g].runs {
+			w, ok := s.index[s.in.Running[i].At]
+			if !ok {
+				continue
+			}
+			need := s.in.Running[i].Need
+			if list := s.groupsOn[w]; len(list) > 0 && list[len(list)-1].group == g {
+				list[len(list)-1].need = list[len(list)-1].need.Plus(need)
+				continue
+			}
+			s.groupsOn[w] = append(s.groupsOn[w], groupOn{g, need})
 		}
-		groups[g].runs = append(groups[g].runs, i)
-		groups[g].cost += s.stopCost(run)
 	}
-	slices.SortStableFunc(groups, func(a, b group) int { return cmp.Compare(a.cost, b.cost) })
-	return groups
+	for _, list := range s.groupsOn {
+		slices.SortStableFunc(list, func(a, b groupOn) int { return cmp.Compare(s.groups[a.group].cost, s.groups[b.group].cost) })
+	}
+	s.room, s.slots = make([]Amount, len(s.workers)), make([]slot, len(s.workers))
 }
 
 // stopCost is what a stop costs, in core-seconds: the work that it throws away,
@@ -145,84 +186,3 @@
 	}
 	return cost
 }
-
-// spareAfterStop is the slack below which a stopped job is expected to be late.
-const spareAfterStop = 2 * time.Second
-
-// cheapest adds groups, cheapest first, until the unit fits, and then spares
-// those that were not needed, dearest first. It tries each rack alone as well.
-func (s *state) cheapest(r *Request, groups []group, free []Amount) (chosen, found []int) {
-	bestCost := 0.0
-	consider := func(racks []int) {
-		picked, places, cost := s.pick(r, groups, free, racks)
-		if places != nil && (found == nil || cost < bestCost) {
-			chosen, found, bestCost = picked, places, cost
-		}
-	}
-	if r.Unit.Step.GetGang() && r.Unit.Step.GetSameRack() {
-		for _, rack := range sortedKeys(s.racks) {
-			consider(s.racks[rack])
-		}
-		if found != nil {
-			return chosen, found
-		}
-	}
-	consider(nil)
-	return chosen, found
-}
-
-// pick chooses groups so that the unit fits among the given workers; nil means all.
-func (s *state) pick(r *Request, groups []group, free []Amount, among []int) (picked, places []int, cost float64) {
-	room := slices.Clone(free)
-	change := func(g int, sign int64) {
-		for _, i := range groups[g].runs {
-			run := &s.in.Running[i]
-			if w, ok := s.index[run.At]; ok {
-				n := run.Need
-				room[w] = room[w].Plus(Amount{sign * n.CPU, sign * n.Memory, sign * n.Accelerators})
-			}
-		}
-	}
-	for g := range groups {
-		if places != nil {
-			break
-		}
-		if !s.touches(groups[g], among) {
-			continue
-		}
-		change(g, 1)
-		picked = append(picked, g)
-		if found, ok := s.fitAmong(r, among, room); ok {
-			places = found
-		}
-	}
-	if places == nil {
-		return nil, nil, 0
-	}
-	for i := len(picked) - 1; i >= 0; i-- {
-		change(picked[i], -1)
-		if found, ok := s.fitAmong(r, among, room); ok {
-			places = found
-			picked = slices.Delete(picked, i, i+1)
-			continue
-		}
-		change(picked[i], 1)
-	}
-	for _, g := range picked {
-		cost += groups[g].cost
-	}
-	return picked, places, cost
-}
-
-// touches tells whether a group holds room on one of the given workers.
-func (s *state) touches(g group, among []int) bool {
-	if among == nil {
-		return true
-	}
-	for _, i := range g.runs {
-		if w, ok := s.index[s.in.Running[i].At]; ok && slices.Contains(among, w) {
-			return true
-		}
-	}
-	return false
-}
