gate, duty: rows for a yield, a second of silence and a paused holder

The matrix of the whole path gets a holder that yields, relays that are cut off for a second, and a check that a task begins once under faults in which workers live and their leases last (planned handovers, restarted relays, cuts below the lease). A holder that was paused past its claim gives no orders.

Seen to fail: with runs over after 0.7 s of silence the rows of cut-off relays (two tasks begin twice), with Claim.Valid always true TestPausedHolderGivesNoOrders and TestFaultInDecisionGivesUpTheDuty. No fault was found in the code.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -460,3 +460,29 @@
 		<-done
 	})
 }
+
+// A holder that was paused until its claim had run out gives no orders and
+// extends no lease before it has heard from the store.
+func TestPausedHolderGivesNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, fakekv.New(), 1)
+		startOne(t, b, simpleJob(jobID, 1))
+		b.claim.ttl = 1500 * time.Millisecond
+		b.claim.until.Store(0)
+		b.claim.extend(clock.Steady())
+		next := reportOf(2, 1, 1)
+		if _, err := b.scheduler.Attend(next); err != nil {
+			t.Fatalf("report while the claim holds: %v", err)
+		}
+		time.Sleep(5 * time.Second)
+		next.Sequence++
+		if orders, err := b.scheduler.Attend(next); !errors.Is(err, ErrNotHolder) {
+			t.Errorf("report after the pause: %v, %v", orders, err)
+		}
+		b.claim.extend(clock.Steady()) // a renewal succeeds after all
+		next.Sequence++
+		if _, err := b.scheduler.Attend(next); err != nil {
+			t.Errorf("report after the renewal: %v", err)
+		}
+	})
+}
--- a/gate/path_test.go
+++ b/gate/path_test.go
@@ -148,6 +148,21 @@
 	delete(p.gates, addr)
 }
 
+// yieldHolder asks the holder to give up the duty to another gate.
+func (p *path) yieldHolder() {
+	addr, err := p.holder()
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	g := p.gates[addr]
+	p.mu.Unlock()
+	found := &flow.FindResponse{}
+	if err := g.Calls().Find(&flow.FindRequest{}, found); err == nil {
+		_ = g.Calls().Yield(&flow.YieldRequest{Epoch: found.GetClaim().GetEpoch(), Gate: "g9"}, &flow.YieldResponse{}) // it may refuse
+	}
+}
+
 // killAll ends all gates and relays; workers go on.
 func (p *path) killAll() {
 	p.mu.Lock()
@@ -237,12 +252,15 @@
 	// forgets tells that an end which no scheduler saw may be lost: with its
 	// worker, or because the lease ran out meanwhile.
 	forgets bool
+	// keeps tells that no run may be given up for it: the workers live, and their
+	// leases last.
+	keeps bool
 }
 
 var pathFaults = []pathFault{
 	{name: "none", begin: func(*path) {}},
 	{name: "holder killed", begin: (*path).killHolder},
-	{name: "holder stopped as planned", begin: (*path).stopHolder},
+	{name: "holder stopped as planned", keeps: true, begin: (*path).stopHolder},
 	{name: "store down", during: 4 * time.Second, begin: func(p *path) { p.kv.SetFaults(fakekv.Everyone, fakekv.Faults{Down: true}) }, end: (*path).storeBack},
 	{name: "store down and holder killed", during: 3 * time.Second, begin: func(p *path) {
 		p.killHolder()
@@ -255,7 +273,7 @@
 	}, end: (*path).storeBack},
 	{name: "store answers lost", during: 2 * time.Second, begin: func(p *path) { p.kv.SetFaults(fakekv.Everyone, fakekv.Faults{LoseProbability: 0.5, Seed: 1}) }, end: (*path).storeBack},
 	{name: "all gates and relays killed", during: 2 * time.Second, begin: (*path).killAll, end: (*path).startAll},
-	{name: "relays restarted", begin: func(p *path) {
+	{name: "relays restarted", keeps: true, begin: func(p *path) {
 		p.each(func(n int, _ *fakewk.Worker) {
 			p.mu.Lock()
 			p.restart[n]()
@@ -263,7 +281,9 @@
 			p.startRelay(n)
 		})
 	}},
-	{name: "relays cut off for less than the lease", during: 4 * time.Second, begin: func(p *path) { p.setCut(true) }, end: func(p *path) { p.setCut(false) }},
+	{name: "holder yields", keeps: true, begin: (*path).yieldHolder},
+	{name: "relays cut off for a second", keeps: true, during: time.Second, begin: func(p *path) { p.setCut(true) }, end: func(p *path) { p.setCut(false) }},
+	{name: "relays cut off for less than the lease", keeps: true, during: 4 * time.Second, begin: func(p *path) { p.setCut(true) }, end: func(p *path) { p.setCut(false) }},
 	{name: "relays cut off for more than the lease", forgets: true, during: 9 * time.Second, begin: func(p *path) { p.setCut(true) }, end: func(p *path) { p.setCut(false) }},
 	{name: "workers silent", during: 3 * time.Second, begin: func(p *path) { p.each(func(_ int, w *fakewk.Worker) { w.SetSilent(true) }) }, end: func(p *path) { p.each(func(_ int, w *fakewk.Worker) { w.SetSilent(false) }) }},
 	{name: "starts carried out late", during: 4 * time.Second, begin: func(p *path) { p.each(func(_ int, w *fakewk.Worker) { w.SetLate(3 * time.Second) }) }, end: func(p *path) { p.each(func(_ int, w *fakewk.Worker) { w.SetLate(0) }) }},
@@ -398,6 +418,9 @@
 func (p *path) judgeTask(fault pathFault, task string, list []fakewk.Run) {
 	p.t.Helper()
 	slices.SortFunc(list, func(a, b fakewk.Run) int { return a.Began.Compare(b.Began) })
+	if fault.keeps && len(list) > 1 {
+		p.t.Errorf("task %s began %d times", task, len(list))
+	}
 	for i := 1; i < len(list); i++ {
 		before := list[i-1]
 		if before.Ended.IsZero() || list[i].Began.Before(before.Ended) {
