plan: gangs wait for their rack while they gain, and racks stay open under pressure

A unit waits for its rack as long as it gains by it, up to 2.5 s (8 s while less than 0.4 of all room is free, when the rule about idle work does not hold), also when it is late. Room that is being made is kept for its unit whatever its slack. Stops need 0.5 s of slack, which is what they take. While urgent units have had to wait within 4 s and most room is taken, other work leaves the open racks alone.

--- a/duty/place.go
+++ b/duty/place.go
@@ -14,6 +14,10 @@
 	"catkinpoint/route"
 )
 
+// pressedMemory is how long the last wait of an urgent unit counts; bursts of
+// them last for some seconds.
+const pressedMemory = 4 * time.Second
+
 // place decides on starts and stops and notes them for the next write.
 func (st *state) place(s *Scheduler, now time.Duration) {
 	table := s.operator.Table()
@@ -43,6 +47,9 @@
 		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
 			"run", number, "first", a.Places[0].Worker, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
+	if len(decision.Holds) > 0 {
+		st.pressedAt = now
+	}
 	st.held = map[unitKey][]graph.Place{}
 	for _, h := range decision.Holds {
 		st.held[unitKey{h.Unit.Job, h.Unit.Tasks[0]}] = h.Places
@@ -59,6 +66,11 @@
 	st.plan = len(decision.Starts) > 0
 }
 
+// pressed tells whether urgent units have had to wait for room of late.
+func (st *state) pressed(now time.Duration) bool {
+	return st.pressedAt > 0 && now-st.pressedAt < pressedMemory
+}
+
 // expectedAt is the expected time of the unit's task i at its place.
 func (st *state) expectedAt(j *job, ref graph.Ref, places []graph.Place, i int, s *Scheduler) time.Duration {
 	step := j.graph.Step(ref)
@@ -92,7 +104,7 @@
 
 // input is the state as package plan sees it.
 func (st *state) input(s *Scheduler, table *route.Table, now time.Duration) plan.Input {
-	in := plan.Input{Workers: st.in.Workers[:0], Requests: st.in.Requests[:0], Running: st.in.Running[:0]}
+	in := plan.Input{RemoteFactor: s.settings.RemoteFactor, Pressed: st.pressed(now), Workers: st.in.Workers[:0], Requests: st.in.Requests[:0], Running: st.in.Running[:0]}
 	guaranteed := st.guaranteed(table)
 	free := map[graph.Place]plan.Amount{}
 	for p, w := range st.byPlace {
--- a/duty/state.go
+++ b/duty/state.go
@@ -109,7 +109,9 @@
 	roomsAt    time.Duration
 	// held is where room is being made for units.
 	held map[unitKey][]graph.Place
-	seq  int64
+	// pressedAt is when an urgent unit last had to wait for room.
+	pressedAt time.Duration
+	seq       int64
 	// in is the last input, of which the next one uses the space.
 	in plan.Input
 	// sorted is the answer of open; it is nil after a change of the set.
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// rackPatience is how long a unit waits for room on the right rack while
-	// there is room elsewhere.
-	rackPatience = 1500 * time.Millisecond
+	// rackPatience is how long a unit waits at most for room on the right rack
+	// while there is room elsewhere, and crowdedPatience while there is little.
+	rackPatience    = 2500 * time.Millisecond
+	crowdedPatience = 8 * time.Second
+	// crowdedShare is the free share of all room below which there is little.
+	crowdedShare = 0.4
 	// keptRacks is the number of racks of which one is held open for urgent units.
 	keptRacks = 4
 	// keptSlack is the slack above which a unit leaves the emptiest rack to
--- a/plan/fit.go
+++ b/plan/fit.go
@@ -1,5 +1,7 @@
 package plan
 
+import "time"
+
 // fit finds workers for all tasks of the unit, one for each, in the room that
 // is free now. With anywhere set, the unit does not wait for its rack.
 func (s *state) fit(r *Request, anywhere bool) ([]int, bool) {
@@ -9,7 +11,7 @@
 		}
 	}
 	found, ok := s.fitInto(r, s.free, anywhere)
-	if !ok && !anywhere && !r.patient() && len(r.Held) == 0 {
+	if !ok && !anywhere && !s.patient(r) && len(r.Held) == 0 {
 		s.refused = append(s.refused, r)
 	}
 	return found, ok
@@ -35,17 +37,24 @@
 	return true
 }
 
-// patient tells whether the unit still waits for room on the right rack.
-func (r *Request) patient() bool {
+// patient tells whether the unit still waits for room on the right rack. It does
+// for as long as it would gain by it, as its work takes longer on any other.
+func (s *state) patient(r *Request) bool {
 	step := r.Unit.Step
-	racked := step.GetDataRack() != "" || step.GetGang() && step.GetSameRack() && step.GetCount() > 1
-	return racked && r.Ready < rackPatience && r.Slack > 0
+	if step.GetDataRack() == "" && !(step.GetGang() && step.GetSameRack() && step.GetCount() > 1) {
+		return false
+	}
+	limit := rackPatience
+	if s.crowded && !r.Reclaims {
+		limit = crowdedPatience
+	}
+	return r.Ready < min(limit, time.Duration((s.in.RemoteFactor-1)*float64(r.Duration)))
 }
 
 // fitInto is fit with the given room on each worker.
 func (s *state) fitInto(r *Request, free []Amount, anywhere bool) ([]int, bool) {
 	step := r.Unit.Step
-	patient := !anywhere && r.patient()
+	patient := !anywhere && s.patient(r)
 	if rack, ok := s.rackIndex[step.GetDataRack()]; ok && step.GetDataRack() != "" {
 		if found, ok := s.fitAmong(r, s.racks[rack], free); ok {
 			return found, true
--- a/plan/input.go
+++ b/plan/input.go
@@ -119,6 +119,11 @@
 	Workers  []Worker
 	Requests []Request
 	Running  []Running
+	// RemoteFactor is how many times as long a task takes away from its data or
+	// its gang's rack.
+	RemoteFactor float64
+	// Pressed tells that urgent units have had to wait for room of late.
+	Pressed bool
 }
 
 // Assignment is a unit to start, with the place of each of its tasks.
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -14,6 +14,8 @@
 	stopShare = 1.5
 	// spareAfterStop is the slack below which a stopped job is expected to be late.
 	spareAfterStop = 2 * time.Second
+	// stopLead is the time from the order of a stop to the start in its room.
+	stopLead = 500 * time.Millisecond
 )
 
 // group is what a stop ends: a whole gang or one task.
@@ -36,15 +38,16 @@
 // may stop others, and returns the stops and where the room will be. There are
 // no stops if the room is on its way already.
 func (s *state) makeRoom(r *Request) (stops []Stop, held []int) {
-	if !r.Reclaims && (r.priority() != 0 || r.Slack <= 0) {
+	mayStop := r.Reclaims || r.priority() == 0 && r.Slack > stopLead
+	if !mayStop && len(r.Held) == 0 {
 		return nil, nil // a stop would not make the unit meet its objective
 	}
 	free := s.freeAfterStops(r)
-	if held := s.stillHeld(r, free); held != nil {
+	if held := s.stillHeld(r, free); held != nil || !mayStop {
 		return nil, held
 	}
 	s.release(r)
-	if found, ok := s.fitInto(r, free, r.Reclaims); ok {
+	if found, ok := s.fitInto(r, free, r.Reclaims && !s.patient(r)); ok {
 		s.keep(r, found, 0)
 		return nil, found
 	}
--- a/plan/state.go
+++ b/plan/state.go
@@ -53,8 +53,9 @@
 	left  []Amount
 	used  []int32
 	after []Amount
-	// busy tells whether more than half of the room was taken at the start.
-	busy bool
+	// busy tells whether more than half of the room was taken at the start, and
+	// crowded whether little was free.
+	busy, crowded bool
 }
 
 // stepOn is a step of one occurrence of a job on one worker.
@@ -84,7 +85,8 @@
 			s.on[w] = append(s.on[w], i)
 		}
 	}
-	s.kept, s.busy = s.emptiestRacks(), s.mostlyBusy()
+	free := s.freeShare()
+	s.kept, s.busy, s.crowded = s.emptiestRacks(), free < 0.5, free < crowdedShare
 	return s
 }
 
@@ -126,13 +128,19 @@
 }
 
 // leaves tells whether a unit leaves a rack to urgent units for now. Work whose
-// data is there does not, and nothing waits for long while half of all room is
-// free.
+// data is there does not, nor, unless urgent units have just had to wait, work
+// with little time to spare; and nothing waits for long while half of all room
+// is free.
 func (s *state) leaves(r *Request, rack int) bool {
-	if !s.kept[rack] || r.priority() == 0 || r.Slack <= keptSlack || s.holdsData(r, rack) {
+	switch {
+	case !s.kept[rack] || r.priority() == 0 || s.holdsData(r, rack):
+		return false
+	case s.busy && s.in.Pressed:
+		return true
+	case r.Slack <= keptSlack:
 		return false
 	}
-	return r.Ready < keptPatience || s.busy
+	return s.busy || r.Ready < keptPatience
 }
 
 // holdsData tells whether a rack has the unit's data.
@@ -145,8 +153,8 @@
 	return ok && at == rack
 }
 
-// mostlyBusy tells whether more than half of the room on usable workers is taken.
-func (s *state) mostlyBusy() bool {
+// freeShare returns the free share of the room on usable workers.
+func (s *state) freeShare() float64 {
 	free, all := 0.0, 0.0
 	for i := range s.workers {
 		if s.workers[i].Usable {
@@ -154,7 +162,10 @@
 			all += s.workers[i].Capacity.Cores()
 		}
 	}
-	return free < all/2
+	if all == 0 {
+		return 1
+	}
+	return free / all
 }
 
 func (s *state) placesOf(workers []int) []graph.Place {
