--- a/plan/doc.go
+++ b/plan/doc.go
@@ -14,7 +14,11 @@
 //   - Tasks go to the fullest worker that has room, so that whole workers and
 //     racks stay free for wide tasks and gangs (a mix of 1 and 8 accelerators).
 //   - The emptiest racks, one in four, are left to urgent units by units with
-//     time to spare (bursts of urgent gangs on a site that is otherwise full).
-//   - A unit waits a little for its data's rack or for one rack for its gang,
-//     and then runs elsewhere.
+//     time to spare, and by all others while urgent units have just had to wait
+//     (bursts of urgent gangs on a site that is otherwise full).
+//   - A unit waits for its data's rack or for one rack for its gang as long as
+//     it gains by it, and then runs elsewhere (gangs on a crowded site).
+//   - What is stopped for a unit is chosen by worker: each of its tasks takes
+//     the place for which the least work is thrown away (urgent gangs of wide
+//     tasks on workers that are full of small ones).
 package plan
