--- a/duty/claim.go
+++ b/duty/claim.go
@@ -24,8 +24,8 @@
 // ErrNotHolder means that this process does not hold the duty now.
 var ErrNotHolder = Error.New("not the holder of the duty")
 
-// ErrPressed means that the duty is not given up while guaranteed work waits.
-var ErrPressed = Error.New("guaranteed work waits")
+// ErrReclaiming means that the duty is not given up while guaranteed work waits.
+var ErrReclaiming = Error.New("guaranteed work waits")
 
 const (
 	// renewalsPerTTL leaves room for lost renewals in one time to live.
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -392,7 +392,7 @@
 		spec.Priority = 0
 		b.scheduler.Apply([]store.Event{put(t, b.kv, JobKey(jobID), spec)})
 		time.Sleep(planPeriod)
-		if err := b.scheduler.Yield(1); !errors.Is(err, ErrPressed) {
+		if err := b.scheduler.Yield(1); !errors.Is(err, ErrReclaiming) {
 			t.Errorf("yield while guaranteed work waits: %v", err)
 		}
 		for sequence := int64(1); sequence < 4; sequence++ {
--- a/duty/place.go
+++ b/duty/place.go
@@ -26,7 +26,7 @@
 		return
 	}
 	in := st.input(s, table, now)
-	s.pressed.Store(slices.ContainsFunc(in.Requests, func(r plan.Request) bool { return r.Reclaims }))
+	s.reclaiming.Store(slices.ContainsFunc(in.Requests, func(r plan.Request) bool { return r.Reclaims }))
 	if len(in.Requests) == 0 {
 		return
 	}
@@ -104,7 +104,10 @@
 
 // input is the state as package plan sees it.
 func (st *state) input(s *Scheduler, table *route.Table, now time.Duration) plan.Input {
-	in := plan.Input{RemoteFactor: s.settings.RemoteFactor, Pressed: st.pressed(now), Workers: st.in.Workers[:0], Requests: st.in.Requests[:0], Running: st.in.Running[:0]}
+	in := plan.Input{
+		Workers: st.in.Workers[:0], Requests: st.in.Requests[:0], Running: st.in.Running[:0],
+		RemoteFactor: s.settings.RemoteFactor, Pressed: st.pressed(now),
+	}
 	guaranteed := st.guaranteed(table)
 	free := map[graph.Place]plan.Amount{}
 	for p, w := range st.byPlace {
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -67,8 +67,8 @@
 	own      *owner.Owner[*state]
 	ctx      context.Context
 	rooms    atomic.Pointer[[]*flow.Room]
-	// pressed tells that guaranteed work waits for its place.
-	pressed atomic.Bool
+	// reclaiming tells that guaranteed work waits for its place.
+	reclaiming atomic.Bool
 }
 
 // NewScheduler returns a scheduler for a claim that lives until ctx ends; Run
@@ -133,8 +133,8 @@
 	if epoch != s.claim.Epoch || !s.claim.Valid() {
 		return ErrNotHolder
 	}
-	if s.pressed.Load() {
-		return ErrPressed
+	if s.reclaiming.Load() {
+		return ErrReclaiming
 	}
 	s.claim.Yield()
 	return nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -135,10 +135,13 @@
 		return nil
 	}
 	table, err := g.opts.Operator.Table(e.Key, e.Value)
+	if err != nil {
+		return fmt.Errorf("reading configuration: %w", err)
+	}
 	if table != nil {
 		g.operator.set(table)
 	}
-	return err
+	return nil
 }
 
 // watchClaim tells the candidate when nobody holds the duty.
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -80,7 +80,7 @@
 // stillHeld returns the workers where an earlier decision makes room for the
 // unit, if that room is still to be expected.
 func (s *state) stillHeld(r *Request, free []Amount) []int {
-	any := false
+	keeps := false
 	for w, list := range s.reserved {
 		for _, kept := range list {
 			if kept.owner != r {
@@ -89,10 +89,10 @@
 			if !free[w].Covers(kept.need) {
 				return nil
 			}
-			any = true
+			keeps = true
 		}
 	}
-	if !any {
+	if !keeps {
 		return nil
 	}
 	held := make([]int, len(r.Held))
