relay: give up dialling a scheduler that does not answer after 0.4 s

Ruled out: a shorter time for reports; where the link is open, the long poll of 0.7 s and a busy holder need it.

Test: verbs TestReportToSilentAddressFailsSoon fails without the bound (1.5 s).

--- a/verbs/finder_test.go
+++ b/verbs/finder_test.go
@@ -1,9 +1,12 @@
 package verbs
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"catkinpoint/flow"
 	"catkinpoint/gate"
@@ -68,3 +71,24 @@
 		t.Errorf("found %v without any gate", got)
 	}
 }
+
+// A report to a scheduler that has lost power, whose address does not answer,
+// fails soon enough for the relay to find the next one as it claims.
+func TestReportToSilentAddressFailsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &finder{dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		if _, err := f.attend(ctx, netip.MustParseAddrPort("10.0.0.1:1"), &flow.Report{}); err == nil {
+			t.Error("a report to a silent address was answered")
+		}
+		const limit = 500 * time.Millisecond
+		if took := time.Since(start); took > limit {
+			t.Errorf("the report failed after %v; want at most %v", took, limit)
+		}
+	})
+}
--- a/verbs/relay.go
+++ b/verbs/relay.go
@@ -32,8 +32,14 @@
 	Settings string `arg:"" help:"Settings file with the sections node, relay and platform."`
 }
 
-// findTime bounds one question for the scheduler's address.
-const findTime = 800 * time.Millisecond
+const (
+	// findTime bounds one question for the scheduler's address.
+	findTime = 800 * time.Millisecond
+	// dialTime bounds the opening of a link to the scheduler. The address of one
+	// that has lost power stands in the store until its claim ends; a relay that
+	// waits there for longer misses the next one.
+	dialTime = 400 * time.Millisecond
+)
 
 // Run serves until ctx ends.
 func (v *Relay) Run(ctx context.Context) error {
@@ -79,9 +85,11 @@
 type finder struct {
 	kv    store.TxnKV
 	gates func() []netip.AddrPort
-	mu    sync.Mutex
-	conn  *link.Conn
-	addr  netip.AddrPort
+	// dial opens connections; nil means TCP.
+	dial link.Dialer
+	mu   sync.Mutex
+	conn *link.Conn
+	addr netip.AddrPort
 }
 
 // find reads who holds the duty, from the store or else from a known gate.
@@ -175,7 +183,9 @@
 		f.conn.Close()
 		f.conn = nil
 	}
-	conn, err := link.Dial(ctx, nil, addr)
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	conn, err := link.Dial(ctx, f.dial, addr)
 	if err != nil {
 		return nil, err
 	}
