--- a/gate/fault_test.go
+++ b/gate/fault_test.go
@@ -23,6 +23,7 @@
 	defer func() { testOperator.Table = good }()
 	world(t, func(t *testing.T, kv *fakekv.Server, g *Gate) {
 		putKey(t, kv, "op/table", "fault")
+		time.Sleep(time.Second) // the next write of the key would hide it
 		putKey(t, kv, "op/out/keila", "x")
 		putKey(t, kv, "op/table", "not a number")
 		for _, prefix := range []string{"job/", "progress/", "cancel/", "gate/", "duty", "epoch", "other/"} {
