duty, plan: failures count by task, workers prove themselves after a ban

A failure did not count against a worker if another task of the same job had failed elsewhere, so bad workers hid behind wide jobs; a ban that was over gave the worker all the work it had room for; and a task that had failed went straight back to the same worker, up to four times within a second.

TestJobsOutliveWorkersThatFailAll fails without it.

--- a/duty/place.go
+++ b/duty/place.go
@@ -128,6 +128,7 @@
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
 			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: w.health.speed(now),
+			Doubtful: w.health.doubtful(now), Trial: w.health.onTrial(now),
 		})
 	}
 	sortWorkers(in.Workers)
@@ -142,7 +143,8 @@
 // usable tells whether a worker takes starts.
 func (st *state) usable(s *Scheduler, w *worker, now time.Duration) bool {
 	return w.reconciled && !w.info.GetDraining() && !w.info.GetGone() &&
-		now-w.heard < silence && now >= w.health.bannedUntil && !s.operator.Evacuated(w.info.GetDataCentre())
+		now-w.heard < silence && now >= w.health.bannedUntil &&
+		(!w.health.onTrial(now) || len(st.at[w.relay]) == 0) && !s.operator.Evacuated(w.info.GetDataCentre())
 }
 
 func (st *state) running(j *job, t *graph.Task, need plan.Amount, guaranteed bool, now time.Duration) plan.Running {
@@ -180,7 +182,9 @@
 	left := objective - (now - j.submitted)
 	tail := time.Duration(graph.TailMS(j.graph.Spec, first.Step)) * time.Millisecond
 	const lateFactor = 3 // a result later than this many objectives is of no use
+	failures, failedAt := j.failures(unit)
 	return plan.Request{
+		Failures: failures, FailedAt: failedAt,
 		Unit: unit, Need: amount(unit.Step), Ready: now - since, Slack: left - tail,
 		Lateness: lateFactor*objective - (now - j.submitted) - tail,
 		Duration: time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Reclaims: reclaims && j.graph.Task(first) == nil,
@@ -188,6 +192,19 @@
 	}
 }
 
+// failures returns the most that a task of the unit has failed, and where.
+func (j *job) failures(unit graph.Unit) (most int32, at []graph.Place) {
+	for _, ref := range unit.Tasks {
+		if t := j.graph.Task(ref); t != nil {
+			most = max(most, t.Failures)
+		}
+		for _, w := range j.failedAt[ref] {
+			at = append(at, w.place)
+		}
+	}
+	return most, at
+}
+
 // guaranteed tells which jobs are covered by their customer's guarantee: those
 // of priority 0 if all such jobs that have not ended need no more.
 func (st *state) guaranteed(table *route.Table) map[*job]bool {
--- a/duty/report.go
+++ b/duty/report.go
@@ -161,13 +161,35 @@
 	if t == nil || !w.has(t.Place) {
 		return
 	}
-	w.health.ended(j, w.place.Worker, e.GetHow(), clock.Steady())
-	if e.GetHow() == graph.EndFailed && t.Run == e.GetRun() {
-		j.failedAt[w.place.Worker] = true
+	if t.Run == e.GetRun() {
+		st.blame(w, j, ref, e.GetHow(), clock.Steady())
 	}
 	st.over(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint())
 }
 
+// blame takes the end of a run as evidence on its worker. The failure of a task
+// that has failed on a sound worker is the task's own.
+func (st *state) blame(w *worker, j *job, ref graph.Ref, how string, now time.Duration) {
+	switch how {
+	case graph.EndDone:
+		w.health.endedWell()
+	case graph.EndFailed:
+		own := false
+		for _, other := range j.failedAt[ref] {
+			if other != w && !w.health.onTrial(now) {
+				other.health.acquit(taskKey{j, ref}, other.place.Worker, now)
+			}
+			own = own || other != w && !other.health.onTrial(now)
+		}
+		if !own {
+			w.health.taskFailed(taskKey{j, ref}, w.place.Worker, now)
+		}
+		if !slices.Contains(j.failedAt[ref], w) {
+			j.failedAt[ref] = append(j.failedAt[ref], w)
+		}
+	}
+}
+
 func (st *state) refused(w *worker, refusal *flow.Refusal) {
 	id, ref, err := graph.ParseTask(refusal.GetTask())
 	j := st.jobs[id]
--- a/duty/state.go
+++ b/duty/state.go
@@ -32,8 +32,8 @@
 	readySince map[graph.Ref]time.Duration
 	// moved tells that a run was stopped because its worker was slow.
 	moved bool
-	// failedAt has the workers on which a task of the job has failed.
-	failedAt map[string]bool
+	// failedAt has the workers on which a task has failed.
+	failedAt map[graph.Ref][]*worker
 }
 
 // run is what is known of a task's last run beyond its record.
@@ -195,7 +195,7 @@
 	st.sorted = nil
 	st.jobs[id] = &job{
 		graph: graph.New(spec, nil), submitted: clock.Steady() - min(age, time.Hour),
-		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedAt: map[string]bool{},
+		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedAt: map[graph.Ref][]*worker{},
 	}
 	klog.InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
 	if st.cancelled[id] {
--- a/plan/fit.go
+++ b/plan/fit.go
@@ -11,7 +11,7 @@
 		}
 	}
 	found, ok := s.fitInto(r, s.free, anywhere)
-	if !ok && !anywhere && !s.patient(r) && len(r.Held) == 0 {
+	if !ok && !anywhere && !s.patient(r) && len(r.Held) == 0 && !wary(r) {
 		s.refused = append(s.refused, r)
 	}
 	return found, ok
@@ -22,7 +22,7 @@
 func (s *state) tighter(r, f *Request) bool {
 	rs, fs := r.Unit.Step, f.Unit.Step
 	return len(r.Held) == 0 && r.Need.Covers(f.Need) && len(r.Unit.Tasks) >= len(f.Unit.Tasks) && r.Duration >= f.Duration &&
-		s.leavesNoLess(r, f) && r.Unit.Job.Spec.GetService() == f.Unit.Job.Spec.GetService() &&
+		s.leavesNoLess(r, f) && (!mayTry(r) || mayTry(f)) && r.Unit.Job.Spec.GetService() == f.Unit.Job.Spec.GetService() &&
 		(fs.GetRequiredLabel() == "" || fs.GetRequiredLabel() == rs.GetRequiredLabel()) &&
 		(fs.GetMaxPerWorker() == 0 || fs == rs && r.Unit.Tasks[0].Occurrence == f.Unit.Tasks[0].Occurrence)
 }
@@ -180,7 +180,7 @@
 	worker := &s.workers[w]
 	label := r.Unit.Step.GetRequiredLabel()
 	return worker.Usable && worker.Service == r.Unit.Job.Spec.GetService() &&
-		(label == "" || worker.hasLabel(label)) && !s.leaves(r, s.rackOf[w])
+		(label == "" || worker.hasLabel(label)) && !s.leaves(r, s.rackOf[w]) && s.trusts(r, w)
 }
 
 // cost is low for workers that the task fills well and for fast ones.
--- a/plan/input.go
+++ b/plan/input.go
@@ -64,6 +64,10 @@
 	Usable bool
 	// Slowness is how many times as long tasks take here as on a sound worker.
 	Slowness float64
+	// Doubtful tells that tasks have failed here and none has ended well since.
+	Doubtful bool
+	// Trial tells that the worker takes one task at a time until one ends well.
+	Trial bool
 }
 
 func (w *Worker) hasLabel(label string) bool {
@@ -91,6 +95,10 @@
 	Reclaims bool
 	// Held is where an earlier decision makes room for the unit, or nil.
 	Held []graph.Place
+	// Failures is the most that one of the unit's tasks has failed, and FailedAt
+	// the workers on which they did.
+	Failures int32
+	FailedAt []graph.Place
 }
 
 // Running is a run that holds room.
--- a/plan/state.go
+++ b/plan/state.go
@@ -42,6 +42,8 @@
 	search int
 	// started counts the tasks of a step that this decision starts on a worker.
 	started map[stepOn]int32
+	// tried tells which workers on trial have got their task.
+	tried []bool
 	// refused are requests that fit nowhere in the room that is left.
 	refused []*Request
 	// hopeless are requests for which no stop makes room.
@@ -72,7 +74,7 @@
 		in: in, workers: in.Workers, index: make(map[graph.Place]int, n), free: make([]Amount, n),
 		rackIndex: map[string]int{}, rackOf: make([]int, n), reserved: make([][]reservation, n),
 		on: make([][]int, n), stopping: make([]bool, len(in.Running)), started: map[stepOn]int32{},
-		all: make([]int, n), left: make([]Amount, n), used: make([]int32, n), after: make([]Amount, n),
+		all: make([]int, n), tried: make([]bool, n), left: make([]Amount, n), used: make([]int32, n), after: make([]Amount, n),
 	}
 	for i, w := range s.workers {
 		s.all[i], s.free[i] = i, w.Free
@@ -184,6 +186,7 @@
 		s.free[w] = s.free[w].Minus(r.Need)
 		s.rackRoom[s.rackOf[w]] -= r.Need.Cores()
 		s.started[stepOn{r.Unit.Job, first.Occurrence, first.Step, w}]++
+		s.tried[w] = true
 	}
 }
 
