duty: progress of a gang counts from when it is complete, and tells its remaining time

Cause: members of a gang wait for one whose start is carried out late.

Now progress, slowness and what a stop throws away count from when all members are at their workers; the remaining time follows the progress made; a run that ends at most 0.4 s after its worker's announced end is left to end.

TestGangThatHasNotBegunIsNotSlow and TestGangEndsBeforeItsWorkerLeaves fail without it.

--- a/duty/drain.go
+++ b/duty/drain.go
@@ -8,6 +8,10 @@
 	"catkinpoint/graph"
 )
 
+// nearEnd is how much longer than its worker a run may take and is still left to
+// end: workers stay for at least as long as they say, and a stop takes time too.
+const nearEnd = 400 * time.Millisecond
+
 // leaveDraining stops runs that cannot end before their worker does. They would
 // be lost with it; now they save what they can, and their units start elsewhere
 // while the worker is still there. Tasks that last are left until the worker
@@ -22,8 +26,8 @@
 			if t.Place != w.place || r == nil || r.stop || t.Done || j.graph.Over() || j.graph.Step(t.Ref).GetLongRunning() {
 				continue
 			}
-			left := w.endsAt - now
-			if r.remaining(now) <= left {
+			left := max(0, w.endsAt-now)
+			if r.remaining(now) <= left+nearEnd {
 				continue
 			}
 			klog.InfoS("duty: run stopped before its worker ends", "job", j.graph.Spec.GetId(), "step", t.Ref.Step, "index", t.Ref.Index,
--- a/duty/place.go
+++ b/duty/place.go
@@ -37,7 +37,7 @@
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
 		number := j.graph.Assign(a.Unit, a.Places)
 		for i, ref := range a.Unit.Tasks {
-			j.runs[ref] = &run{run: number, at: now, percentAt: now, sampleAt: now, expected: st.expectedAt(j, ref, a.Places, i, s)}
+			j.runs[ref] = &run{run: number, at: now, expected: st.expectedAt(j, ref, a.Places, i, s)}
 			delete(j.readySince, ref)
 			st.put(j, j.graph.Task(ref))
 		}
@@ -165,12 +165,6 @@
 	}
 }
 
-// remaining returns the expected time to the end of the run.
-func (r *run) remaining(now time.Duration) time.Duration {
-	done := time.Duration(float64(r.expected) * float64(r.percent) / 100)
-	return max(0, r.expected-done-(now-r.percentAt))
-}
-
 func (st *state) request(j *job, unit graph.Unit, reclaims bool, now time.Duration) plan.Request {
 	first := unit.Tasks[0]
 	since, ok := j.readySince[first]
--- /dev/null
+++ b/duty/progress_test.go
@@ -0,0 +1,70 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Members of a gang wait for one whose start is carried out late. Their workers
+// are not slow, and the gang is left to begin.
+func TestGangThatHasNotBegunIsNotSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.workers[0].deaf = 3 * time.Second
+		var jobs []*fleetJob
+		for n := range 2 { // each is slow besides the other
+			spec := simpleJob(fmt.Sprintf("%016x", n+1), 8)
+			spec.Priority, spec.SlackFactor = 0, 1.5
+			spec.Steps[0].Gang, spec.Steps[0].MaxPerWorker, spec.Steps[0].EstimateMs = true, 2, 2000
+			jobs = append(jobs, f.submit(spec, 2*time.Second))
+		}
+		f.play(10 * time.Second)
+		for _, j := range jobs {
+			took, ok := f.took(j)
+			if want := 5500 * time.Millisecond; !ok || took > want {
+				t.Errorf("job %s: completed %v after %v; want %v", j.spec.GetId(), ok, took, want)
+			}
+		}
+		if f.stops != 0 {
+			t.Errorf("%d stops; want none", f.stops)
+		}
+	})
+}
+
+// A gang runs longer than declared on workers of which one leaves. It is stopped
+// at once if it cannot end in time, and left alone when it is about to end.
+func TestGangEndsBeforeItsWorkerLeaves(t *testing.T) {
+	tests := []struct {
+		name  string
+		took  time.Duration
+		leave time.Duration // from the start of the gang to the announced end
+		stops int
+	}{
+		{name: "ends in time", took: 6 * time.Second, leave: 6300 * time.Millisecond},
+		{name: "ends a little later than the least time that is left", took: 6 * time.Second, leave: 5900 * time.Millisecond},
+		{name: "far from its end", took: 12 * time.Second, leave: 7 * time.Second, stops: 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 8)
+				spec := simpleJob(jobID, 8)
+				spec.Steps[0].Gang, spec.Steps[0].Accelerators, spec.Steps[0].EstimateMs = true, 4, 3000
+				f.submit(spec, test.took)
+				f.play(5 * time.Second)
+				for _, w := range f.workers {
+					if len(w.running) > 0 {
+						w.endsAt, w.lingers = f.began+test.leave, 500*time.Millisecond
+						break
+					}
+				}
+				f.play(1500 * time.Millisecond)
+				if f.stops != test.stops {
+					t.Errorf("%d stops; want %d", f.stops, test.stops)
+				}
+			})
+		})
+	}
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -217,17 +217,16 @@
 	}
 	known := j.runs[ref]
 	if known == nil || known.run != t.Run {
-		known = &run{run: t.Run, stored: true, at: now, percentAt: now, sampleAt: now, expected: expected(j, ref)}
+		known = &run{run: t.Run, stored: true, at: now, expected: expected(j, ref)}
 		j.runs[ref] = known
 	}
 	if j.graph.Begun(ref, t.Run) {
-		known.percentAt, known.sampleAt = now, now
 		w.changed = true
 	}
-	if r.GetPercent() > known.percent {
-		known.percent, known.percentAt = r.GetPercent(), now
+	known.progress(r.GetPercent(), j.graph.Complete(ref, t.Run), now)
+	if known.begunAt > 0 {
+		w.health.sample(j, known, known.percent, now)
 	}
-	w.health.sample(j, known, known.percent, now)
 	if r.GetCheckpoint() != "" {
 		known.checkpoint = r.GetCheckpoint()
 	}
--- a/duty/state.go
+++ b/duty/state.go
@@ -38,13 +38,16 @@
 
 // run is what is known of a task's last run beyond its record.
 type run struct {
-	run     int64
-	stored  bool
-	stop    bool // a stop is ordered
-	at      time.Duration
-	percent int32
-	// percentAt is when the percentage last grew.
-	percentAt time.Duration
+	run    int64
+	stored bool
+	stop   bool // a stop is ordered
+	at     time.Duration
+	// begunAt is when the run, and those of all other members of its gang, were
+	// first seen at their workers, or 0.
+	begunAt time.Duration
+	// firstPercent is the progress at that time, and percentAt when it last grew.
+	firstPercent, percent int32
+	percentAt             time.Duration
 	// sampleAt and samplePercent are the last reading of its speed.
 	sampleAt      time.Duration
 	samplePercent int32
@@ -221,7 +224,7 @@
 		j.workRevision = item.Revision
 		for _, t := range j.graph.Active() {
 			st.put(j, t)
-			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, percentAt: st.began, sampleAt: st.began, expected: expected(j, t.Ref)}
+			j.runs[t.Ref] = &run{run: t.Run, stored: true, at: st.began, expected: expected(j, t.Ref)}
 		}
 	}
 	st.early, st.sorted = nil, nil
@@ -383,7 +386,10 @@
 	if r == nil {
 		return 0
 	}
-	unsaved := now - r.at
+	if r.begunAt == 0 {
+		return 0
+	}
+	unsaved := now - r.begunAt
 	if j.graph.Step(ref).GetCheckpointing() {
 		unsaved = min(unsaved, stopSaves)
 	}
--- a/graph/job.go
+++ b/graph/job.go
@@ -280,6 +280,16 @@
 	return true
 }
 
+// Complete tells whether workers have listed the run of all members of the gang.
+func (j *Job) Complete(ref Ref, run int64) bool {
+	for _, member := range j.Members(ref) {
+		if m := j.tasks[member]; m == nil || m.Run != run || !m.Started && !m.Done {
+			return false
+		}
+	}
+	return true
+}
+
 // End notes the end of a run, and reports whether the run was the task's last
 // and not over before.
 func (j *Job) End(ref Ref, run int64, how, checkpoint string) bool {
