duty: a worker that stands still is told from one that waits or is not heard

Cause: members of a gang end together. Reports that are held up made running work look slow as well.

Now runs at 100% give no reading of speed; growth is measured on the worker's own clock, which the relay sends with its list; and a worker on which nothing that has begun makes progress for 1.2 s stands still: urgent work leaves it (at most three times a job), and it gets no more. A job that stands still again alone is to blame itself. The line of a placed unit names its workers and its expected and declared times.

TestWorkerThatStandsStillIsLeft fails without it.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -98,6 +98,7 @@
 func reportOf(n int, sequence, epoch int64) *flow.Report {
 	return &flow.Report{
 		Relay: fmt.Sprintf("10.0.0.%d:1", n), RelayBoot: "b", Sequence: sequence, Epoch: epoch, Listed: epoch > 0,
+		ListClockMs: clock.Steady().Milliseconds() + 1,
 		Worker: &flow.Worker{
 			Id: fmt.Sprintf("w%d", n), BornMs: 100, Service: "care", DataCentre: "keila",
 			Labels: []string{"a", "r1"}, Cpu: 64000, MemoryMb: 262144, Accelerators: 8,
--- a/duty/health.go
+++ b/duty/health.go
@@ -43,9 +43,18 @@
 	ban         time.Duration
 	// trialUntil is how long the worker is on trial, unless a task ends well.
 	trialUntil time.Duration
-	// readings are the last of each job that ran there, which tells a slow
-	// worker from a job whose declared time is wrong.
-	readings map[*job]reading
+	// speeds are the last of each job that ran there, which tells a slow worker
+	// from a job whose declared time is wrong.
+	speeds map[*job]speed
+}
+
+// standsStill takes it that no run on the worker makes progress.
+func (h *health) standsStill(worker string, now time.Duration) {
+	if now >= h.bannedUntil {
+		klog.InfoS("duty: worker stands still", "worker", worker)
+	}
+	h.bannedUntil = max(h.bannedUntil, now+firstBan)
+	h.trialUntil = h.bannedUntil + trialTime
 }
 
 // endedWell clears the worker of what was held against it.
--- a/duty/place.go
+++ b/duty/place.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -44,8 +46,10 @@
 		st.change(j)
 		startsCount.Add(context.Background(), int64(len(a.Places)))
 		observe(waitTime, now-j.submitted)
-		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", a.Unit.Tasks[0].Step, "tasks", len(a.Unit.Tasks),
-			"run", number, "first", a.Places[0].Worker, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
+		first := a.Unit.Tasks[0]
+		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", first.Step, "index", first.Index, "tasks", len(a.Unit.Tasks),
+			"run", number, "workers", workersOf(a.Places), "expected_ms", j.runs[first].expected.Milliseconds(), "declared_ms", a.Unit.Step.GetEstimateMs(),
+			"waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
 	if len(decision.Holds) > 0 {
 		st.pressedAt = now
@@ -66,6 +70,21 @@
 	st.plan = len(decision.Starts) > 0
 }
 
+// workersOf lists the workers of a unit for the log, the first few by name.
+func workersOf(places []graph.Place) string {
+	const named = 4
+	var names []string
+	for _, p := range places {
+		if !slices.Contains(names, p.Worker) {
+			names = append(names, p.Worker)
+		}
+	}
+	if more := len(names) - named; more > 0 {
+		names = append(names[:named], fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(names, " ")
+}
+
 // pressed tells whether urgent units have had to wait for room of late.
 func (st *state) pressed(now time.Duration) bool {
 	return st.pressedAt > 0 && now-st.pressedAt < pressedMemory
@@ -127,7 +146,7 @@
 	for p, w := range st.byPlace {
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
-			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: w.health.speed(now),
+			Capacity: capacity(w.info), Free: free[p], Usable: st.usable(s, w, now), Slowness: w.health.slowness(now),
 			Doubtful: w.health.doubtful(now), Trial: w.health.onTrial(now),
 		})
 	}
--- a/duty/progress_test.go
+++ b/duty/progress_test.go
@@ -68,3 +68,62 @@
 		})
 	}
 }
+
+// Urgent work beside a worker that stands still, is not heard, or works longer
+// than declared: it is moved off the first, and the others keep it. Members that
+// wait at their end for one that stands still are not held against their workers.
+func TestWorkerThatStandsStillIsLeft(t *testing.T) {
+	tests := []struct {
+		name   string
+		gang   bool
+		took   time.Duration
+		change func(*fleetWorker)
+		within time.Duration
+		stops  int
+		banned int // workers that get nothing for some time
+	}{
+		{name: "stands still", took: 2 * time.Second, change: func(w *fleetWorker) { w.hangs = true }, within: 5 * time.Second, stops: 1, banned: 1},
+		{name: "stands still, gang", gang: true, took: 2 * time.Second, change: func(w *fleetWorker) { w.hangs = true }, within: 5 * time.Second, stops: 4, banned: 1},
+		{name: "is not heard", took: 4 * time.Second, change: func(w *fleetWorker) { w.silent = true }, within: 5500 * time.Millisecond},
+		{name: "declared time is far too short", took: 2 * time.Minute, change: func(*fleetWorker) {}, within: 3 * time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 12)
+				spec := simpleJob(jobID, 1)
+				spec.Priority = 0
+				spec.Steps[0].EstimateMs = 1000
+				if test.gang {
+					spec.Steps[0].Gang, spec.Steps[0].Count, spec.Steps[0].MaxPerWorker = true, 4, 1
+				}
+				j := f.submit(spec, test.took)
+				f.play(500 * time.Millisecond)
+				for _, w := range f.workers {
+					if len(w.running) > 0 {
+						test.change(w)
+						break
+					}
+				}
+				f.play(2500 * time.Millisecond)
+				banned := 0
+				for _, w := range f.st.workers {
+					if w.health.bannedUntil > 0 {
+						banned++
+					}
+				}
+				for _, w := range f.workers {
+					w.silent = false
+				}
+				f.play(test.within)
+				took, ok := f.took(j)
+				if !ok || took > test.within {
+					t.Errorf("completed %v after %v; want %v", ok, took, test.within)
+				}
+				if f.stops != test.stops || banned != test.banned {
+					t.Errorf("%d stops, %d workers got nothing; want %d and %d", f.stops, banned, test.stops, test.banned)
+				}
+			})
+		})
+	}
+}
--- a/duty/replay_test.go
+++ b/duty/replay_test.go
@@ -42,6 +42,9 @@
 	n        int
 	rack     string
 	fails    bool
+	hangs    bool // runs make no progress, and end no more
+	silent   bool // reports are held up until it speaks again
+	held     []*flow.Report
 	deaf     time.Duration // starts are carried out so much later
 	endsAt   time.Duration // announced end; 0: it stays
 	lingers  time.Duration // how much later it ends
@@ -52,12 +55,12 @@
 }
 
 type fleetRun struct {
-	run      int64
-	ref      graph.Ref
-	job      *fleetJob
-	from     time.Duration // when the worker carries the start out
-	began    time.Duration // when the whole gang was there, or 0
-	reported bool
+	run    int64
+	ref    graph.Ref
+	job    *fleetJob
+	from   time.Duration // when the worker carries the start out
+	began  time.Duration // when the whole gang was there, or 0
+	worked time.Duration
 }
 
 // newFleet returns so many idle workers, four to a rack.
@@ -134,15 +137,16 @@
 		if r.began == 0 && f.gathered(r, now) {
 			r.began = now
 		}
-		if r.began == 0 {
+		if r.began == 0 || w.hangs {
 			continue
 		}
-		switch at := now - r.began; {
-		case w.fails && at >= 2*fleetTick, r.ref.Index == r.job.faulty && at >= r.job.took/2:
+		r.worked += fleetTick
+		switch {
+		case w.fails && r.worked >= 2*fleetTick, r.ref.Index == r.job.faulty && r.worked >= r.job.took/2:
 			f.failures++
 			f.end(w, task, graph.EndFailed)
 			f.breakGang(r)
-		case at >= r.job.took:
+		case r.worked >= r.job.took && f.membersDone(r, now):
 			f.end(w, task, graph.EndDone)
 		}
 	}
@@ -173,6 +177,17 @@
 	return found
 }
 
+// membersDone tells whether no other member of a run's gang is at work: they end
+// together.
+func (f *fleet) membersDone(r *fleetRun, now time.Duration) bool {
+	for task, w := range f.members(r, now) {
+		if other := w.running[task]; other.worked < r.job.took-fleetTick {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *fleet) breakGang(r *fleetRun) {
 	if !r.job.spec.GetSteps()[r.ref.Step].GetGang() {
 		return
@@ -202,14 +217,18 @@
 		if now < run.from {
 			continue
 		}
-		percent := int32(0)
-		if run.began > 0 {
-			percent = int32(100 * (now - run.began) / run.job.took)
-		}
+		percent := int32(100 * run.worked / run.job.took)
 		r.Running = append(r.Running, &flow.Run{Task: task, Run: run.run, Percent: min(100, percent)})
 	}
-	r.Ends = w.ends
-	f.st.report(f.s, r, make(chan *flow.Orders, 1))
+	r.Ends = slices.Clone(w.ends)
+	w.held = append(w.held, r)
+	if w.silent {
+		return
+	}
+	for _, r := range w.held {
+		f.st.report(f.s, r, make(chan *flow.Orders, 1))
+	}
+	w.held = nil
 }
 
 // obey carries out the orders for a worker.
--- a/duty/report.go
+++ b/duty/report.go
@@ -107,10 +107,10 @@
 	}
 	listed := map[string]int64{}
 	strays := map[string]map[int64]bool{}
-	now := clock.Steady()
+	read := reading{now: clock.Steady(), worker: time.Duration(r.GetListClockMs()) * time.Millisecond}
 	for _, run := range r.GetRunning() {
 		listed[run.GetTask()] = run.GetRun()
-		if !st.runs(s, w, run, now) {
+		if !st.runs(s, w, run, read) {
 			if strays[run.GetTask()] == nil {
 				strays[run.GetTask()] = map[int64]bool{}
 			}
@@ -204,8 +204,8 @@
 	st.over(j, ref, refusal.GetRun(), "refused_"+refusal.GetReason(), "")
 }
 
-// runs takes one running run, and tells whether it should be running there.
-func (st *state) runs(s *Scheduler, w *worker, r *flow.Run, now time.Duration) bool {
+// runs takes one running run and tells whether it should be running there.
+func (st *state) runs(s *Scheduler, w *worker, r *flow.Run, read reading) bool {
 	id, ref, err := graph.ParseTask(r.GetTask())
 	j := st.jobs[id]
 	if err != nil || j == nil || j.graph.Step(ref) == nil {
@@ -217,16 +217,14 @@
 	}
 	known := j.runs[ref]
 	if known == nil || known.run != t.Run {
-		known = &run{run: t.Run, stored: true, at: now, expected: expected(j, ref)}
+		known = &run{run: t.Run, stored: true, at: read.now, expected: expected(j, ref)}
 		j.runs[ref] = known
 	}
 	if j.graph.Begun(ref, t.Run) {
 		w.changed = true
 	}
-	known.progress(r.GetPercent(), j.graph.Complete(ref, t.Run), now)
-	if known.begunAt > 0 {
-		w.health.sample(j, known, known.percent, now)
-	}
+	known.progress(r.GetPercent(), j.graph.Complete(ref, t.Run), read)
+	w.health.sample(j, known, read)
 	if r.GetCheckpoint() != "" {
 		known.checkpoint = r.GetCheckpoint()
 	}
--- a/duty/speed.go
+++ b/duty/speed.go
@@ -19,39 +19,40 @@
 	soundBelow = 2
 )
 
-// reading is how many times as long as declared a task was taking.
-type reading struct {
+// speed is how many times as long as declared a task was taking.
+type speed struct {
 	slowness float64
 	at       time.Duration
 }
 
-// sample takes the progress of a job's run.
-func (h *health) sample(j *job, r *run, percent int32, now time.Duration) {
-	took := now - r.sampleAt
-	if r.expected <= 0 || took < max(minSample, r.expected*minPercent/100) {
+// sample takes the progress of a job's run. A run at its end may wait for the
+// other members of its gang.
+func (h *health) sample(j *job, r *run, read reading) {
+	took := read.worker - r.sampleClock
+	if r.begunAt == 0 || r.percent >= 100 || r.expected <= 0 || took < max(minSample, r.expected*minPercent/100) {
 		return
 	}
-	share := float64(percent-r.samplePercent) / 100
-	r.sampleAt, r.samplePercent = now, percent
+	share := float64(r.percent-r.samplePercent) / 100
+	r.sampleClock, r.samplePercent = read.worker, r.percent
 	r.slowness = min(maxSlowness, took.Seconds()/(r.expected.Seconds()*max(share, leastShare)))
 	if r.slowness < slowRun {
 		r.slowSamples = 0
 	} else {
 		r.slowSamples++
 	}
-	if h.readings == nil {
-		h.readings = map[*job]reading{}
+	if h.speeds == nil {
+		h.speeds = map[*job]speed{}
 	}
-	h.readings[j] = reading{r.slowness, now}
+	h.speeds[j] = speed{r.slowness, read.now}
 }
 
 // besides returns how slow the worker is by the runs of other jobs, and how
 // many these are. All of them must agree, so the least slow one counts.
 func (h *health) besides(except *job, now time.Duration) (slowness float64, jobs int) {
-	for j, r := range h.readings {
+	for j, r := range h.speeds {
 		switch {
 		case now-r.at > readingAge:
-			delete(h.readings, j)
+			delete(h.speeds, j)
 		case j != except:
 			if jobs == 0 || r.slowness < slowness {
 				slowness = r.slowness
@@ -62,9 +63,9 @@
 	return slowness, jobs
 }
 
-// speed returns how many times as long tasks take on the worker, from two jobs
+// slowness returns how many times as long tasks take on the worker, from two jobs
 // or more.
-func (h *health) speed(now time.Duration) float64 {
+func (h *health) slowness(now time.Duration) float64 {
 	slowness, jobs := h.besides(nil, now)
 	if jobs < 2 || slowness < soundBelow {
 		return 1
--- a/duty/state.go
+++ b/duty/state.go
@@ -30,8 +30,8 @@
 	runs       map[graph.Ref]*run
 	// readySince is when the unit of a task became ready.
 	readySince map[graph.Ref]time.Duration
-	// moved tells that a run was stopped because its worker was slow.
-	moved bool
+	// moves counts the stops because of slow workers.
+	moves int
 	// failedAt has the workers on which a task has failed.
 	failedAt map[graph.Ref][]*worker
 }
@@ -48,8 +48,12 @@
 	// firstPercent is the progress at that time, and percentAt when it last grew.
 	firstPercent, percent int32
 	percentAt             time.Duration
-	// sampleAt and samplePercent are the last reading of its speed.
-	sampleAt      time.Duration
+	// The same on the worker's clock, which tells how fast a run is even if
+	// reports are held up: of the first and the last reading, and of the last
+	// growth.
+	firstClock, readClock, percentClock time.Duration
+	// sampleClock and samplePercent are the last reading of its speed.
+	sampleClock   time.Duration
 	samplePercent int32
 	slowness      float64
 	slowSamples   int // slow readings in a row
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -366,5 +366,6 @@
 	}
 	s.setClock(lists.Clock, now)
 	s.applyLists(lists, number, observed)
+	s.listClock = lists.Clock
 	s.endsNotUntil = now + endPause
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -67,6 +67,7 @@
 	permitUntil  time.Duration // relay's clock
 	holdNumber   int64         // of the last hold sent
 	holdDone     int64         // of the last hold answered
+	listClock    time.Duration // worker's clock in that answer
 	holding      bool
 	holdNotUntil time.Duration // relay's clock; pause after a failed call
 	endsNotUntil time.Duration // relay's clock; pause while ends are not stored
@@ -149,7 +150,7 @@
 	s.reportSeq++
 	r := &flow.Report{
 		Relay: relay, RelayBoot: boot, Sequence: s.reportSeq, Worker: s.worker,
-		Epoch: s.epoch, Listed: s.listed, OrdersVersion: s.ordersVersion,
+		Epoch: s.epoch, Listed: s.listed, OrdersVersion: s.ordersVersion, ListClockMs: s.listClock.Milliseconds(),
 	}
 	if s.lapsed(now) && !s.worker.GetGone() {
 		r.Worker = cloneWorker(s.worker)
