cache: the first watch after a failure does not wait

Cause: a watch that finds no change is answered after 700 ms, and until then a copy is not known to be complete.

Ruled out: a later Retry-After; callers wait at most a share of what is left of their 3 s, whatever they are told.

TestCopyIsFreshOnceTheStoreIsBack fails without it.

--- a/cache/follower.go
+++ b/cache/follower.go
@@ -17,6 +17,9 @@
 	// watchWait is the longest wait of one call for changes. It bounds the age
 	// of a copy that nothing changes.
 	watchWait = 700 * time.Millisecond
+	// regainWait is the same for the first call after a failure: until it is
+	// answered nobody knows that the copy is complete again.
+	regainWait = 10 * time.Millisecond
 	// retryPause keeps a failing store from being called in a loop.
 	retryPause = 150 * time.Millisecond
 	// gatherPause lets changes gather before the next call, because each call
@@ -66,7 +69,11 @@
 		sent := clock.Steady()
 		var err error
 		if known {
-			after, err = f.wait(ctx, revisions, after)
+			longest := watchWait
+			if lost {
+				longest = regainWait
+			}
+			after, err = f.wait(ctx, revisions, after, longest)
 		} else {
 			after, err = f.read(ctx, revisions)
 		}
@@ -93,9 +100,9 @@
 	}
 }
 
-// wait hands on the changes after a revision.
-func (f *Follower) wait(ctx context.Context, revisions map[string]int64, after int64) (int64, error) {
-	events, next, err := f.kv.Events(ctx, f.prefix, after, watchWait)
+// wait hands on the changes after a revision, for which it waits at most so long.
+func (f *Follower) wait(ctx context.Context, revisions map[string]int64, after int64, longest time.Duration) (int64, error) {
+	events, next, err := f.kv.Events(ctx, f.prefix, after, longest)
 	if err != nil {
 		return after, fmt.Errorf("waiting for changes of %q: %w", f.prefix, err)
 	}
--- a/cache/follower_test.go
+++ b/cache/follower_test.go
@@ -40,6 +40,25 @@
 	}
 }
 
+// Once the store answers again the copy is known to be complete, though nothing
+// has changed: no caller is turned away for a whole wait of the watch.
+func TestCopyIsFreshOnceTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		f, stop := follow(t, kv.WithCaller("f"), map[string]string{})
+		defer stop()
+		time.Sleep(time.Second)
+		kv.SetFaults("f", fakekv.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		kv.SetFaults("f", fakekv.Faults{})
+		time.Sleep(2 * retryPause)
+		synctest.Wait()
+		if age, _ := f.Age(); age > 2*retryPause {
+			t.Errorf("the copy is %v old, %v after the store's return", age, 2*retryPause)
+		}
+	})
+}
+
 func TestCopyFollowsChanges(t *testing.T) {
 	tests := []struct {
 		name    string
