--- a/duty/claim.go
+++ b/duty/claim.go
@@ -30,6 +30,8 @@
 const (
 	// renewalsPerTTL leaves room for lost renewals in one time to live.
 	renewalsPerTTL = 4
+	// renewalPause is the pause after a renewal that failed.
+	renewalPause = 100 * time.Millisecond
 	// claimMargin is the part of the time to live at which the holder stops
 	// early, for clocks of different speed.
 	claimMargin = 10
@@ -215,7 +217,7 @@
 }
 
 func (c *Candidate) renew(ctx context.Context, claim *Claim) {
-	valid := true
+	valid, pause := true, c.TTL/renewalsPerTTL
 	for {
 		select {
 		case <-ctx.Done():
@@ -223,18 +225,22 @@
 		case <-claim.yield:
 			klog.InfoS("duty: claim yielded", "epoch", claim.Epoch)
 			return
-		case <-time.After(c.TTL / renewalsPerTTL):
+		case <-time.After(pause):
 		}
 		sent := clock.Steady()
-		call, cancel := context.WithTimeout(ctx, claimCallTime)
+		// A lost answer must leave time for another try within the time to live.
+		call, cancel := context.WithTimeout(ctx, min(claimCallTime, c.TTL/2))
 		err := c.KV.KeepAlive(call, claim.lease)
 		cancel()
 		switch {
 		case err == nil:
 			claim.extend(sent)
+			pause = c.TTL / renewalsPerTTL
 		case errors.Is(err, store.ErrLeaseExpired):
 			klog.InfoS("duty: claim lost", "epoch", claim.Epoch, "err", err)
 			return
+		default:
+			pause = renewalPause
 		}
 		if claim.Valid() != valid {
 			valid = !valid
