--- a/verbs/cli.go
+++ b/verbs/cli.go
@@ -31,6 +31,7 @@
 	Relay    Relay    `cmd:"" help:"Run the relay beside a worker on the users' platform."`
 	Local    Local    `cmd:"" help:"Run an example of the whole system in this process."`
 	Replay   Replay   `cmd:"" help:"Replay recorded traces through the placement policies and compare them."`
+	Delays   Delays   `cmd:"" help:"Say from collected logs of gates why jobs were late."`
 	Settings Settings `cmd:"" help:"Print the reference page of settings and declarations."`
 }
 
