delay: a job counts once, by what came before its last end

A holder that loses the duty may have written the end of a job whose record it could not store; the next holder writes it again.

--- a/delay/report.go
+++ b/delay/report.go
@@ -65,6 +65,10 @@
 	// last is the last cause for which a run of the job ended, for the members
 	// of a gang that end with it.
 	last Cause
+	// end is the last line of its end, and atEnd what had been seen by then. A
+	// holder that lost the duty may have written one before.
+	end   line
+	atEnd map[Cause]bool
 }
 
 type reader struct {
@@ -85,6 +89,9 @@
 	if err := lines.Err(); err != nil {
 		return nil, fmt.Errorf("reading logs: %w", err)
 	}
+	for _, id := range slices.Sorted(maps.Keys(in.jobs)) {
+		in.ended(id, in.jobs[id])
+	}
 	slices.SortStableFunc(in.report.Late, func(a, b Late) int { return cmp.Compare(b.Took-b.Objective, a.Took-a.Objective) })
 	return &in.report, nil
 }
@@ -117,7 +124,7 @@
 	case "duty: run over":
 		in.over(j, l)
 	case "duty: job ended":
-		in.ended(id, j, l)
+		j.end, j.atEnd = l, maps.Clone(j.seen)
 	}
 }
 
@@ -145,9 +152,11 @@
 	in.report.Thrown[cause] += l.number("lost_core_s")
 }
 
-func (in *reader) ended(id string, j *job, l line) {
+// ended counts a job that has ended.
+func (in *reader) ended(id string, j *job) {
+	l := j.end
 	phase := l.fields["phase"]
-	if phase == "CANCELLED" {
+	if phase == "" || phase == "CANCELLED" {
 		return
 	}
 	in.report.Ended++
@@ -159,7 +168,7 @@
 		return
 	}
 	for _, c := range causes {
-		if j.seen[c] {
+		if j.atEnd[c] {
 			late.Cause = c
 			break
 		}
