relay, duty: a run known from the answer to its start gives no reading of progress

A worker that was idle is not listed; a run that its relay knows from the answer to its start was reported at 0% with the clock of the last list, seconds ago, so that at the next list it seemed to have stood still since then and was started again elsewhere.

Now such a report has no clock, and a reading without one tells nothing.

TestStartedRunIsNotFromTheLastList fails without it.

--- a/duty/progress.go
+++ b/duty/progress.go
@@ -21,8 +21,12 @@
 }
 
 // progress takes a reading of a run's progress. A gang makes progress from when
-// it is complete; until then its members wait, whatever their workers are like.
+// it is complete; until then its members wait, whatever their workers are like. A
+// reading without the worker's clock tells nothing.
 func (r *run) progress(percent int32, complete bool, read reading) {
+	if read.worker == 0 {
+		return
+	}
 	if r.begunAt == 0 {
 		if !complete {
 			return
--- a/duty/speed.go
+++ b/duty/speed.go
@@ -29,7 +29,7 @@
 // other members of its gang.
 func (h *health) sample(j *job, r *run, read reading) {
 	took := read.worker - r.sampleClock
-	if r.begunAt == 0 || r.percent >= 100 || r.expected <= 0 || took < max(minSample, r.expected*minPercent/100) {
+	if read.worker == 0 || r.begunAt == 0 || r.percent >= 100 || r.expected <= 0 || took < max(minSample, r.expected*minPercent/100) {
 		return
 	}
 	share := float64(r.percent-r.samplePercent) / 100
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -270,6 +270,7 @@
 		if !s.knows(key) {
 			s.running[key] = &flow.Run{Task: key.task, Run: key.run}
 			s.ackedAt[key] = s.holdNumber
+			s.listClock = 0 // the last list is from before the run
 		}
 		s.news()
 	case st.phase == startOpen:
--- a/relay/state.go
+++ b/relay/state.go
@@ -67,7 +67,7 @@
 	permitUntil  time.Duration // relay's clock
 	holdNumber   int64         // of the last hold sent
 	holdDone     int64         // of the last hold answered
-	listClock    time.Duration // worker's clock in that answer
+	listClock    time.Duration // worker's clock in that answer; 0: some runs are not from it
 	holding      bool
 	holdNotUntil time.Duration // relay's clock; pause after a failed call
 	endsNotUntil time.Duration // relay's clock; pause while ends are not stored
