duty: runs stay on workers that leave until they end or the worker is gone

Runs that could not end before their worker's announced end were stopped at once, to start elsewhere earlier. What is stopped is thrown away for sure; workers stay longer than announced, and many runs end in time.

--- a/delay/report.go
+++ b/delay/report.go
@@ -20,7 +20,6 @@
 	Handover  Cause = "scheduler was lost"
 	Failed    Cause = "run failed"
 	Slow      Cause = "worker slow or standing still"
-	Draining  Cause = "worker had to leave"
 	Preempted Cause = "stopped for other work"
 	Lost      Cause = "worker was lost"
 	NotBegun  Cause = "start was not carried out"
@@ -30,7 +29,7 @@
 	Other     Cause = "other"
 )
 
-var causes = []Cause{Refused, HeardLate, Handover, Failed, Slow, Draining, Preempted, Lost, NotBegun, Room, Long}
+var causes = []Cause{Refused, HeardLate, Handover, Failed, Slow, Preempted, Lost, NotBegun, Room, Long}
 
 // noticed is the delay above which a wait is named as a cause.
 const noticed = 500 * time.Millisecond
@@ -119,8 +118,6 @@
 		stopped(Preempted)
 	case "duty: slow run stopped":
 		stopped(Slow)
-	case "duty: run stopped before its worker ends":
-		stopped(Draining)
 	case "duty: run over":
 		in.over(j, l)
 	case "duty: job ended":
--- a/duty/report.go
+++ b/duty/report.go
@@ -52,7 +52,7 @@
 		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.Born, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
 		delete(st.byPlace, w.place)
 		w.place, w.reconciled, w.applied, w.observed, w.ends, w.strays = place, false, 0, 0, nil, nil
-		w.health, w.endsAt = health{}, 0
+		w.health = health{}
 		w.version++
 		w.changed = true
 		st.byPlace[place] = w
@@ -64,12 +64,6 @@
 		st.plan = true
 	}
 	w.info = info
-	if left := info.GetRemainingMs(); info.GetDraining() && left > 0 {
-		end := clock.Steady() + time.Duration(left)*time.Millisecond
-		if w.endsAt == 0 || end < w.endsAt {
-			w.endsAt = end
-		}
-	}
 	if info.GetGone() {
 		st.loseAll(w, w.has, "gone")
 	}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -200,7 +200,6 @@
 	st.countRooms(s, now)
 	if st.plan && s.claim.Valid() {
 		st.plan = false
-		st.leaveDraining(now)
 		st.moveSlow(now)
 		st.place(s, now)
 	}
--- a/duty/slow.go
+++ b/duty/slow.go
@@ -81,3 +81,12 @@
 	left := time.Duration(r.slowness * float64(r.expected) * float64(100-r.percent) / 100)
 	return now-j.submitted+left >= objective && float64(left) >= moveGain*float64(stopTime+r.expected)
 }
+
+// stopUnit stops a task, or its whole gang.
+func (st *state) stopUnit(j *job, ref graph.Ref) {
+	for _, member := range j.graph.Members(ref) {
+		if m := j.graph.Task(member); m != nil && m.Active() && !m.Done {
+			st.stop(j, m)
+		}
+	}
+}
--- a/duty/state.go
+++ b/duty/state.go
@@ -86,8 +86,6 @@
 	changed    bool
 	waiter     chan *flow.Orders
 	health     health
-	// endsAt is the earliest end of a worker that drains, or 0.
-	endsAt time.Duration
 }
 
 type endSeq struct {
