--- a/duty/health_test.go
+++ b/duty/health_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"catkinpoint/graph"
 )
 
 // Some workers fail all that they start, beside jobs with a task that fails
@@ -64,3 +66,70 @@
 	_, _ = fmt.Sscanf(id, "w%d", &n)
 	return n
 }
+
+// Two tasks fail on a worker and then on another, which is sound: they are at fault
+// themselves, and the first worker gets work again at once.
+func TestWorkerIsAcquittedByASoundOne(t *testing.T) {
+	tests := []struct {
+		name      string
+		elsewhere bool // the tasks fail on a sound worker too
+		banned    bool
+	}{
+		{name: "failed nowhere else", banned: true},
+		{name: "failed on a sound worker too", elsewhere: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			st := newState(0)
+			first, second := &worker{place: placeOf(1)}, &worker{place: placeOf(2)}
+			j := &job{graph: graph.New(simpleJob(jobID, 4), nil), failedAt: map[graph.Ref][]*worker{}}
+			now := time.Second
+			for index := range int32(2) {
+				st.blame(first, j, graph.Ref{Index: index}, graph.EndFailed, now)
+			}
+			if now >= first.health.bannedUntil || !first.health.onTrial(now) {
+				t.Fatal("two tasks failed in a row, and the worker is not suspect")
+			}
+			for index := range int32(2) {
+				if test.elsewhere {
+					st.blame(second, j, graph.Ref{Index: index}, graph.EndFailed, now)
+				}
+			}
+			if banned := now < first.health.bannedUntil; banned != test.banned || first.health.doubtful(now) != test.banned {
+				t.Errorf("banned %v, doubtful %v; want %v", banned, first.health.doubtful(now), test.banned)
+			}
+			if second.health.doubtful(now) {
+				t.Error("the second worker is blamed for tasks that fail by themselves")
+			}
+		})
+	}
+}
+
+// A worker that fails all it starts has served its ban on a full site: it gets one
+// task at a time until one ends well there.
+func TestWorkerIsTriedWithOneTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		bad := f.workers[0]
+		bad.fails = true
+		for n := range 12 {
+			f.submit(simpleJob(fmt.Sprintf("%016x", n+1), 40), 2*time.Second)
+		}
+		f.play(time.Second)
+		known := f.st.byPlace[placeOf(bad.n)]
+		if known.health.bannedUntil == 0 {
+			t.Fatal("the worker is not suspect")
+		}
+		tried := false
+		for range 200 {
+			f.play(fleetTick)
+			if len(bad.running) > 1 {
+				t.Fatalf("%d tasks run on a worker on trial", len(bad.running))
+			}
+			tried = tried || len(bad.running) == 1
+		}
+		if !tried {
+			t.Error("the worker was not tried in 10 s")
+		}
+	})
+}
--- a/duty/progress_test.go
+++ b/duty/progress_test.go
@@ -143,3 +143,50 @@
 		})
 	}
 }
+
+// The remaining time follows the progress made, from when the run began or was
+// resumed, and the declared time while there is little of it.
+func TestRemainingTimeFollowsProgress(t *testing.T) {
+	const declared = 10 * time.Second
+	tests := []struct {
+		name        string
+		first, last int32         // percent
+		after       time.Duration // between these two readings
+		want        time.Duration
+	}{
+		{name: "as declared", last: 50, after: 5 * time.Second, want: 5 * time.Second},
+		{name: "half as fast", last: 25, after: 5 * time.Second, want: 15 * time.Second},
+		{name: "twice as fast", last: 80, after: 4 * time.Second, want: time.Second},
+		{name: "resumed at a checkpoint", first: 40, last: 60, after: 4 * time.Second, want: 8 * time.Second},
+		{name: "too little to tell", last: 4, after: 5 * time.Second, want: 9600 * time.Millisecond},
+		{name: "at its end", last: 100, after: 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := &run{expected: declared}
+			r.progress(test.first, true, reading{now: time.Second, worker: time.Minute})
+			now := time.Second + test.after
+			r.progress(test.last, true, reading{now: now, worker: time.Minute + test.after})
+			if got := r.remaining(now); got != test.want {
+				t.Errorf("remaining time %v; want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// A run at its end waits for another member of its gang, which stands still. That
+// tells nothing of its own worker's speed.
+func TestWaitingAtTheEndIsNoSlowness(t *testing.T) {
+	var h health
+	j, r := &job{}, &run{expected: 2 * time.Second}
+	for tick := range 6 {
+		at := time.Duration(tick) * time.Second
+		percent := min(100, int32(tick)*50)
+		read := reading{now: time.Second + at, worker: time.Minute + at}
+		r.progress(percent, true, read)
+		h.sample(j, r, read)
+	}
+	if slowness, jobs := h.besides(nil, 7*time.Second); slowness >= soundBelow || r.slowSamples > 0 {
+		t.Errorf("slowness %v by %d jobs after %d slow readings; want none", slowness, jobs, r.slowSamples)
+	}
+}
