--- a/duty/progress_test.go
+++ b/duty/progress_test.go
@@ -101,6 +101,7 @@
 		{name: "stands still", took: 2 * time.Second, change: func(w *fleetWorker) { w.hangs = true }, within: 5 * time.Second, stops: 1, banned: 1},
 		{name: "stands still, gang", gang: true, took: 2 * time.Second, change: func(w *fleetWorker) { w.hangs = true }, within: 5 * time.Second, stops: 4, banned: 1},
 		{name: "is not heard", took: 4 * time.Second, change: func(w *fleetWorker) { w.silent = true }, within: 5500 * time.Millisecond},
+		{name: "does not answer its relay", took: 4 * time.Second, change: func(w *fleetWorker) { w.mute = true }, within: 5500 * time.Millisecond},
 		{name: "declared time is far too short", took: 2 * time.Minute, change: func(*fleetWorker) {}, within: 3 * time.Minute},
 	}
 	for _, test := range tests {
@@ -129,7 +130,7 @@
 					}
 				}
 				for _, w := range f.workers {
-					w.silent = false
+					w.silent, w.mute = false, false
 				}
 				f.play(test.within)
 				took, ok := f.took(j)
--- a/duty/replay_test.go
+++ b/duty/replay_test.go
@@ -45,6 +45,8 @@
 	hangs    bool // runs make no progress, and end no more
 	silent   bool // reports are held up until it speaks again
 	held     []*flow.Report
+	mute     bool         // its relay gets no new lists and repeats the last
+	last     *flow.Report // with the last list
 	deaf     time.Duration // starts are carried out so much later
 	endsAt   time.Duration // announced end; 0: it stays
 	lingers  time.Duration // how much later it ends
@@ -220,6 +222,10 @@
 		r.Running = append(r.Running, &flow.Run{Task: task, Run: run.run, Percent: min(100, percent)})
 	}
 	r.Ends = slices.Clone(w.ends)
+	if w.mute && w.last != nil {
+		r.Running, r.Ends, r.ListClockMs = w.last.GetRunning(), w.last.GetEnds(), w.last.GetListClockMs()
+	}
+	w.last = r
 	w.held = append(w.held, r)
 	if w.silent {
 		return
