--- a/duty/replay_test.go
+++ b/duty/replay_test.go
@@ -45,8 +45,8 @@
 	hangs    bool // runs make no progress, and end no more
 	silent   bool // reports are held up until it speaks again
 	held     []*flow.Report
-	mute     bool         // its relay gets no new lists and repeats the last
-	last     *flow.Report // with the last list
+	mute     bool          // its relay gets no new lists and repeats the last
+	last     *flow.Report  // with the last list
 	deaf     time.Duration // starts are carried out so much later
 	endsAt   time.Duration // announced end; 0: it stays
 	lingers  time.Duration // how much later it ends
