gate: the state of a running job waits up to half a second for its end

Cause: callers ask at the end of the last task, 20 ms before the scheduler has heard of it, and then each 0.25 s. An urgent job has 0.6 s and half of its run time to spare for all of that.

Now the question waits for the end, for 0.5 s or a quarter of the caller's budget at most, and ends the pause of the watch.

--- a/cache/follower.go
+++ b/cache/follower.go
@@ -37,6 +37,8 @@
 	kv     store.TxnKV
 	prefix string
 	apply  func([]store.Event)
+	// hurry ends the pause after a call that returned changes.
+	hurry chan struct{}
 	// completeAt is the clock.Monotonic time up to which the copy is complete, in
 	// nanoseconds plus one; 0 means that it never was.
 	completeAt atomic.Int64
@@ -44,7 +46,16 @@
 
 // New returns a follower that passes changes to apply; Run starts it.
 func New(kv store.TxnKV, prefix string, apply func([]store.Event)) *Follower {
-	return &Follower{kv: kv, prefix: prefix, apply: apply}
+	return &Follower{kv: kv, prefix: prefix, apply: apply, hurry: make(chan struct{}, 1)}
+}
+
+// Hurry ends the pause between two calls for changes, if there is one, so that changes
+// which the store already has arrive as soon as possible.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
 }
 
 // Age returns how long ago the copy was last known to be complete, and false
@@ -123,11 +134,22 @@
 	}
 	if len(changed) > 0 {
 		f.apply(changed)
-		clock.Sleep(ctx, batchPause)
+		f.pause(ctx)
 	}
 	return max(after, next), nil
 }
 
+// pause waits for batchPause, or until Hurry is called.
+func (f *Follower) pause(ctx context.Context) {
+	timer := time.NewTimer(batchPause)
+	defer timer.Stop()
+	select {
+	case <-f.hurry:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // readAll reads all keys and passes on those that are newer than revisions, which has
 // the last revision of each key, and as deleted those that no longer exist. It returns
 // the revision after which to wait for changes.
--- a/cache/follower_test.go
+++ b/cache/follower_test.go
@@ -107,3 +107,27 @@
 		})
 	}
 }
+
+// Guards against a change that waits for the pause after an earlier one although
+// somebody waits for it.
+func TestHurryEndsPauseBetweenCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		copied := map[string]string{}
+		f, stop := startFollower(t, kv.WithCaller("f"), copied)
+		defer stop()
+		time.Sleep(time.Second)
+		commit(t, kv, store.Txn{Writes: []store.Write{{Key: "a/1", Value: []byte("x")}}})
+		synctest.Wait()
+		commit(t, kv, store.Txn{Writes: []store.Write{{Key: "a/2", Value: []byte("y")}}})
+		synctest.Wait()
+		if copied["a/1"] != "x" || copied["a/2"] != "" {
+			t.Fatalf("copy during the pause: %v; want the first change alone", copied)
+		}
+		f.Hurry()
+		synctest.Wait()
+		if copied["a/2"] != "y" {
+			t.Errorf("copy after Hurry: %v; want both changes", copied)
+		}
+	})
+}
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -238,6 +238,7 @@
 	if state.job.GetQueue() != queue.Name || state.job.GetCustomer() != customer {
 		return g.logAnswer("state", id, Answer{Verdict: NoJob, Reason: "the job belongs to another queue or customer"})
 	}
+	state = g.awaitEnd(ctx, call, state)
 	countAnswer("state", Done)
 	return Answer{Verdict: Done, Phase: state.phase()}
 }
--- a/gate/view.go
+++ b/gate/view.go
@@ -21,6 +21,15 @@
 	job       *flow.Job
 	work      *flow.Work
 	cancelled bool
+	// ended is closed when the view learns that the job is over. It is nil if the records
+	// were read for one caller.
+	ended chan struct{}
+}
+
+// over reports whether the job has ended or is cancelled.
+func (s *jobState) over() bool {
+	p := s.phase()
+	return p != flow.Phase_QUEUED && p != flow.Phase_RUNNING
 }
 
 // phase returns the phase that callers see: a job whose cancellation is stored
@@ -97,6 +106,18 @@
 	case kind == duty.KindCancel:
 		v.ensureJob(id).cancelled = true
 	}
+	if state := v.jobs[id]; kind != duty.KindJob && state != nil && state.over() {
+		state.closeEnded()
+	}
+}
+
+// closeEnded closes ended, unless that was done before.
+func (s *jobState) closeEnded() {
+	select {
+	case <-s.ended:
+	default:
+		close(s.ended)
+	}
 }
 
 // ensureJob returns the state of a job, which it adds if the view lacks it: the
@@ -104,7 +125,7 @@
 func (v *storeView) ensureJob(id string) *jobState {
 	state := v.jobs[id]
 	if state == nil {
-		state = &jobState{}
+		state = &jobState{ended: make(chan struct{})}
 		v.jobs[id] = state
 	}
 	return state
