--- a/delay/report.go
+++ b/delay/report.go
@@ -64,6 +64,8 @@
 	// LostCoreSeconds is the work that was lost with runs that did not complete, in
 	// core-seconds by cause.
 	LostCoreSeconds map[Cause]int64
+	// times has the times of the steps of the jobs counted in Ended.
+	times stepTimes
 }
 
 // jobHistory is what the lines read so far say about one job.
@@ -82,6 +84,8 @@
 	// scheduler that had lost its duty.
 	endLine   logLine
 	seenAtEnd map[Cause]bool
+	// steps has the times after acceptance at which the job first took each step.
+	steps map[Step]time.Duration
 }
 
 // logReader builds a report from log lines; jobs has the job histories by id.
@@ -93,7 +97,7 @@
 // Read reads log lines until the end of r and returns the report on them. It
 // fails if r does, or if a line is longer than maxLineBytes.
 func Read(r io.Reader) (*Report, error) {
-	in := logReader{report: Report{LostCoreSeconds: map[Cause]int64{}}, jobs: map[string]*jobHistory{}}
+	in := logReader{report: Report{LostCoreSeconds: map[Cause]int64{}, times: stepTimes{}}, jobs: map[string]*jobHistory{}}
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
@@ -116,7 +120,7 @@
 	id := l.fields["job"]
 	j := in.jobs[id]
 	if j == nil {
-		j = &jobHistory{seen: map[Cause]bool{}}
+		j = &jobHistory{seen: map[Cause]bool{}, steps: map[Step]time.Duration{}}
 		in.jobs[id] = j
 	}
 	recordStop := func(c Cause) { j.seen[c], j.lastCause = true, c }
@@ -127,9 +131,11 @@
 		}
 	case "duty: job known":
 		j.timesKnown++
+		j.takeStep(StepKnown, l.duration("age_ms"))
 		j.seen[SchedulerInformedLate] = j.seen[SchedulerInformedLate] || j.timesKnown == 1 && l.duration("age_ms") > delayThreshold
 		j.seen[SchedulerLost] = j.timesKnown > 1
 	case "duty: unit placed":
+		j.takeStep(StepPlaced, l.duration("waited_ms"))
 		j.seen[WaitedForRoom] = j.seen[WaitedForRoom] || l.integer("run") == 1 && l.duration("waited_ms") > delayThreshold
 	case "duty: run preempted":
 		recordStop(Preempted)
@@ -138,10 +144,18 @@
 	case "duty: run over":
 		in.addRunEnd(j, l)
 	case "duty: job ended":
+		j.steps[StepEnded] = l.duration("took_ms")
 		j.endLine, j.seenAtEnd = l, maps.Clone(j.seen)
 	}
 }
 
+// takeStep records the time of a step unless the job has taken it before.
+func (j *jobHistory) takeStep(step Step, after time.Duration) {
+	if _, ok := j.steps[step]; !ok {
+		j.steps[step] = after
+	}
+}
+
 // addRunEnd records the cause of a run's end and the work that was lost with it.
 func (in *logReader) addRunEnd(j *jobHistory, l logLine) {
 	cause := j.lastCause
@@ -174,6 +188,9 @@
 		return
 	}
 	in.report.Ended++
+	for step, after := range j.steps {
+		in.report.times.add(step, l.integer("priority"), after)
+	}
 	late := LateJob{
 		ID: id, Priority: l.integer("priority"), Failed: phase == "FAILED",
 		Elapsed: l.duration("took_ms"), Objective: l.duration("objective_ms"), Cause: RanOverEstimate,
@@ -191,7 +208,7 @@
 }
 
 // Write prints the report: the number of late jobs by cause and priority, the
-// lost work by cause, and a line for each of the first maxJobs late jobs.
+// lost work by cause, the time of each step of the jobs' path, and a line for each of the first maxJobs late jobs.
 func (r *Report) Write(out io.Writer, maxJobs int) error {
 	var err error
 	printf := func(format string, args ...any) {
@@ -219,6 +236,9 @@
 	for _, c := range byLoss {
 		printf("  %-32s %16d\n", c, r.LostCoreSeconds[c])
 	}
+	if err == nil {
+		err = r.writePath(out)
+	}
 	for _, l := range r.Late[:min(maxJobs, len(r.Late))] {
 		outcome := "ended"
 		if l.Failed {
