gate: a gate without the store forwards calls to one that reaches it

Their questions for a state were answered from a copy that stood still, up to 2 s late. The gates stayed ready for 2 s.

Now such a gate asks three others whether the store answers them at this moment, forwards the call to the first that says so, and is not ready 0.3 s after the loss. A forwarded submission without an answer is unknown, not refused; one that was not sent is refused.

--- a/cache/follower.go
+++ b/cache/follower.go
@@ -42,6 +42,9 @@
 	// completeAt is the clock.Monotonic time up to which the copy is complete, in
 	// nanoseconds plus one; 0 means that it never was.
 	completeAt atomic.Int64
+	// lostSince is the clock.Monotonic time since which all calls have failed, in
+	// nanoseconds plus one; 0 means that the last call succeeded.
+	lostSince atomic.Int64
 }
 
 // New returns a follower that passes changes to apply; Run starts it.
@@ -74,6 +77,16 @@
 	return ok && age < limit
 }
 
+// LostFor returns for how long all calls to the store have failed, or 0 if the last one
+// succeeded.
+func (f *Follower) LostFor() time.Duration {
+	since := f.lostSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return max(1, clock.Monotonic()-time.Duration(since-1))
+}
+
 // Run follows the keys until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	revisions := map[string]int64{}
@@ -99,6 +112,7 @@
 				klog.InfoS("cache: store regained", "prefix", f.prefix, "revision", after)
 			}
 			lost = false
+			f.lostSince.Store(0)
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			klog.InfoS("cache: history was compacted, reading all keys", "prefix", f.prefix, "after", after)
@@ -109,6 +123,7 @@
 		case !lost:
 			klog.InfoS("cache: store lost", "prefix", f.prefix, "err", err)
 			lost = true
+			f.lostSince.Store(int64(clock.Monotonic()) + 1)
 		}
 		clock.Sleep(ctx, retryPause)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -24,12 +24,17 @@
 const (
 	// claimCheckPeriod is the time between two checks whether the claim is free.
 	claimCheckPeriod = 100 * time.Millisecond
+	// maxPeers bounds the addresses of other gates from which some are drawn to be asked.
+	maxPeers = 100
 	// maxOtherGates bounds the addresses of other gates that a relay is sent.
 	maxOtherGates = 5
 	// announceTimeout bounds one attempt to store this gate's address.
 	announceTimeout = time.Second
 	// announceRetryDelay is the pause after a failed attempt.
 	announceRetryDelay = 500 * time.Millisecond
+	// maxStoreLoss is how long a gate that has lost the store stays ready. The balancer
+	// takes another second or two to send callers elsewhere.
+	maxStoreLoss = 300 * time.Millisecond
 	// maxStateAge is the age up to which the copy of the jobs may answer a caller.
 	maxStateAge = 2 * time.Second
 )
@@ -57,6 +62,8 @@
 	// RequestYield asks the gate at an address to give up the claim. If it is nil,
 	// this gate never asks.
 	RequestYield func(ctx context.Context, holder netip.AddrPort, request *flow.YieldRequest) error
+	// Peers calls other gates. If it is nil, this gate never does.
+	Peers        Peers
 	KV           store.TxnKV
 	OperatorKeys OperatorKeys
 	ClaimTTL     time.Duration
@@ -78,6 +85,7 @@
 	vacant    chan struct{}
 	forwarder changeForwarder
 	rooms     reportedRooms
+	peers     peerChecks
 }
 
 // New returns a gate; Run starts it.
@@ -212,7 +220,13 @@
 
 // Ready reports whether the gate accepts new callers.
 func (g *Gate) Ready() bool {
-	return !g.leaving.Load() && g.configFresh() && g.stateFollower.FreshWithin(maxStateAge)
+	return !g.leaving.Load() && g.configFresh() && g.stateFollower.FreshWithin(maxStateAge) && g.storeLostFor() < maxStoreLoss
+}
+
+// storeLostFor returns for how long this gate has been unable to follow the store, or 0
+// if it can.
+func (g *Gate) storeLostFor() time.Duration {
+	return max(g.stateFollower.LostFor(), g.configFollower.LostFor())
 }
 
 // Leave makes the gate report that it is not ready, and keeps it from taking the
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -56,6 +56,9 @@
 	// ForQueue reports whether the answer is about a queue, with Pending set, rather
 	// than about a job, with Phase set.
 	ForQueue bool
+	// noStore reports whether the call was refused because this gate does not reach the
+	// store, so that another gate may serve it.
+	noStore bool
 }
 
 // Call holds what all calls have in common.
@@ -89,7 +92,7 @@
 // one, or if the configuration is too old to decide that.
 func (g *Gate) authorize(call Call) (route.Queue, string, string, *Answer) {
 	if !g.configFresh() {
-		return route.Queue{}, "", "", &Answer{Verdict: Refused, Reason: "no fresh configuration", RetryAfter: storeRetryAfter}
+		return route.Queue{}, "", "", &Answer{Verdict: Refused, Reason: "no fresh configuration", RetryAfter: storeRetryAfter, noStore: true}
 	}
 	table := g.operator.Table()
 	queue, rest, ok := table.Find(call.Host, call.Path)
@@ -104,8 +107,30 @@
 }
 
 // Submit stores a job, or confirms one that was stored before. decode reads the job
-// from a body of at most maxBytes; it is called only after the caller is authorized.
+// from a body of at most maxBytes; it is called once at most, and only after the caller
+// is authorized, by this gate or, if this gate cannot tell, before another gate does it.
 func (g *Gate) Submit(ctx context.Context, call Call, decode func(maxBytes int64) (*flow.Job, error)) Answer {
+	var job *flow.Job
+	decodeAndKeep := func(maxBytes int64) (*flow.Job, error) {
+		var err error
+		job, err = decode(maxBytes)
+		return job, err
+	}
+	answer := g.submit(ctx, call, decodeAndKeep)
+	table := g.operator.Table()
+	if !answer.noStore || table == nil {
+		return answer
+	}
+	if job == nil {
+		if _, err := decodeAndKeep(table.MaxBodyBytes); err != nil {
+			return answer
+		}
+	}
+	return g.logAnswer("submit", path.Base(call.Path), g.forward(ctx, flow.Operation_SUBMIT, call, job, answer))
+}
+
+// submit is Submit without the help of other gates. It does not change the decoded job.
+func (g *Gate) submit(ctx context.Context, call Call, decode func(maxBytes int64) (*flow.Job, error)) Answer {
 	queue, id, customer, refusal := g.authorize(call)
 	if refusal != nil {
 		return g.logAnswer("submit", path.Base(call.Path), *refusal)
@@ -113,10 +138,11 @@
 	if !validID(id) {
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: "a job's id has 16 hexadecimal digits"})
 	}
-	job, err := decode(g.operator.Table().MaxBodyBytes)
+	sent, err := decode(g.operator.Table().MaxBodyBytes)
 	if err != nil {
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: err.Error()})
 	}
+	job := proto.CloneOf(sent)
 	if job.Digest, err = digest(job); err != nil {
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: err.Error()})
 	}
@@ -216,13 +242,26 @@
 		if uncertain {
 			return nil, &Answer{Verdict: Unknown, Reason: fmt.Sprintf("outcome unknown: %v", err)}
 		}
-		return nil, &Answer{Verdict: Refused, Reason: fmt.Sprintf("store: %v", err), RetryAfter: storeRetryAfter}
+		return nil, &Answer{Verdict: Refused, Reason: fmt.Sprintf("store: %v", err), RetryAfter: storeRetryAfter, noStore: true}
 	}
 }
 
 // State returns the phase of a job, or the number of pending jobs of the queue if the
-// call names no job.
+// call names no job. While this gate cannot follow the store, its copy does not show how
+// jobs end, so that a gate which can is asked first.
 func (g *Gate) State(ctx context.Context, call Call) Answer {
+	if g.storeLostFor() == 0 {
+		return g.state(ctx, call)
+	}
+	noAnswer := Answer{noStore: true}
+	if answer := g.forward(ctx, flow.Operation_STATE, call, nil, noAnswer); !answer.noStore {
+		return g.logAnswer("state", path.Base(call.Path), answer)
+	}
+	return g.state(ctx, call)
+}
+
+// state is State without the help of other gates.
+func (g *Gate) state(ctx context.Context, call Call) Answer {
 	queue, id, customer, refusal := g.authorize(call)
 	if refusal != nil {
 		return g.logAnswer("state", path.Base(call.Path), *refusal)
@@ -271,7 +310,7 @@
 		case errors.Is(err, store.ErrNotFound):
 			continue
 		case err != nil:
-			return jobState{}, &Answer{Verdict: Refused, Reason: fmt.Sprintf("store: %v", err), RetryAfter: storeRetryAfter}
+			return jobState{}, &Answer{Verdict: Refused, Reason: fmt.Sprintf("store: %v", err), RetryAfter: storeRetryAfter, noStore: true}
 		}
 		if err := read.decode(item.Value); err != nil {
 			return jobState{}, &Answer{Verdict: Refused, Reason: fmt.Sprintf("record %s: %v", read.key, err), RetryAfter: storeRetryAfter}
@@ -283,6 +322,15 @@
 // Cancel stores the cancellation of a job, on which the scheduler ends it. For a job
 // that has ended it does nothing.
 func (g *Gate) Cancel(ctx context.Context, call Call) Answer {
+	answer := g.cancel(ctx, call)
+	if !answer.noStore {
+		return answer
+	}
+	return g.logAnswer("cancel", path.Base(call.Path), g.forward(ctx, flow.Operation_CANCEL, call, nil, answer))
+}
+
+// cancel is Cancel without the help of other gates.
+func (g *Gate) cancel(ctx context.Context, call Call) Answer {
 	queue, id, customer, refusal := g.authorize(call)
 	if refusal != nil {
 		return g.logAnswer("cancel", path.Base(call.Path), *refusal)
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -132,6 +132,7 @@
 		Address:      conf.Address(settings.Node.GetRpcAddress()),
 		Processor:    int64(milliPerProcessor * settings.Platform.GetProcessorShare() * settings.Platform.GetProcessorSpeed()),
 		RequestYield: requestYield,
+		Peers:        peers{},
 		KV:           platform.NewStore(conf.Address(settings.Platform.GetStoreAddress())),
 		OperatorKeys: platform.OperatorKeys(),
 		ClaimTTL:     conf.Duration(s.GetClaimTtl()),
@@ -156,6 +157,37 @@
 	return nil
 }
 
+// peers calls other gates, each time over a new link, as calls are rare.
+type peers struct{}
+
+// CheckStore implements gate.Peers.
+func (peers) CheckStore(ctx context.Context, addr netip.AddrPort) (bool, error) {
+	conn, err := link.Dial(ctx, nil, addr)
+	if err != nil {
+		return false, fmt.Errorf("dialing another gate: %w", err)
+	}
+	defer conn.Close()
+	answer := &flow.StoreCheckAnswer{}
+	if err := conn.Call(ctx, gate.RPCName+".CheckStore", &flow.StoreCheck{}, answer); err != nil {
+		return false, fmt.Errorf("asking another gate for the store: %w", err)
+	}
+	return answer.GetReached(), nil
+}
+
+// Forward implements gate.Peers.
+func (peers) Forward(ctx context.Context, addr netip.AddrPort, call *flow.ForwardedCall) (*flow.ForwardedAnswer, error) {
+	conn, err := link.Dial(ctx, nil, addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", gate.ErrNotSent, err)
+	}
+	defer conn.Close()
+	answer := &flow.ForwardedAnswer{}
+	if err := conn.Call(ctx, gate.RPCName+".Forward", call, answer); err != nil {
+		return nil, fmt.Errorf("forwarding a call: %w", err)
+	}
+	return answer, nil
+}
+
 // reloadOnHangup reads the settings again on each SIGHUP until ctx ends. A new
 // memory limit applies at once; all other settings apply from the next start. If
 // the file has faults, they are logged and nothing changes.
