duty: an unexpected run that replaces another is stopped at once

Cause: the lists of unexpected runs were compared by length, so the stop of a run that took the place of another in the worker's list waited for the end of the long poll, 700 ms. Found by reading; the test failed with 700 ms.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -450,3 +450,22 @@
 		}
 	})
 }
+
+// Guards against the stop of an unexpected run that is ordered only when the long poll
+// ends, because the worker had another unexpected run in its last list.
+func TestReplacedUnexpectedRunIsStoppedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, fakekv.New(), 1)
+		version := int64(0)
+		for n, task := range []string{"00000000000000c1.0.0.0", "00000000000000c2.0.0.0"} {
+			r := idleReport(1, int64(n+1), 1)
+			r.OrdersVersion, r.Running = version, []*flow.Run{{Task: task, Run: 1}}
+			start := time.Now()
+			orders := b.report(r)
+			version = orders.GetVersion()
+			if took := time.Since(start); len(orders.GetStops()) != 1 || orders.GetStops()[0].GetTask() != task || took > 0 {
+				t.Errorf("after %v: stops %v; want that of %s at once", took, orders.GetStops(), task)
+			}
+		}
+	})
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -115,7 +116,7 @@
 			unexpected[run.GetTask()][run.GetRun()] = true
 		}
 	}
-	if len(unexpected) != len(w.unexpectedRuns) {
+	if !maps.EqualFunc(unexpected, w.unexpectedRuns, maps.Equal) {
 		w.ordersChanged = true
 	}
 	w.unexpectedRuns = unexpected
