entry: an unanswered question for a job has the fate unknown, not not_run

Cause: GET and DELETE of a job answered 404 and 503 with the fate not_run, though the job may have run: its record was removed or could not be read.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -30,7 +30,7 @@
 func (e *Entry) postJob(c echo.Context) error {
 	r, err := e.parseJobRequest(c)
 	if err != nil {
-		return writeError(c, http.StatusBadRequest, err.Error())
+		return writeError(c, http.StatusBadRequest, wire.Fate_NOT_RUN, err.Error())
 	}
 	receivedAt := time.Now()
 	outcome := e.admitAndRun(c, r)
@@ -165,12 +165,12 @@
 	}{id, fateName(outcome.GetFate()), outcome.GetReason(), outcome.GetRetryAfterMs(), outcome.GetWorker()})
 }
 
-// writeError answers a request that was not carried out with the fate not_run and
-// the reason.
-func writeError(c echo.Context, status int, reason string) error {
-	c.Response().Header().Set(FateHeader, fateName(wire.Fate_NOT_RUN))
+// writeError answers a request that was not carried out with the reason and the fate of
+// the job that it is about, as far as this entry knows that.
+func writeError(c echo.Context, status int, fate wire.Fate, reason string) error {
+	c.Response().Header().Set(FateHeader, fateName(fate))
 	return c.JSON(status, struct {
 		Fate   string `json:"fate"`
 		Reason string `json:"reason"`
-	}{fateName(wire.Fate_NOT_RUN), reason})
+	}{fateName(fate), reason})
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -23,7 +23,7 @@
 	id := c.Param("id")
 	wait, err := readWait(c)
 	if err != nil {
-		return writeError(c, http.StatusBadRequest, err.Error())
+		return writeError(c, http.StatusBadRequest, wire.Fate_UNKNOWN, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), wait+storeTimeout)
 	defer cancel()
@@ -33,7 +33,7 @@
 		return e.answerUnrecorded(ctx, c, id, wait)
 	case err != nil:
 		c.Response().Header().Set("Retry-After", "1")
-		return writeError(c, http.StatusServiceUnavailable, "the store cannot be reached: "+err.Error())
+		return writeError(c, http.StatusServiceUnavailable, wire.Fate_UNKNOWN, "the store cannot be reached: "+err.Error())
 	}
 	if found.record.GetPhase() != wire.JobRecord_ENDED && wait > 0 {
 		waitCtx, cancelWait := context.WithTimeout(ctx, wait)
@@ -44,7 +44,7 @@
 		outcome, err := e.readOutcome(ctx, found.record)
 		if err != nil {
 			c.Response().Header().Set("Retry-After", "1")
-			return writeError(c, http.StatusServiceUnavailable, err.Error())
+			return writeError(c, http.StatusServiceUnavailable, wire.Fate_UNKNOWN, err.Error())
 		}
 		return writeOutcome(c, id, outcome)
 	}
@@ -87,7 +87,7 @@
 		}
 		return writeOutcome(c, id, outcome)
 	}
-	return writeError(c, http.StatusNotFound, "no job has this id, or its record has been removed")
+	return writeError(c, http.StatusNotFound, wire.Fate_UNKNOWN, "no job has this id, or its record has been removed")
 }
 
 // schedulerAddresses returns the addresses of all schedulers by data centre.
@@ -121,7 +121,7 @@
 		return e.answerUnrecorded(ctx, c, id, cancelTimeout/2)
 	case err != nil:
 		c.Response().Header().Set("Retry-After", "1")
-		return writeError(c, http.StatusServiceUnavailable, "the store cannot be reached: "+err.Error())
+		return writeError(c, http.StatusServiceUnavailable, wire.Fate_UNKNOWN, "the store cannot be reached: "+err.Error())
 	}
 	if found.record.GetPhase() == wire.JobRecord_ACCEPTED {
 		// A scheduler that has the job ends the record itself; this ends the record
