agent: lost renewals of a task lease leave time for others

Cause: a renewal without an answer timed out after 1 s, and the next was sent a period of 1 s later, at the end of the lease of 3 s: one silent connection had a running task killed. A renewal now times out after half a period and is repeated 0.2 s later.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -37,6 +37,9 @@
 	checkpointStatus int            // HTTP status of a response to a checkpoint
 	stopped          chan struct{}
 	stopOnce         sync.Once
+	silentRenewals   int       // renewals that get no answer before the others do
+	leaseFrom        time.Time // of the start or the last answered renewal
+	longestGap       time.Duration
 }
 
 // ServeHTTP implements the endpoint's protocol.
@@ -56,7 +59,19 @@
 	f.mu.Lock()
 	f.calls[operation]++
 	status := f.checkpointStatus
+	silent := operation == "renew" && f.calls[operation] <= f.silentRenewals
+	if operation == "start" {
+		f.leaseFrom = time.Now()
+	}
+	if operation == "renew" && !silent {
+		f.longestGap = max(f.longestGap, time.Since(f.leaseFrom))
+		f.leaseFrom = time.Now()
+	}
 	f.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	switch operation {
 	case "checkpoint":
 		w.WriteHeader(status)
@@ -270,3 +285,27 @@
 		}
 	}
 }
+
+// TestLostRenewalsDoNotEndTheLease guards against a task that its endpoint kills because
+// the connection of a renewal went silent: the time-out of one renewal must leave time
+// for others within the lease.
+func TestLostRenewalsDoNotEndTheLease(t *testing.T) {
+	for lost := range 3 {
+		runWithAgent(t, func(t *testing.T, c *commands, endpoint *fakeEndpoint) {
+			endpoint.mu.Lock()
+			endpoint.silentRenewals = lost
+			endpoint.mu.Unlock()
+			c.setPermit(0, false)
+			c.mustPrepare(t, 1, "a")
+			c.mustStart(t, 1, "a")
+			time.Sleep(8 * time.Second)
+			renewals := endpoint.count("renew")
+			endpoint.mu.Lock()
+			gap := endpoint.longestGap
+			endpoint.mu.Unlock()
+			if renewals < 4 || gap >= c.agent.opts.TaskLease {
+				t.Errorf("%d renewals lost: the lease of %v was not renewed for %v", lost, c.agent.opts.TaskLease, gap)
+			}
+		})
+	}
+}
--- a/agent/launch.go
+++ b/agent/launch.go
@@ -16,13 +16,13 @@
 
 const (
 	// renewalsPerLease is the number of renewals within one task lease if each is
-	// answered at once. A single renewal that fails at once does not end the lease.
+	// answered at once. Two renewals in a row without an answer do not end the lease.
 	renewalsPerLease = 3
 	// drainGrace is the time after the start of a drain in which tasks that were
 	// prepared before it may still start.
 	drainGrace = 2 * time.Second
 	// endpointRetryDelay is the time between two attempts to fetch the result of a
-	// task or to stop it.
+	// task, to stop it or to renew its lease.
 	endpointRetryDelay = 200 * time.Millisecond
 )
 
@@ -128,14 +128,20 @@
 // be alive, so that the endpoint stops the task even if this process cannot.
 func (a *Agent) renewLoop(ctx context.Context, attempt string) {
 	period := a.opts.TaskLease / renewalsPerLease
-	for clock.Sleep(ctx, period) {
+	pause := period
+	for clock.Sleep(ctx, pause) {
+		pause = period
 		lease := a.renewalLease(ctx, attempt)
 		if lease <= 0 {
 			continue
 		}
-		err := a.endpoint.renew(ctx, attempt, lease)
+		callCtx, cancel := context.WithTimeout(ctx, period/2)
+		err := a.endpoint.renew(callCtx, attempt, lease)
+		cancel()
 		if err == nil {
 			a.markConfirmed(attempt)
+		} else {
+			pause = endpointRetryDelay
 		}
 		if errors.Is(err, errNoTask) || errors.Is(err, errTaskStopped) {
 			a.fetchResultOfEndedTask(ctx, attempt)
