--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -58,25 +58,31 @@
 // that faults can be set for it alone.
 func startGate(t *testing.T, kv *fakekv.Server, name string) *Gate {
 	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
 	g := New(Options{
 		Name: name, Address: netip.MustParseAddrPort("127.0.0.1:1"), KV: kv.WithCaller(name), OperatorKeys: testOperatorKeys,
 		ClaimTTL: 1500 * time.Millisecond,
 		Settings: duty.Settings{TaskLease: 9 * time.Second, ConfigAge: 2500 * time.Millisecond, StartAge: 4500 * time.Millisecond, Retention: time.Minute, RemoteFactor: 3},
 	})
+	runUntilEnd(t, g)
+	time.Sleep(100 * time.Millisecond)
+	return g
+}
+
+// runUntilEnd runs a gate until the test ends.
+func runUntilEnd(t *testing.T, g *Gate) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		if err := g.Run(ctx); err != nil {
-			t.Errorf("gate: %v", err)
+			t.Errorf("gate %s: %v", g.opts.Name, err)
 		}
 	}()
 	t.Cleanup(func() {
 		cancel()
 		<-done
 	})
-	time.Sleep(100 * time.Millisecond)
-	return g
 }
 
 // testCall returns a call of customer c.
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -126,7 +126,7 @@
 			return answer
 		}
 	}
-	return g.logAnswer("submit", path.Base(call.Path), g.forward(ctx, flow.Operation_SUBMIT, call, job, answer))
+	return g.logAnswer("submit", path.Base(call.Path), g.forwardCall(ctx, flow.Operation_SUBMIT, call, job, answer))
 }
 
 // submit is Submit without the help of other gates. It does not change the decoded job.
@@ -254,7 +254,7 @@
 		return g.state(ctx, call)
 	}
 	noAnswer := Answer{noStore: true}
-	if answer := g.forward(ctx, flow.Operation_STATE, call, nil, noAnswer); !answer.noStore {
+	if answer := g.forwardCall(ctx, flow.Operation_STATE, call, nil, noAnswer); !answer.noStore {
 		return g.logAnswer("state", path.Base(call.Path), answer)
 	}
 	return g.state(ctx, call)
@@ -326,7 +326,7 @@
 	if !answer.noStore {
 		return answer
 	}
-	return g.logAnswer("cancel", path.Base(call.Path), g.forward(ctx, flow.Operation_CANCEL, call, nil, answer))
+	return g.logAnswer("cancel", path.Base(call.Path), g.forwardCall(ctx, flow.Operation_CANCEL, call, nil, answer))
 }
 
 // cancel is Cancel without the help of other gates.
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -58,14 +58,14 @@
 	withStore netip.AddrPort
 }
 
-// forward has a gate that reaches the store answer a call which this gate has refused
+// forwardCall has a gate that reaches the store answer a call which this gate has refused
 // because it does not, and returns the refusal if there is no such gate.
 //
 // Most losses of the store hit some of the gates. A refused caller needs a new attempt,
 // which may meet another of these, and has a few attempts within some seconds. Gates are
 // asked before anything is sent to them: a call that is lost on the way has an unknown
 // outcome, which is worse for a caller than a refusal.
-func (g *Gate) forward(ctx context.Context, operation flow.Operation, call Call, job *flow.Job, refusal Answer) Answer {
+func (g *Gate) forwardCall(ctx context.Context, operation flow.Operation, call Call, job *flow.Job, refusal Answer) Answer {
 	peer := g.peerWithStore(ctx)
 	if !peer.IsValid() {
 		return refusal
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -53,7 +53,6 @@
 		peers := &testPeers{gates: map[netip.AddrPort]*Gate{}}
 		var gates []*Gate
 		for n := range count {
-			ctx, cancel := context.WithCancel(t.Context())
 			addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1))
 			name := fmt.Sprint("g", n+1)
 			g := New(Options{
@@ -62,17 +61,7 @@
 			})
 			peers.gates[addr] = g
 			gates = append(gates, g)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				if err := g.Run(ctx); err != nil {
-					t.Errorf("gate: %v", err)
-				}
-			}()
-			t.Cleanup(func() {
-				cancel()
-				<-done
-			})
+			runUntilEnd(t, g)
 		}
 		time.Sleep(time.Second)
 		test(t, kv, gates, peers)
--- a/gate/yield_test.go
+++ b/gate/yield_test.go
@@ -25,7 +25,6 @@
 // start runs gate number n, named "g<n>", until the test ends.
 func (group *gateGroup) start(t *testing.T, kv *fakekv.Server, n int, processor int64) {
 	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
 	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n))
 	name := fmt.Sprint("g", n)
 	g := New(Options{
@@ -41,17 +40,7 @@
 			return errors.New("no such gate")
 		},
 	})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := g.Run(ctx); err != nil {
-			t.Errorf("gate %s: %v", name, err)
-		}
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	runUntilEnd(t, g)
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	group.gates[addr] = g
