--- /dev/null
+++ b/duty/job.go
@@ -0,0 +1,99 @@
+package duty
+
+import (
+	"cmp"
+	"time"
+
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/plan"
+)
+
+// job is a job with the state that its stored records do not hold.
+type job struct {
+	graph          *graph.Job
+	recordRevision int64 // of the stored progress record
+	// submitted is when the job was accepted, on this process's clock.
+	submitted     time.Duration
+	dirty         bool  // the progress has changes that are not stored
+	lastChangeSeq int64 // number of the last change, from state.lastSeq
+	// firstUnstoredSeq is the number of the first change that is not stored.
+	firstUnstoredSeq int64
+	runs             map[graph.Ref]*run // by task
+	// readySince is when a unit became ready, by the first task of the unit.
+	readySince map[graph.Ref]time.Duration
+	// moves counts how often runs were stopped because of slow or stalled workers.
+	moves int
+	// failedOn holds the workers on which a task has failed.
+	failedOn map[graph.Ref][]*worker
+}
+
+// run is the last run of a task, with the state that the task's stored record does
+// not hold. Times are on this process's clock unless they are called clocks.
+type run struct {
+	run         int64 // number of the run
+	stored      bool  // the record with the run is committed, so it may be ordered
+	stopOrdered bool
+	knownSince  time.Duration // when this scheduler assigned or first saw the run
+	// begunAt is when the worker of the run, and those of all other members of its
+	// gang, had listed their runs for the first time, or 0.
+	begunAt time.Duration
+	// firstPercent is the progress at begunAt, percent the last known progress,
+	// and percentAt when it last grew.
+	firstPercent, percent int32
+	percentAt             time.Duration
+	// The worker's clock at begunAt, in its last list and when percent last grew.
+	// It measures the speed of the run even if reports are delayed.
+	begunClock, lastClock, percentClock time.Duration
+	// sampleClock and samplePercent are the worker's clock and the progress at the
+	// last slowness sample.
+	sampleClock   time.Duration
+	samplePercent int32
+	slowness      float64 // in the last sample
+	slowSamples   int     // slow samples in a row
+	checkpoint    string  // last one that the worker listed
+	expectedTime  time.Duration
+}
+
+// runRef identifies a run of a task of a known job.
+type runRef struct {
+	ref graph.Ref
+	run int64
+}
+
+// settled reports whether nothing of the job can change any more: it has ended, its
+// progress is stored and none of its runs is active.
+func (j *job) settled() bool { return j.graph.Ended() && !j.dirty && len(j.graph.Active()) == 0 }
+
+func compareJobs(a, b *job) int {
+	if a == b {
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.graph.Spec.GetId(), b.graph.Spec.GetId()))
+}
+
+// declaredTime returns the run time of a task as its step declares it.
+func declaredTime(j *job, ref graph.Ref) time.Duration {
+	return time.Duration(j.graph.Step(ref).GetEstimateMs()) * time.Millisecond
+}
+
+// unstoredRuns returns the active runs whose assignment is not stored yet.
+func (j *job) unstoredRuns() []runRef {
+	var refs []runRef
+	for ref, r := range j.runs {
+		if t := j.graph.Task(ref); !r.stored && t != nil && t.Active() && t.Run == r.run {
+			refs = append(refs, runRef{ref, r.run})
+		}
+	}
+	return refs
+}
+
+// needOf returns the resources that one task of a step holds. A task that uses idle
+// processors (Step.fills) holds no processor.
+func needOf(step *flow.Step) plan.Resources {
+	cpu := step.GetCpu()
+	if step.GetFills() {
+		cpu = 0
+	}
+	return plan.Resources{MilliCPU: cpu, MemoryMB: step.GetMemoryMb(), Accelerators: step.GetAccelerators()}
+}
--- /dev/null
+++ b/duty/records.go
@@ -0,0 +1,113 @@
+package duty
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/clock"
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/guard"
+	"catkinpoint/store"
+)
+
+// apply applies one change of a key. Progress records are read only while loading:
+// after that this process alone writes them.
+func (st *state) apply(e store.Event) {
+	// A record that causes a panic must not prevent the others from being applied.
+	if err := guard.Run("record "+e.Key, func() { st.applyOne(e) }); err != nil {
+		klog.ErrorS(err, "duty: record passed over", "key", e.Key, "revision", e.Revision)
+	}
+}
+
+func (st *state) applyOne(e store.Event) {
+	kind, id := KindOf(e.Key)
+	if kind == KindOther || kind == KindClaim || kind == KindGate || e.Revision <= st.revisions[e.Key] {
+		return
+	}
+	st.revisions[e.Key] = e.Revision
+	switch {
+	case e.Deleted && kind == KindJob:
+		st.removeJob(id)
+		delete(st.revisions, JobKey(id))
+	case e.Deleted:
+	case kind == KindJob:
+		st.addJob(id, e.Item)
+	case kind == KindProgress && !st.loaded:
+		st.loadedProgress[id] = e.Item
+	case kind == KindCancel:
+		st.cancelled[id] = true
+		if j := st.jobs[id]; j != nil {
+			st.cancel(j)
+		}
+	}
+}
+
+func (st *state) addJob(id string, item store.Item) {
+	if st.jobs[id] != nil {
+		return
+	}
+	spec := &flow.Job{}
+	if err := proto.Unmarshal(item.Value, spec); err != nil || spec.GetId() != id {
+		klog.ErrorS(err, "duty: job record is invalid or has the id of another job", "job", id)
+		return
+	}
+	age := max(0, time.Duration(time.Now().UnixMilli()-spec.GetAcceptedUnixMs())*time.Millisecond)
+	st.openCache = nil
+	st.jobs[id] = &job{
+		graph: graph.New(spec, nil), submitted: clock.Monotonic() - min(age, time.Hour),
+		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedOn: map[graph.Ref][]*worker{},
+	}
+	klog.InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
+	if st.cancelled[id] {
+		st.cancel(st.jobs[id])
+	}
+}
+
+// finishLoad restores the progress of jobs that the previous holder stored.
+func (st *state) finishLoad() {
+	for id, item := range st.loadedProgress {
+		j := st.jobs[id]
+		if j == nil {
+			continue
+		}
+		record := &flow.Work{}
+		if err := proto.Unmarshal(item.Value, record); err != nil {
+			klog.ErrorS(err, "duty: cannot decode progress record", "job", id)
+			continue
+		}
+		cancelled := j.graph.Cancelled
+		j.graph = graph.New(j.graph.Spec, record)
+		j.graph.Cancelled = cancelled
+		j.recordRevision = item.Revision
+		for _, t := range j.graph.Active() {
+			st.addActive(j, t)
+			j.runs[t.Ref] = &run{run: t.Run, stored: true, knownSince: st.startedAt, expectedTime: declaredTime(j, t.Ref)}
+		}
+	}
+	st.loadedProgress, st.openCache = nil, nil
+	st.planNeeded = true
+}
+
+// removeJob removes a job and its active tasks from the state.
+func (st *state) removeJob(id string) {
+	if j := st.jobs[id]; j != nil {
+		for _, t := range j.graph.Active() {
+			delete(st.activeByRelay[t.Place.Relay], t)
+		}
+	}
+	delete(st.jobs, id)
+	st.openCache = nil
+}
+
+// asConflict returns the conflict that err wraps, or nil.
+func asConflict(err error) *store.ConflictError {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict
+	}
+	return nil
+}
