--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -319,26 +319,26 @@
 }
 
 // Guards against rejecting jobs because some workers are cut off for a while: a
-// worker counts for roomsMemory after its last report, and a new scheduler returns
-// no rooms, as its workers have not reported yet.
+// worker counts for groupsMemory after its last report, and a new scheduler returns
+// no groups, as its workers have not reported yet.
 func TestRoomsKeepWorkersThatMayReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newHarness(t, fakekv.New(), 1)
 		b.report(idleReport(1, 1, 1))
 		b.report(idleReport(2, 1, 1))
-		if rooms := b.scheduler.Rooms(); rooms != nil {
-			t.Errorf("rooms of a new scheduler: %v", rooms)
+		if groups := b.scheduler.WorkerGroups(); groups != nil {
+			t.Errorf("groups of a new scheduler: %v", groups)
 		}
-		time.Sleep(roomsSettleTime)
+		time.Sleep(groupsSettleTime)
 		b.report(idleReport(1, 2, 1))
-		if rooms := b.scheduler.Rooms(); len(rooms) != 1 || rooms[0].GetWorkers() != 2 {
-			t.Errorf("rooms: %v; want one room of two workers", rooms)
+		if groups := b.scheduler.WorkerGroups(); len(groups) != 1 || groups[0].GetWorkers() != 2 {
+			t.Errorf("groups: %v; want one group of two workers", groups)
 		}
-		time.Sleep(roomsMemory - roomsSettleTime)
+		time.Sleep(groupsMemory - groupsSettleTime)
 		b.report(idleReport(1, 3, 1))
 		time.Sleep(2 * planPeriod)
-		if rooms := b.scheduler.Rooms(); len(rooms) != 1 || rooms[0].GetWorkers() != 1 {
-			t.Errorf("rooms after roomsMemory: %v; want one worker", rooms)
+		if groups := b.scheduler.WorkerGroups(); len(groups) != 1 || groups[0].GetWorkers() != 1 {
+			t.Errorf("groups after groupsMemory: %v; want one worker", groups)
 		}
 	})
 }
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -71,7 +71,7 @@
 	gates      func() []string // addresses of gates, which relays get with their orders
 	stateOwner *owner.Owner[*state]
 	ctx        context.Context
-	rooms      atomic.Pointer[[]*flow.Room]
+	groups     atomic.Pointer[[]*flow.WorkerGroup]
 	// guaranteedWorkWaiting is set while work that a customer's guarantee covers waits to be
 	// placed.
 	guaranteedWorkWaiting atomic.Bool
@@ -208,7 +208,7 @@
 		return
 	}
 	st.expireLeases(s, now)
-	st.updateRooms(s, now)
+	st.updateWorkerGroups(s, now)
 	if st.planNeeded && s.claim.Valid() {
 		st.planNeeded = false
 		st.moveSlowRuns(now)
--- a/duty/state.go
+++ b/duty/state.go
@@ -19,18 +19,18 @@
 	// by the relay of their place.
 	activeByRelay map[string]map[*graph.Task]*job
 	// revisions holds the revision of each key that was applied last.
-	revisions      map[string]int64
-	cancelled      map[string]bool       // ids of cancelled jobs; a cancellation may come before its job
-	loadedProgress map[string]store.Item // progress records read while loading, by job
-	startedAt      time.Duration
-	loaded         bool // all jobs were read from the store
-	planNeeded     bool // placement has to be decided again
-	writing        bool // a write of progress is under way
-	superseded     bool // the claim is lost or given up; nothing more is written
-	sweeping       bool // a transaction that removes jobs is under way
-	nextSweep      time.Duration
-	nextExpire     time.Duration
-	nextRooms      time.Duration
+	revisions        map[string]int64
+	cancelled        map[string]bool       // ids of cancelled jobs; a cancellation may come before its job
+	loadedProgress   map[string]store.Item // progress records read while loading, by job
+	startedAt        time.Duration
+	loaded           bool // all jobs were read from the store
+	planNeeded       bool // placement has to be decided again
+	writing          bool // a write of progress is under way
+	superseded       bool // the claim is lost or given up; nothing more is written
+	sweeping         bool // a transaction that removes jobs is under way
+	nextSweep        time.Duration
+	nextExpire       time.Duration
+	nextWorkerGroups time.Duration
 	// holds are the places where resources are being freed for a unit by stopping
 	// runs.
 	holds map[unitKey][]graph.Place
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -25,12 +25,12 @@
 type changeForwarder struct {
 	currentClaim func() *flow.Claim
 	changes      chan *flow.Change
-	// setRooms receives the worker counts that the scheduler answers with.
-	setRooms func([]*flow.Room)
+	// setWorkerGroups receives the worker counts that the scheduler answers with.
+	setWorkerGroups func([]*flow.WorkerGroup)
 }
 
-func newChangeForwarder(currentClaim func() *flow.Claim, setRooms func([]*flow.Room)) changeForwarder {
-	return changeForwarder{currentClaim: currentClaim, changes: make(chan *flow.Change, forwardQueueLength), setRooms: setRooms}
+func newChangeForwarder(currentClaim func() *flow.Claim, setWorkerGroups func([]*flow.WorkerGroup)) changeForwarder {
+	return changeForwarder{currentClaim: currentClaim, changes: make(chan *flow.Change, forwardQueueLength), setWorkerGroups: setWorkerGroups}
 }
 
 // enqueue queues a change. It never blocks: if the queue is full the change is
@@ -80,7 +80,7 @@
 			conn = nil
 			continue
 		}
-		f.setRooms(answer.GetRooms())
+		f.setWorkerGroups(answer.GetWorkerGroups())
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -84,7 +84,7 @@
 	// vacant signals this gate's candidate that no gate holds the claim.
 	vacant    chan struct{}
 	forwarder changeForwarder
-	rooms     reportedRooms
+	groups    reportedGroups
 	peers     peerChecks
 }
 
@@ -93,7 +93,7 @@
 	g := &Gate{opts: opts, view: newStoreView(), vacant: make(chan struct{})}
 	g.stateFollower = cache.New(opts.KV, duty.KeyPrefix, g.applyStateEvents)
 	g.configFollower = cache.New(opts.KV, opts.OperatorKeys.Prefix, g.applyOperatorEvents)
-	g.forwarder = newChangeForwarder(g.view.currentClaim, g.rooms.set)
+	g.forwarder = newChangeForwarder(g.view.currentClaim, g.groups.set)
 	g.operator = &operatorState{evacuated: map[string]bool{}, age: g.configFollower.Age}
 	return g
 }
@@ -273,7 +273,7 @@
 	return guard.Run("change", func() {
 		c.gate.applyToScheduler(change)
 		if s := c.gate.scheduler.Load(); s != nil {
-			answer.Rooms = s.Rooms()
+			answer.WorkerGroups = s.WorkerGroups()
 		}
 	})
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -272,7 +272,7 @@
 			t.Errorf("without a count of workers: %v (%s)", got.Verdict, got.Reason)
 		}
 		time.Sleep(time.Second)
-		g.rooms.set([]*flow.Room{{Service: "s", Cpu: 64000, MemoryMb: 1000, Accelerators: 8, Workers: 4}})
+		g.groups.set([]*flow.WorkerGroup{{Service: "s", Cpu: 64000, MemoryMb: 1000, Accelerators: 8, Workers: 4}})
 		got := g.Submit(t.Context(), testCall("/q/00000000000000a1"), gangOf(5))
 		if got.Verdict != Busy || got.RetryAfter <= 0 {
 			t.Errorf("gang larger than all workers: %v (%s), retry after %v", got.Verdict, got.Reason, got.RetryAfter)
@@ -283,7 +283,7 @@
 		if got := g.Submit(t.Context(), testCall("/q/00000000000000a0"), gangOf(5)); got.Verdict != Done {
 			t.Errorf("accepted job submitted again: %v (%s)", got.Verdict, got.Reason)
 		}
-		time.Sleep(maxRoomAge + time.Second)
+		time.Sleep(maxGroupsAge + time.Second)
 		if got := g.Submit(t.Context(), testCall("/q/00000000000000a2"), gangOf(5)); got.Verdict != Done {
 			t.Errorf("with an old count of workers: %v (%s)", got.Verdict, got.Reason)
 		}
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -79,9 +79,9 @@
 	// storeRetryAfter is when callers should retry while the gate cannot use the
 	// store.
 	storeRetryAfter = time.Second
-	// roomRetryAfter is when callers should retry a job for which there are not
+	// capacityRetryAfter is when callers should retry a job for which there are not
 	// enough workers; it is about the time in which machines are added.
-	roomRetryAfter = 30 * time.Second
+	capacityRetryAfter = 30 * time.Second
 	// writeRetryDelay is the pause between two attempts of one write.
 	writeRetryDelay = 50 * time.Millisecond
 )
@@ -159,9 +159,9 @@
 	if queue.UsesHintService {
 		return g.logAnswer("submit", id, Answer{Verdict: Refused, Reason: "queues with a hint service are not served", RetryAfter: time.Minute})
 	}
-	if rooms, age := g.knownRooms(); len(rooms) > 0 && !plan.Feasible(rooms, job) {
+	if groups, age := g.knownWorkerGroups(); len(groups) > 0 && !plan.Feasible(groups, job) {
 		return g.logAnswer("submit", id, Answer{
-			Verdict: Busy, RetryAfter: roomRetryAfter,
+			Verdict: Busy, RetryAfter: capacityRetryAfter,
 			Reason: fmt.Sprintf("all workers together cannot hold a step of the job, by a count that is %d ms old", age.Milliseconds()),
 		})
 	}
--- a/plan/feasible_test.go
+++ b/plan/feasible_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestFeasible(t *testing.T) {
-	rooms := []*flow.Room{
+	groups := []*flow.WorkerGroup{
 		{Service: "care", Labels: []string{"a", "r1"}, Cpu: 64000, MemoryMb: 256000, Accelerators: 8, Workers: 3},
 		{Service: "care", Labels: []string{"b", "r2"}, Cpu: 64000, MemoryMb: 256000, Accelerators: 4, Workers: 2},
 		{Service: "other", Labels: []string{"a", "r3"}, Cpu: 64000, MemoryMb: 256000, Accelerators: 8, Workers: 9},
@@ -29,11 +29,11 @@
 	}
 	for _, test := range tests {
 		job := &flow.Job{Service: "care", Steps: []*flow.Step{{Count: 1, Cpu: 1000}, test.step}}
-		if got := Feasible(rooms, job); got != test.want {
+		if got := Feasible(groups, job); got != test.want {
 			t.Errorf("%s: %v; want %v", test.name, got, test.want)
 		}
 	}
-	if Feasible(rooms, &flow.Job{Service: "unknown", Steps: []*flow.Step{{Count: 1}}}) {
+	if Feasible(groups, &flow.Job{Service: "unknown", Steps: []*flow.Step{{Count: 1}}}) {
 		t.Error("a job of a service without workers is feasible")
 	}
 }
