gate: an unknown verdict of another gate is an unknown outcome

Cause: a verdict that this build does not know, from a gate of another version, would be answered with the HTTP status 0, which panics. Found in reading; the test fails without the change.

--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -45,6 +45,9 @@
 	Invalid
 )
 
+// valid reports whether v is one of the verdicts.
+func (v Verdict) valid() bool { return v >= Done && v <= Invalid }
+
 // Answer is the answer to a call.
 type Answer struct {
 	Verdict Verdict
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -76,6 +77,9 @@
 	response, err := g.opts.Peers.Forward(ctx, peer, &flow.ForwardedCall{
 		Operation: operation, Host: call.Host, Path: call.Path, Key: call.Key, BudgetMs: budget.Milliseconds(), Job: job,
 	})
+	if err == nil && !Verdict(response.GetVerdict()).valid() {
+		err = fmt.Errorf("verdict %d is not known", response.GetVerdict())
+	}
 	switch {
 	case err == nil:
 		return Answer{
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -22,6 +22,8 @@
 	// forwardErr is returned by Forward, after the call was answered if answered is set.
 	forwardErr error
 	answered   bool
+	// verdict replaces that of the answer unless it is 0.
+	verdict int32
 }
 
 func (p *testPeers) CheckStore(_ context.Context, addr netip.AddrPort) (bool, error) {
@@ -42,6 +44,9 @@
 	if err := p.gates[addr].RPCHandlers().Forward(call, answer); err != nil {
 		return nil, err
 	}
+	if p.verdict != 0 {
+		answer.Verdict = p.verdict
+	}
 	return answer, p.forwardErr
 }
 
@@ -161,6 +166,19 @@
 	}
 }
 
+// A verdict that this gate does not know, as of another version, has no status code.
+func TestForwardedCallWithUnknownVerdict(t *testing.T) {
+	for _, verdict := range []int32{-1, 99} {
+		withGates(t, 2, func(t *testing.T, kv *fakekv.Server, gates []*Gate, peers *testPeers) {
+			kv.SetFaults("g1", fakekv.Faults{Down: true})
+			peers.verdict = verdict
+			if got := gates[0].Submit(t.Context(), testCall("/q/"+testID), jobDecoder("a")); got.Verdict != Unknown {
+				t.Errorf("verdict %d: %v (%s); want unknown", verdict, got.Verdict, got.Reason)
+			}
+		})
+	}
+}
+
 // A malformed call of another gate costs that call alone.
 func TestMalformedForwardedCall(t *testing.T) {
 	withGates(t, 1, func(t *testing.T, _ *fakekv.Server, gates []*Gate, _ *testPeers) {
