--- a/gate/await.go
+++ b/gate/await.go
@@ -17,7 +17,7 @@
 // awaitEnd waits until a job is over, for maxStateWait at most, and returns its state
 // then. Callers ask when they expect the end, which is often on its way to this gate;
 // an answer without it would cost them the time until they ask again.
-func (g *Gate) awaitEnd(ctx context.Context, call Call, state jobState) jobState {
+func (g *Gate) awaitEnd(ctx context.Context, call Call, id string, state jobState) jobState {
 	if state.over() || state.ended == nil {
 		return state
 	}
@@ -29,7 +29,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if now, ok := g.view.findJob(state.job.GetId()); ok {
+	if now, ok := g.view.findJob(id); ok {
 		return now
 	}
 	return state
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -280,7 +280,7 @@
 	if state.job.GetQueue() != queue.Name || state.job.GetCustomer() != customer {
 		return g.logAnswer("state", id, Answer{Verdict: NoJob, Reason: "the job belongs to another queue or customer"})
 	}
-	state = g.awaitEnd(ctx, call, state)
+	state = g.awaitEnd(ctx, call, id, state)
 	countAnswer("state", Done)
 	return Answer{Verdict: Done, Phase: state.phase()}
 }
