--- a/delay/report.go
+++ b/delay/report.go
@@ -208,7 +208,8 @@
 }
 
 // Write prints the report: the number of late jobs by cause and priority, the
-// lost work by cause, the time of each step of the jobs' path, and a line for each of the first maxJobs late jobs.
+// lost work by cause, the time of each step of the jobs' path, and a line for each of
+// the first maxJobs late jobs.
 func (r *Report) Write(out io.Writer, maxJobs int) error {
 	var err error
 	printf := func(format string, args ...any) {
