relay, duty: a crash of a worker is told apart and names the runs that were on it

The relay, which outlives the process, now reports a crash with the runs on board and their ages until a scheduler has stored it, and both log it. No decision changes.

--- a/duty/report.go
+++ b/duty/report.go
@@ -28,9 +28,11 @@
 	if w.relayBoot != r.GetRelayBoot() {
 		w.earlierBoots[w.relayBoot] = true
 		w.relayBoot = r.GetRelayBoot()
+		w.lastAppliedCrash = 0
 	}
 	w.sequence = r.GetSequence()
 	w.lastReport = clock.Monotonic()
+	st.applyCrashes(w, r.GetCrashes())
 	st.updateWorker(s, w, r.GetWorker())
 	if r.GetListed() && r.GetEpoch() == s.claim.Epoch && !r.GetWorker().GetGone() {
 		st.applyLists(s, w, r)
--- a/duty/worker.go
+++ b/duty/worker.go
@@ -22,6 +22,9 @@
 	unstoredEnds   []unstoredEnd // in the order of their numbers
 	lastAppliedEnd int64         // ends up to this number were applied to their jobs
 	lastStoredEnd  int64         // ends up to this number are stored
+	// lastAppliedCrash is the number of the last crash of the relay's process that was
+	// applied.
+	lastAppliedCrash int64
 	// unexpectedRuns are runs that the worker lists but should not have, by task
 	// and number of the run. They are stopped.
 	unexpectedRuns map[string]map[int64]bool
--- /dev/null
+++ b/relay/crash.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+)
+
+const (
+	// maxUnstoredCrashes bounds the crashes that are kept for a scheduler to store.
+	maxUnstoredCrashes = 64
+	// lateStartTime is how long a start without an answer may still be carried out.
+	lateStartTime = 15 * time.Second
+)
+
+// crash is the end of the worker's process without notice, as in flow.Crash.
+type crash struct {
+	number int64
+	worker string
+	bornMS int64
+	at     time.Duration // relay's clock
+	runs   []*flow.CrashedRun
+}
+
+// recordCrash records that the worker's process has ended, with the runs that were
+// on it. Nothing is recorded if the worker drained, as it then ends by plan; if it was
+// idle; or if its task lease had expired, as it had killed its runs by then.
+func (s *state) recordCrash(now time.Duration) {
+	at := now
+	if s.unreachable {
+		at = s.unreachableSince
+	}
+	runs := s.runsOnWorker(at)
+	if s.worker.GetDraining() || s.leaveAnnounced || len(runs) == 0 || s.leaseExpired(now) {
+		return
+	}
+	s.lastCrash++
+	s.crashes = append(s.crashes, crash{number: s.lastCrash, worker: s.worker.GetId(), bornMS: s.worker.GetBornMs(), at: at, runs: runs})
+	if dropped := len(s.crashes) - maxUnstoredCrashes; dropped > 0 {
+		klog.InfoS("relay: crashes forgotten that no scheduler has stored", "count", dropped)
+		s.crashes = s.crashes[dropped:]
+	}
+	klog.InfoS("relay: worker crashed", "worker", s.worker.GetId(), "born", s.worker.GetBornMs(), "crash", s.lastCrash,
+		"runs", len(runs), "youngest", graph.RunAges(runs), "epoch", s.epoch)
+	s.requestReport()
+}
+
+// runsOnWorker returns the runs that the worker listed last and those whose start was
+// sent before the time at and may have been carried out, the youngest first.
+func (s *state) runsOnWorker(at time.Duration) []*flow.CrashedRun {
+	var runs []*flow.CrashedRun
+	add := func(key runKey) {
+		age := int64(-1)
+		if sentAt, ok := s.startSentAt[key]; ok {
+			age = max(0, at-sentAt).Milliseconds()
+		}
+		runs = append(runs, &flow.CrashedRun{Task: key.task, Run: key.run, AgeMs: age})
+	}
+	for key := range s.running {
+		add(key)
+	}
+	for key, sentAt := range s.startSentAt {
+		if s.running[key] == nil && sentAt <= at {
+			add(key)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *flow.CrashedRun) int {
+		return cmp.Or(cmp.Compare(uint64(a.GetAgeMs()), uint64(b.GetAgeMs())), cmp.Compare(a.GetTask(), b.GetTask()))
+	})
+	return runs
+}
+
+// forgetStart forgets when the start of a run was sent, as the run has ended or can
+// no longer start.
+func (s *state) forgetStart(key runKey) { delete(s.startSentAt, key) }
+
+// forgetOldStarts forgets starts whose run is not on the worker and can no longer
+// come to be there.
+func (s *state) forgetOldStarts(now time.Duration) {
+	for key, sentAt := range s.startSentAt {
+		if s.running[key] == nil && s.starts[key] == nil && s.stops[key] == nil && now-sentAt > lateStartTime {
+			s.forgetStart(key)
+		}
+	}
+}
+
+// crashReports returns the crashes that no scheduler has stored yet.
+func (s *state) crashReports(now time.Duration) []*flow.Crash {
+	reports := make([]*flow.Crash, len(s.crashes))
+	for i, c := range s.crashes {
+		reports[i] = &flow.Crash{Number: c.number, Worker: c.worker, WorkerBornMs: c.bornMS, AgoMs: (now - c.at).Milliseconds(), Runs: c.runs}
+	}
+	return reports
+}
+
+// forgetStoredCrashes forgets the crashes up to a number.
+func (s *state) forgetStoredCrashes(stored int64) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.number <= stored })
+}
--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"catkinpoint/flow"
+)
+
+// crash ends the worker's process without notice.
+func (f *relayFixture) crash() {
+	f.worker.withLock(func() {
+		f.worker.notListening = true
+		f.worker.running = map[string]*flow.Run{}
+	})
+}
+
+// The runs that were on a worker when it crashed are known to the relay alone. It must
+// report them, with their ages, until a scheduler has stored the crash.
+func TestCrashIsReportedUntilItIsStored(t *testing.T) {
+	withRelay(t, func(t *testing.T, f *relayFixture) {
+		f.scheduler.setOrders(orderStart)
+		time.Sleep(3 * time.Second)
+		f.scheduler.setOrders(func(o *flow.Orders) { o.Starts = []*flow.Start{{Task: "b.0.0.0", Run: 2, Spec: "x"}} })
+		time.Sleep(500 * time.Millisecond)
+		f.crash()
+		time.Sleep(2 * time.Second)
+		newer := Heartbeat{Worker: &flow.Worker{Id: "w2", BornMs: 200}, Clock: time.Second, Sequence: 1}
+		if err := f.relay.HandleHeartbeat(t.Context(), newer); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		report := f.scheduler.lastReport()
+		if len(report.GetCrashes()) != 1 || len(report.GetCrashes()[0].GetRuns()) != 2 {
+			t.Fatalf("crashes after the worker was replaced: %v; want one with two runs", report.GetCrashes())
+		}
+		c := report.GetCrashes()[0]
+		young, old := c.GetRuns()[0], c.GetRuns()[1]
+		if c.GetWorker() != "w1" || young.GetTask() != "b.0.0.0" || young.GetAgeMs() > 900 || old.GetAgeMs() < 2500 {
+			t.Errorf("crash %v; want the younger run, of b, first", c)
+		}
+		f.scheduler.setOrders(func(o *flow.Orders) { o.CrashesStored = c.GetNumber() })
+		time.Sleep(time.Second)
+		if got := f.scheduler.lastReport().GetCrashes(); len(got) != 0 {
+			t.Errorf("crashes after they were stored: %v", got)
+		}
+	})
+}
+
+// Work that ends with a worker which leaves, drains, or has long been silent says
+// nothing about the tasks.
+func TestPlannedEndsAreNoCrashes(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(t *testing.T, f *relayFixture)
+	}{
+		{"idle", func(_ *testing.T, f *relayFixture) {
+			f.worker.withLock(func() { f.worker.endRun("a.0.0.0", "done") })
+			time.Sleep(time.Second)
+			f.crash()
+		}},
+		{"drained", func(t *testing.T, f *relayFixture) {
+			f.heartbeat(t, 2, true)
+			f.crash()
+		}},
+		{"left", func(t *testing.T, f *relayFixture) {
+			if err := f.relay.HandleLeave(t.Context(), "w1"); err != nil {
+				t.Fatal(err)
+			}
+			f.crash()
+		}},
+		{"silent for longer than its lease", func(_ *testing.T, f *relayFixture) {
+			f.worker.withLock(func() { f.worker.silent = true })
+			time.Sleep(15 * time.Second)
+			f.worker.withLock(func() { f.worker.silent = false })
+			f.crash()
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withRelay(t, func(t *testing.T, f *relayFixture) {
+				f.scheduler.setOrders(orderStart)
+				time.Sleep(time.Second)
+				test.end(t, f)
+				time.Sleep(2 * time.Second)
+				if got := f.scheduler.lastReport().GetCrashes(); len(got) != 0 {
+					t.Errorf("crashes: %v; want none", got)
+				}
+			})
+		})
+	}
+}
+
+// A start that found nothing at the worker's address has not run there.
+func TestStartAfterCrashIsNotOnWorker(t *testing.T) {
+	withRelay(t, func(t *testing.T, f *relayFixture) {
+		f.scheduler.setOrders(orderStart)
+		time.Sleep(time.Second)
+		f.crash()
+		f.scheduler.setOrders(func(o *flow.Orders) { o.Starts = []*flow.Start{{Task: "late.0.0.0", Run: 1, Spec: "x"}} })
+		time.Sleep(2 * time.Second)
+		crashes := f.scheduler.lastReport().GetCrashes()
+		if len(crashes) != 1 || len(crashes[0].GetRuns()) != 1 || crashes[0].GetRuns()[0].GetTask() != "a.0.0.0" {
+			t.Errorf("crashes: %v; want one with the run of a alone", crashes)
+		}
+	})
+}
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -12,6 +12,7 @@
 // applyOrders updates the state from the answer to a report. sentAt and workerSentAt
 // are the times on the relay's and on the worker's clock at which the report was sent.
 func (s *state) applyOrders(orders *flow.Orders, sentAt, workerSentAt time.Duration) {
+	s.forgetStoredCrashes(orders.GetCrashesStored())
 	if orders.GetEpoch() < s.epoch || s.worker == nil ||
 		orders.GetWorker() != s.worker.GetId() || orders.GetWorkerBornMs() != s.worker.GetBornMs() {
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,6 +133,9 @@
 				return // a late heartbeat of an earlier process
 			}
 			s.retired[fmt.Sprintf("%s/%d", s.worker.GetId(), s.worker.GetBornMs())] = true
+			if !s.worker.GetGone() {
+				s.recordCrash(now)
+			}
 		}
 		klog.InfoS("relay: new worker", "worker", heartbeat.Worker.GetId(), "born", heartbeat.Worker.GetBornMs(), "old", s.worker.GetId())
 		s.resetRuns()
@@ -226,6 +229,7 @@
 	ok := err == nil
 	if ok == s.unreachable {
 		klog.InfoS("relay: worker answers", "worker", s.worker.GetId(), "answers", ok, "err", err)
+		s.unreachableSince = now
 	}
 	s.unreachable, s.deadlineUnconfirmed = !ok, !ok
 	if !errors.Is(err, ErrNoWorker) {
@@ -241,6 +245,7 @@
 	}
 	if now-s.connRefusedSince >= connRefusedDelay && !s.worker.GetGone() {
 		klog.InfoS("relay: worker ended", "worker", s.worker.GetId(), "absent_ms", (now - s.connRefusedSince).Milliseconds(), "err", err)
+		s.recordCrash(now)
 		s.worker = cloneWorker(s.worker)
 		s.worker.Gone = true
 		s.requestReport()
@@ -250,6 +255,9 @@
 // sendStart sends a start to the worker in the background.
 func (r *Relay) sendStart(s *state, key runKey, st *start) {
 	st.phase, st.tries = startSending, st.tries+1
+	if _, ok := s.startSentAt[key]; !ok {
+		s.startSentAt[key] = clock.Monotonic()
+	}
 	call, order, worker := s.newCall(), st.order, s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
@@ -265,6 +273,9 @@
 
 // handleStartAnswer updates the state from the answer to a start.
 func (s *state) handleStartAnswer(key runKey, st *start, answer string, err error) {
+	if st.reachedWorker = st.reachedWorker || !errors.Is(err, ErrNoWorker); !st.reachedWorker {
+		s.forgetStart(key)
+	}
 	s.recordCallResult(clock.Monotonic(), err)
 	if st.phase == startSending {
 		st.phase = startPending
--- a/relay/state.go
+++ b/relay/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
 )
@@ -27,6 +28,9 @@
 	order *flow.Start
 	phase startPhase
 	tries int // calls sent to the worker
+	// reachedWorker is false while nothing has listened at the worker's address for
+	// any of the calls.
+	reachedWorker bool
 	// reason is reported with the refusal once a stop is answered.
 	reason string
 }
@@ -50,11 +54,17 @@
 	epoch         int64
 	listed        bool // a hold was answered, so running and ends are complete for this worker and epoch
 	running       map[runKey]*flow.Run
-	startedAtHold map[runKey]int64    // runs known from the answer to their start, with the last hold sent before it
-	ends          map[int64]*flow.End // by number, until the scheduler has stored them
-	refusals      map[runKey]string   // reasons, of runs that will never start
-	starts        map[runKey]*start
-	stops         map[runKey]*stop
+	startedAtHold map[runKey]int64 // runs known from the answer to their start, with the last hold sent before it
+	// startSentAt is when the first call to start a run was sent, on the relay's clock,
+	// of the runs that are on the worker or may still start there.
+	startSentAt map[runKey]time.Duration
+	ends        map[int64]*flow.End // by number, until the scheduler has stored them
+	refusals    map[runKey]string   // reasons, of runs that will never start
+	starts      map[runKey]*start
+	stops       map[runKey]*stop
+
+	crashes   []crash // not stored by a scheduler yet, oldest first
+	lastCrash int64   // number of the last crash
 
 	observed     int64 // the scheduler has stored the ends up to this number
 	observedSent int64 // the value of observed that the worker has received
@@ -75,6 +85,7 @@
 	nextCallAt             time.Duration // relay's clock; no hold or stop is sent before, after a failed call
 	nextUnstoredEndsHoldAt time.Duration // relay's clock; no hold is sent before, while ends are not stored
 	unreachable            bool          // the last call to the worker failed
+	unreachableSince       time.Duration // relay's clock; when unreachable last changed
 	connRefusedSince       time.Duration // relay's clock; the worker's address has refused connections since, or 0
 	leaveAnnounced         bool          // the worker has announced that its process ends
 
@@ -95,6 +106,7 @@
 	s.listed = false
 	s.running = map[runKey]*flow.Run{}
 	s.startedAtHold = map[runKey]int64{}
+	s.startSentAt = map[runKey]time.Duration{}
 	s.ends = map[int64]*flow.End{}
 	s.refusals = map[runKey]string{}
 	s.starts = map[runKey]*start{}
@@ -160,6 +172,7 @@
 	r := &flow.Report{
 		Relay: relay, RelayBoot: boot, Sequence: s.reportSeq, Worker: s.worker,
 		Epoch: s.epoch, Listed: s.listed, OrdersVersion: s.ordersVersion, ListClockMs: s.listClock.Milliseconds(),
+		Crashes: s.crashReports(now), TellsCrashes: true,
 	}
 	if s.leaseExpired(now) && !s.worker.GetGone() {
 		r.Worker = cloneWorker(s.worker)
@@ -203,6 +216,7 @@
 			s.requestReport()
 		}
 		delete(running, runKey{end.GetTask(), end.GetRun()})
+		s.forgetStart(runKey{end.GetTask(), end.GetRun()})
 	}
 	for key, startedAt := range s.startedAtHold {
 		if startedAt >= holdNumber && !s.hasEnded(key) {
@@ -218,6 +232,7 @@
 		delete(s.starts, key)
 	}
 	s.running = running
+	s.forgetOldStarts(clock.Monotonic())
 	if !s.listed {
 		s.listed = true
 		s.requestReport()
@@ -253,6 +268,7 @@
 	}
 	delete(s.starts, key)
 	delete(s.stops, key)
+	s.forgetStart(key)
 	if _, ok := s.refusals[key]; !ok {
 		s.refusals[key] = reason
 		s.requestReport()
