--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -26,8 +26,9 @@
 	workers   []*fleetWorker
 	jobs      map[string]*fleetJob
 	startedAt time.Duration
-	// failures counts failed runs, and stops counts runs that were stopped by order.
-	failures, stops int
+	// failures counts failed runs, stops counts runs that were stopped by order, and
+	// crashes counts crashed workers.
+	failures, stops, crashes int
 }
 
 // fleetJob is a job with its actual behaviour.
@@ -36,7 +37,13 @@
 	runTime time.Duration // actual run time of each task
 	// faultyTask is the index of a task that always fails, or -1.
 	faultyTask int32
-	endedAt    time.Duration
+	// crashes reports whether a task makes its worker crash when it has run for
+	// crashAge; nil means that none does.
+	crashes  func(ref graph.Ref) bool
+	crashAge time.Duration
+	// lostRuns counts the runs that were on a worker when it crashed.
+	lostRuns int
+	endedAt  time.Duration
 }
 
 // fleetWorker is a simulated worker with its relay, and the faults it is to show.
@@ -56,6 +63,9 @@
 	running     map[string]*fleetRun
 	ends        []*flow.End // not acknowledged yet
 	lastEnd     int64       // number of the last end
+	process     int64       // number of crashes, which tells the worker's processes apart
+	downUntil   time.Duration
+	unstored    []*flow.Crash // crashes that are not acknowledged yet
 }
 
 // fleetRun is a run on a simulated worker.
@@ -139,6 +149,9 @@
 		w.running = map[string]*fleetRun{}
 		return
 	}
+	if w.crashesNow(now) {
+		f.crash(w, now)
+	}
 	for task, r := range w.running {
 		if r.begunAt == 0 && f.gangComplete(r, now) {
 			r.begunAt = now
@@ -158,6 +171,54 @@
 	}
 }
 
+// crashesNow reports whether a run makes the worker crash.
+func (w *fleetWorker) crashesNow(now time.Duration) bool {
+	for _, r := range w.running {
+		if r.job.crashes != nil && r.job.crashes(r.ref) && now >= r.startsAt+r.job.crashAge {
+			return true
+		}
+	}
+	return false
+}
+
+// restartTime is how long the machine of a crashed worker takes to start a new one.
+const restartTime = 2500 * time.Millisecond
+
+// crash ends the process of a worker. Its machine starts another after restartTime.
+func (f *fleet) crash(w *fleetWorker, now time.Duration) {
+	f.crashes++
+	c := &flow.Crash{Number: w.process + 1, Worker: w.report(1).GetWorker().GetId(), AgoMs: 100}
+	for task, r := range w.running {
+		if r.startsAt > now {
+			continue
+		}
+		r.job.lostRuns++
+		c.Runs = append(c.Runs, &flow.CrashedRun{Task: task, Run: r.run, AgeMs: (now - r.startsAt).Milliseconds()})
+		if r.job.spec.GetSteps()[r.ref.Step].GetGang() {
+			for member, other := range f.gangMembers(r, now) {
+				if other != w {
+					f.endRun(other, member, graph.EndGangBroken)
+				}
+			}
+		}
+	}
+	w.unstored = append(w.unstored, c)
+	w.process++
+	w.running, w.ends, w.lastEnd, w.downUntil = map[string]*fleetRun{}, nil, 0, now+restartTime
+}
+
+// report returns a report of the worker's present process, without runs.
+func (w *fleetWorker) report(epoch int64) *flow.Report {
+	r := idleReport(w.number, w.sequence, epoch)
+	r.Worker.Labels = []string{"a", w.rack}
+	r.Worker.BornMs += w.process
+	if w.process > 0 {
+		r.Worker.Id = fmt.Sprintf("%s-%d", r.Worker.Id, w.process)
+	}
+	r.TellsCrashes, r.Crashes = true, slices.Clone(w.unstored)
+	return r
+}
+
 // gangComplete reports whether all members of a run's gang have started.
 func (f *fleet) gangComplete(r *fleetRun, now time.Duration) bool {
 	if now < r.startsAt {
@@ -217,8 +278,13 @@
 func (f *fleet) sendReport(w *fleetWorker) {
 	now := clock.Monotonic()
 	w.sequence++
-	r := idleReport(w.number, w.sequence, 1)
-	r.Worker.Labels = []string{"a", w.rack}
+	r := w.report(f.scheduler.claim.Epoch)
+	if now < w.downUntil {
+		last := *w
+		last.process--
+		r.Worker = last.report(1).GetWorker()
+		r.Worker.Gone = true
+	}
 	if w.leavesAt > 0 {
 		r.Worker.Draining, r.Worker.RemainingMs = true, max(1, (w.leavesAt-now).Milliseconds())
 		r.Worker.Gone = now >= w.leavesAt+w.leavesLate
@@ -250,6 +316,9 @@
 func (f *fleet) carryOutOrders(w *fleetWorker, now time.Duration) {
 	known := f.state.workers[idleReport(w.number, 1, 1).GetRelay()]
 	w.ends = slices.DeleteFunc(w.ends, func(e *flow.End) bool { return e.GetNumber() <= known.lastStoredEnd })
+	if now < w.downUntil {
+		return
+	}
 	orders := &flow.Orders{}
 	f.state.addStartsAndStops(known, orders)
 	for _, start := range orders.GetStarts() {
