duty: a task that makes workers crash is told from its neighbours and given up

Now the crash that a relay reports is judged: a fresh start explains it, above all one that did so before (package blame); workers that went down together without a job in common are an outage. A suspect runs on workers without other runs, one of its job at a time, so that a second crash is proof; its job fails after two crashes that it probably caused, three that it possibly did, or five of any kind. A gang is judged as one. What is known is stored with the job's progress, under a key of its own: an old build that rewrites the progress does not touch it.

--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -120,7 +120,7 @@
 		f.state.placeUnits(f.scheduler, now)
 		f.state.advanceJobs()
 		for _, j := range f.state.jobs {
-			j.dirty = false
+			j.dirty, j.crashesDirty = false, false
 			for _, r := range j.runs {
 				r.stored = true
 			}
@@ -316,6 +316,7 @@
 func (f *fleet) carryOutOrders(w *fleetWorker, now time.Duration) {
 	known := f.state.workers[idleReport(w.number, 1, 1).GetRelay()]
 	w.ends = slices.DeleteFunc(w.ends, func(e *flow.End) bool { return e.GetNumber() <= known.lastStoredEnd })
+	w.unstored = slices.DeleteFunc(w.unstored, func(c *flow.Crash) bool { return c.GetNumber() <= known.lastStoredCrash })
 	if now < w.downUntil {
 		return
 	}
--- a/duty/job.go
+++ b/duty/job.go
@@ -16,6 +16,7 @@
 	// submitted is when the job was accepted, on this process's clock.
 	submitted     time.Duration
 	dirty         bool  // the progress has changes that are not stored
+	crashesDirty  bool  // the crashes have too; then dirty is set as well
 	lastChangeSeq int64 // number of the last change, from state.lastSeq
 	// firstUnstoredSeq is the number of the first change that is not stored.
 	firstUnstoredSeq int64
--- a/duty/keys.go
+++ b/duty/keys.go
@@ -9,6 +9,7 @@
 	jobPrefix      = KeyPrefix + "job/"
 	progressPrefix = KeyPrefix + "progress/"
 	cancelPrefix   = KeyPrefix + "cancel/"
+	crashPrefix    = KeyPrefix + "crash/"
 	gatePrefix     = KeyPrefix + "gate/"
 	claimKey       = KeyPrefix + "duty"
 	epochKey       = KeyPrefix + "epoch"
@@ -23,6 +24,9 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id string) string { return cancelPrefix + id }
 
+// CrashKey returns the key of the crashes of workers under a job's tasks.
+func CrashKey(id string) string { return crashPrefix + id }
+
 // GateKey returns the key under which a gate publishes its address.
 func GateKey(name string) string { return gatePrefix + name }
 
@@ -35,6 +39,7 @@
 	KindJob
 	KindProgress
 	KindCancel
+	KindCrash
 	KindClaim
 	KindGate
 )
@@ -51,6 +56,9 @@
 	if id, ok := strings.CutPrefix(key, cancelPrefix); ok {
 		return KindCancel, id
 	}
+	if id, ok := strings.CutPrefix(key, crashPrefix); ok {
+		return KindCrash, id
+	}
 	if name, ok := strings.CutPrefix(key, gatePrefix); ok {
 		return KindGate, name
 	}
--- a/duty/place.go
+++ b/duty/place.go
@@ -139,20 +139,31 @@
 		free[p] = capacity(w.info)
 	}
 	unixMS := time.Now().UnixMilli()
+	testing, testedJobs := st.probation(now)
+	runsOn := map[graph.Place]int{}
 	for _, j := range st.openJobs() {
 		for _, t := range j.graph.Active() {
 			need := needOf(j.graph.Step(t.Ref))
 			free[t.Place] = free[t.Place].Sub(need)
+			runsOn[t.Place]++
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
 		}
 		for _, unit := range j.graph.Ready(unixMS) {
-			in.Requests = append(in.Requests, st.planRequest(j, unit, guaranteed[j], now))
+			request := st.planRequest(j, unit, guaranteed[j], now)
+			if request.Isolated = j.graph.Suspect(unit.Tasks[0]); request.Isolated {
+				if !j.mayTest(unit, testedJobs[j], unixMS) {
+					continue
+				}
+				testedJobs[j] = true
+			}
+			in.Requests = append(in.Requests, request)
 		}
 	}
 	for p, w := range st.byPlace {
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
-			Capacity: capacity(w.info), Free: free[p], Usable: st.acceptsStarts(s, w, now), Slowness: w.health.slowness(now),
+			Capacity: capacity(w.info), Free: free[p], Runs: runsOn[p],
+			Usable: st.acceptsStarts(s, w, now) && !testing[w.relay], Slowness: w.health.slowness(now),
 			Unreliable: w.health.unreliable(now), OnTrial: w.health.onTrial(now),
 		})
 	}
--- a/duty/records.go
+++ b/duty/records.go
@@ -14,8 +14,8 @@
 	"catkinpoint/store"
 )
 
-// apply applies one change of a key. Progress records are read only while loading:
-// after that this process alone writes them.
+// apply applies one change of a key. Progress and crash records are read only while
+// loading: after that this process alone writes them.
 func (st *state) apply(e store.Event) {
 	// A record that causes a panic must not prevent the others from being applied.
 	if err := guard.Run("record "+e.Key, func() { st.applyOne(e) }); err != nil {
@@ -38,6 +38,8 @@
 		st.addJob(id, e.Item)
 	case kind == KindProgress && !st.loaded:
 		st.loadedProgress[id] = e.Item
+	case kind == KindCrash && !st.loaded:
+		st.loadedCrashes[id] = e.Item
 	case kind == KindCancel:
 		st.cancelled[id] = true
 		if j := st.jobs[id]; j != nil {
@@ -88,7 +90,15 @@
 			j.runs[t.Ref] = &run{run: t.Run, stored: true, knownSince: st.startedAt, expectedTime: declaredTime(j, t.Ref)}
 		}
 	}
-	st.loadedProgress, st.openCache = nil, nil
+	for id, item := range st.loadedCrashes {
+		if j := st.jobs[id]; j != nil {
+			j.loadCrashes(item)
+		} else {
+			// A build that does not know crash records has removed the job.
+			st.orphanedCrashes = append(st.orphanedCrashes, id)
+		}
+	}
+	st.loadedProgress, st.loadedCrashes, st.openCache = nil, nil, nil
 	st.planNeeded = true
 }
 
--- a/duty/report.go
+++ b/duty/report.go
@@ -28,10 +28,14 @@
 	if w.relayBoot != r.GetRelayBoot() {
 		w.earlierBoots[w.relayBoot] = true
 		w.relayBoot = r.GetRelayBoot()
-		w.lastAppliedCrash = 0
+		w.unstoredCrashes, w.lastAppliedCrash, w.lastStoredCrash = nil, 0, 0
 	}
 	w.sequence = r.GetSequence()
 	w.lastReport = clock.Monotonic()
+	w.tellsCrashes = r.GetTellsCrashes()
+	if r.GetListed() && r.GetListClockMs() != w.listClockMS {
+		w.listedAt, w.listClockMS = w.lastReport, r.GetListClockMs()
+	}
 	st.applyCrashes(w, r.GetCrashes())
 	st.updateWorker(s, w, r.GetWorker())
 	if r.GetListed() && r.GetEpoch() == s.claim.Epoch && !r.GetWorker().GetGone() {
@@ -55,6 +59,7 @@
 	place := graph.Place{Worker: info.GetId(), StartUnixMS: info.GetBornMs(), Relay: w.relay}
 	if place != w.place {
 		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.StartUnixMS, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
+		st.inferCrash(s, w)
 		delete(st.byPlace, w.place)
 		w.place, w.reconciled, w.lastAppliedEnd, w.lastStoredEnd, w.unstoredEnds, w.unexpectedRuns = place, false, 0, 0, nil, nil
 		w.health = health{}
@@ -64,11 +69,14 @@
 		st.endRunsAt(w, func(p graph.Place) bool { return p.Worker != place.Worker }, "replaced")
 		st.planNeeded = true
 	}
+	if info.GetGone() && place == w.place {
+		st.inferCrash(s, w)
+	}
 	if w.info.GetDraining() != info.GetDraining() || w.info.GetGone() != info.GetGone() {
 		klog.InfoS("duty: worker changed", "worker", place.Worker, "draining", info.GetDraining(), "gone", info.GetGone(), "remaining_ms", info.GetRemainingMs())
 		st.planNeeded = true
 	}
-	w.info = info
+	w.info, w.infoBoot = info, w.relayBoot
 	if info.GetGone() {
 		st.endRunsAt(w, w.sameWorker, "gone")
 	}
@@ -99,7 +107,7 @@
 		if e.GetNumber() > w.lastAppliedEnd {
 			st.applyEnd(w, e)
 			w.lastAppliedEnd = e.GetNumber()
-			w.unstoredEnds = append(w.unstoredEnds, unstoredEnd{e.GetNumber(), st.lastSeq})
+			w.unstoredEnds = append(w.unstoredEnds, unstoredChange{e.GetNumber(), st.lastSeq})
 			st.planNeeded = true
 		}
 	}
@@ -255,7 +263,7 @@
 	}
 	orders := &flow.Orders{
 		Version: w.ordersVersion, Epoch: s.claim.Epoch, LeaseMs: s.settings.TaskLease.Milliseconds(),
-		Observed: w.lastStoredEnd, Worker: w.place.Worker, WorkerBornMs: w.place.StartUnixMS, Gates: s.gates(),
+		Observed: w.lastStoredEnd, CrashesStored: w.lastStoredCrash, Worker: w.place.Worker, WorkerBornMs: w.place.StartUnixMS, Gates: s.gates(),
 	}
 	if age, ok := s.operator.Age(); ok && !s.operator.Evacuated(w.info.GetDataCentre()) {
 		orders.PermitMs = max(0, (s.settings.StartAge - age).Milliseconds())
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -107,7 +107,8 @@
 func (st *state) advanceJobs() {
 	now := time.Now().UnixMilli()
 	for _, j := range st.openJobs() {
-		if j.dirty && j.graph.Advance(now) {
+		// Crashes settle without a further change of the job.
+		if (j.dirty || j.graph.HasCrashes()) && j.graph.Advance(now) {
 			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase, "priority", j.graph.Spec.GetPriority(),
 				"took_ms", (clock.Monotonic() - j.submitted).Milliseconds(), "objective_ms", graph.ObjectiveMS(j.graph.Spec))
 			st.markDirty(j)
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -318,8 +318,11 @@
 func (st *state) collectBatch(claim *Claim) *batch {
 	b := &batch{claim: claim, txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claim.Revision}}}}
 	for _, j := range st.openJobs() {
-		const rowsPerJob = 3
-		if !j.dirty || b.txn.Rows()+rowsPerJob > store.MaxTxnRows {
+		rows := 3
+		if j.crashesDirty {
+			rows++
+		}
+		if !j.dirty || b.txn.Rows()+rows > store.MaxTxnRows {
 			continue
 		}
 		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(j.graph.Record())
@@ -328,6 +331,14 @@
 			continue
 		}
 		id := j.graph.Spec.GetId()
+		if j.crashesDirty {
+			crashes, err := proto.MarshalOptions{Deterministic: true}.Marshal(j.graph.CrashRecord())
+			if err != nil {
+				klog.ErrorS(err, "duty: cannot encode crash record", "job", id)
+				continue
+			}
+			b.txn.Writes = append(b.txn.Writes, store.Write{Key: CrashKey(id), Value: crashes})
+		}
 		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: ProgressKey(id), Revision: j.recordRevision})
 		starts := j.unstoredRuns()
 		if len(starts) > 0 && !j.graph.Cancelled {
@@ -355,7 +366,7 @@
 	for i, j := range b.jobs {
 		j.recordRevision = result.revision
 		if j.lastChangeSeq == b.changeSeqs[i] {
-			j.dirty = false
+			j.dirty, j.crashesDirty = false, false
 		}
 		for _, ref := range b.starts[i] {
 			if r := j.runs[ref.ref]; r != nil && r.run == ref.run {
@@ -391,8 +402,8 @@
 	}
 }
 
-// acknowledgeEnds acknowledges the ends that are stored by now, so that workers
-// can forget them.
+// acknowledgeEnds acknowledges the ends and crashes that are stored by now, so that
+// workers and relays can forget them.
 func (st *state) acknowledgeEnds() {
 	storedSeq := st.lastSeq
 	for _, j := range st.openJobs() {
@@ -401,12 +412,11 @@
 		}
 	}
 	for _, w := range st.workers {
-		n := 0
-		for n < len(w.unstoredEnds) && w.unstoredEnds[n].changeSeq <= storedSeq {
-			w.lastStoredEnd = w.unstoredEnds[n].number
-			w.ordersChanged = true
-			n++
+		if end := takeStored(&w.unstoredEnds, storedSeq); end > 0 {
+			w.lastStoredEnd, w.ordersChanged = end, true
+		}
+		if crash := takeStored(&w.unstoredCrashes, storedSeq); crash > 0 {
+			w.lastStoredCrash, w.ordersChanged = crash, true
 		}
-		w.unstoredEnds = w.unstoredEnds[n:]
 	}
 }
--- a/duty/state.go
+++ b/duty/state.go
@@ -22,6 +22,9 @@
 	revisions        map[string]int64
 	cancelled        map[string]bool       // ids of cancelled jobs; a cancellation may come before its job
 	loadedProgress   map[string]store.Item // progress records read while loading, by job
+	loadedCrashes    map[string]store.Item // crash records read while loading, by job
+	orphanedCrashes  []string              // ids of removed jobs that have a crash record
+	recentCrashes    []*crash              // in the last crashMemory
 	startedAt        time.Duration
 	loaded           bool // all jobs were read from the store
 	planNeeded       bool // placement has to be decided again
@@ -52,7 +55,7 @@
 func newState(now time.Duration) *state {
 	return &state{
 		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{}, activeByRelay: map[string]map[*graph.Task]*job{},
-		revisions: map[string]int64{}, cancelled: map[string]bool{}, loadedProgress: map[string]store.Item{}, startedAt: now,
+		revisions: map[string]int64{}, cancelled: map[string]bool{}, loadedProgress: map[string]store.Item{}, loadedCrashes: map[string]store.Item{}, startedAt: now,
 	}
 }
 
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -20,6 +20,7 @@
 	claimsCounter      = newCounter("catkinpoint_duty_claims", "Times that this process claimed the scheduler role.")
 	unconfirmedCounter = newCounter("catkinpoint_duty_unconfirmed_writes", "Writes of progress whose outcome was at first unknown.")
 	waitHistogram      = newHistogram("catkinpoint_duty_wait_seconds", "Time from the acceptance of a job to the placement of one of its units of work.")
+	crashesCounter     = newCounter("catkinpoint_duty_crashed_runs", "Runs that were on a worker when it crashed, by how far they are suspected.")
 	decisionHistogram  = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
 	writeHistogram     = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
 )
--- a/duty/sweep.go
+++ b/duty/sweep.go
@@ -13,7 +13,7 @@
 	// sweepPeriod is the time between two searches for jobs to remove.
 	sweepPeriod = 10 * time.Second
 	// maxSweepJobs bounds the jobs that one transaction removes.
-	maxSweepJobs = 10
+	maxSweepJobs = 7
 )
 
 // sweep starts a transaction that removes the records of jobs that ended longer
@@ -23,6 +23,18 @@
 	limit := time.Now().Add(-s.settings.Retention).UnixMilli()
 	txn := store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: s.claim.Revision}}}
 	var ids []string
+	orphans := st.orphanedCrashes[:min(len(st.orphanedCrashes), maxSweepJobs)]
+	if len(orphans) > 0 {
+		for _, id := range orphans {
+			txn.Deletes = append(txn.Deletes, CrashKey(id))
+		}
+		st.nextSweep = now
+		s.commitSweep(st, txn, func(st *state) {
+			klog.InfoS("duty: crash records of removed jobs removed", "jobs", len(orphans))
+			st.orphanedCrashes = st.orphanedCrashes[len(orphans):]
+		})
+		return
+	}
 	for id, j := range st.jobs {
 		if len(ids) == maxSweepJobs {
 			st.nextSweep = now // there may be more jobs to remove
@@ -33,10 +45,23 @@
 		}
 		ids = append(ids, id)
 		txn.Deletes = append(txn.Deletes, JobKey(id), ProgressKey(id), CancelKey(id))
+		if j.graph.HasCrashes() {
+			txn.Deletes = append(txn.Deletes, CrashKey(id))
+		}
 	}
 	if len(ids) == 0 {
 		return
 	}
+	s.commitSweep(st, txn, func(st *state) {
+		for _, id := range ids {
+			st.removeJob(id)
+		}
+		klog.InfoS("duty: ended jobs removed", "jobs", len(ids))
+	})
+}
+
+// commitSweep commits a transaction that removes records, and then calls removed.
+func (s *Scheduler) commitSweep(st *state, txn store.Txn, removed func(*state)) {
 	st.sweeping = true
 	go func() {
 		callCtx, cancel := context.WithTimeout(s.ctx, storeCallTimeout)
@@ -45,13 +70,10 @@
 		s.stateOwner.Post(func(st *state) {
 			st.sweeping = false
 			if err != nil {
-				klog.InfoS("duty: cannot remove ended jobs, will retry", "jobs", len(ids), "err", err)
+				klog.InfoS("duty: cannot remove records, will retry", "records", len(txn.Deletes), "err", err)
 				return
 			}
-			for _, id := range ids {
-				st.removeJob(id)
-			}
-			klog.InfoS("duty: ended jobs removed", "jobs", len(ids))
+			removed(st)
 		})
 	}()
 }
--- a/duty/worker.go
+++ b/duty/worker.go
@@ -19,12 +19,20 @@
 	// reconciled is set once the worker has adopted the epoch of this claim, so
 	// that it refuses orders of earlier ones, and has listed its runs since.
 	reconciled     bool
-	unstoredEnds   []unstoredEnd // in the order of their numbers
-	lastAppliedEnd int64         // ends up to this number were applied to their jobs
-	lastStoredEnd  int64         // ends up to this number are stored
-	// lastAppliedCrash is the number of the last crash of the relay's process that was
-	// applied.
+	unstoredEnds   []unstoredChange // in the order of their numbers
+	lastAppliedEnd int64            // ends up to this number were applied to their jobs
+	lastStoredEnd  int64            // ends up to this number are stored
+	// tellsCrashes is whether the relay reports crashes. The other fields are like
+	// those of ends, for the crashes that the relay's process has seen.
+	tellsCrashes     bool
+	unstoredCrashes  []unstoredChange
 	lastAppliedCrash int64
+	lastStoredCrash  int64
+	// infoBoot is the relay's process that reported info.
+	infoBoot string
+	// listedAt is when the worker's clock last advanced in its lists.
+	listedAt    time.Duration
+	listClockMS int64
 	// unexpectedRuns are runs that the worker lists but should not have, by task
 	// and number of the run. They are stopped.
 	unexpectedRuns map[string]map[int64]bool
@@ -35,8 +43,20 @@
 	health       health
 }
 
-// unstoredEnd is the end of a run that is not acknowledged to its worker yet.
-type unstoredEnd struct {
-	number    int64 // position in the worker's list of ends
-	changeSeq int64 // the end is stored once all changes up to this number are
+// unstoredChange is the end of a run or a crash that is not acknowledged yet.
+type unstoredChange struct {
+	number    int64 // position in the worker's list of ends, or the relay's of crashes
+	changeSeq int64 // it is stored once all changes up to this number are
+}
+
+// takeStored removes the leading changes that are stored and returns the number of the
+// last of them, or 0 if there are none.
+func takeStored(list *[]unstoredChange, storedSeq int64) int64 {
+	last, n := int64(0), 0
+	for n < len(*list) && (*list)[n].changeSeq <= storedSeq {
+		last = (*list)[n].number
+		n++
+	}
+	*list = (*list)[n:]
+	return last
 }
--- /dev/null
+++ b/graph/crash.go
@@ -0,0 +1,184 @@
+package graph
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinpoint/flow"
+)
+
+const (
+	// maxProbableCrashes is the number of crashes that a unit probably caused after
+	// which its job fails.
+	maxProbableCrashes = 2
+	// maxPossibleCrashes is that of crashes that it possibly or probably caused.
+	maxPossibleCrashes = 3
+	// maxCrashes is that of all crashes that its tasks were in. After three of them
+	// a task may be started twice more.
+	maxCrashes = 5
+	// isolatedAfterCrashes is the number of crashes, other than outages, after which
+	// a unit gets workers of its own whatever it is suspected of.
+	isolatedAfterCrashes = 2
+	// CrashSettleTime is the time after a crash in which others may become known
+	// that have the same outside cause.
+	CrashSettleTime = 600 * time.Millisecond
+)
+
+// Crash is the crash of a worker under a run of a task.
+type Crash struct {
+	Run           int64
+	Worker        string
+	WorkerStartMS int64 // start of the worker's process, in Unix milliseconds
+	// Age is the age of the run at the crash; it is negative if it is not known.
+	Age       time.Duration
+	UnixMS    int64 // when the worker crashed, in Unix milliseconds
+	Suspicion flow.Suspicion
+}
+
+// LoadCrashes adds the crashes in a stored record.
+func (j *Job) LoadCrashes(record *flow.JobCrashes) {
+	for _, c := range record.GetCrashes() {
+		ref := Ref{c.GetOccurrence(), c.GetStep(), c.GetIndex()}
+		if j.Step(ref) == nil {
+			continue
+		}
+		age := time.Duration(c.GetAgeMs()) * time.Millisecond
+		j.AddCrash(ref, Crash{
+			Run: c.GetRun(), Worker: c.GetWorker(), WorkerStartMS: c.GetWorkerBornMs(), Age: max(age, -1),
+			UnixMS: c.GetUnixMs(), Suspicion: c.GetSuspicion(),
+		})
+	}
+}
+
+// CrashRecord returns the crashes as they are stored, sorted by task and run.
+func (j *Job) CrashRecord() *flow.JobCrashes {
+	record := &flow.JobCrashes{}
+	for ref, crashes := range j.crashes {
+		for _, c := range crashes {
+			ageMS := c.Age.Milliseconds()
+			if c.Age < 0 {
+				ageMS = -1
+			}
+			record.Crashes = append(record.Crashes, &flow.TaskCrash{
+				Occurrence: ref.Occurrence, Step: ref.Step, Index: ref.Index, Run: c.Run, Worker: c.Worker,
+				WorkerBornMs: c.WorkerStartMS, AgeMs: ageMS, UnixMs: c.UnixMS, Suspicion: c.Suspicion,
+			})
+		}
+	}
+	slices.SortFunc(record.Crashes, func(a, b *flow.TaskCrash) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run))
+	})
+	return record
+}
+
+// HasCrashes reports whether a worker has crashed under a task of the job.
+func (j *Job) HasCrashes() bool { return len(j.crashes) > 0 }
+
+// AddCrash adds the crash of a worker under a run, and reports whether it was not
+// known yet.
+func (j *Job) AddCrash(ref Ref, c Crash) bool {
+	if slices.ContainsFunc(j.crashes[ref], func(known Crash) bool { return known.Run == c.Run }) {
+		return false
+	}
+	if j.crashes == nil {
+		j.crashes = map[Ref][]Crash{}
+	}
+	j.crashes[ref] = append(j.crashes[ref], c)
+	return true
+}
+
+// MarkOutage changes the suspicion of a run's crash to an outage, and reports whether
+// it was another before.
+func (j *Job) MarkOutage(ref Ref, run int64) bool {
+	for i, c := range j.crashes[ref] {
+		if c.Run == run && c.Suspicion != flow.Suspicion_OUTAGE {
+			j.crashes[ref][i].Suspicion = flow.Suspicion_OUTAGE
+			return true
+		}
+	}
+	return false
+}
+
+// UnitCrashes returns the crashes of a task or, if it is a member of a gang, of the
+// gang: one for each run, with the highest suspicion of any member.
+func (j *Job) UnitCrashes(ref Ref) []Crash {
+	if len(j.crashes) == 0 {
+		return nil
+	}
+	byRun := map[int64]Crash{}
+	for _, member := range j.Members(ref) {
+		for _, c := range j.crashes[member] {
+			if known, ok := byRun[c.Run]; !ok || suspicionRank(c.Suspicion) > suspicionRank(known.Suspicion) {
+				byRun[c.Run] = c
+			}
+		}
+	}
+	crashes := make([]Crash, 0, len(byRun))
+	for _, c := range byRun {
+		crashes = append(crashes, c)
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(a.Run, b.Run) })
+	return crashes
+}
+
+// suspicionRank orders suspicions by how much they weigh against a task.
+func suspicionRank(s flow.Suspicion) int {
+	return slices.Index([]flow.Suspicion{flow.Suspicion_OUTAGE, flow.Suspicion_BYSTANDER, flow.Suspicion_POSSIBLE, flow.Suspicion_PROBABLE}, s)
+}
+
+// countSuspicions returns how many crashes a unit probably caused, possibly or
+// probably caused, and was in without an outage.
+func countSuspicions(crashes []Crash) (probable, possible, inside int) {
+	for _, c := range crashes {
+		switch c.Suspicion {
+		case flow.Suspicion_PROBABLE:
+			probable++
+			possible++
+			inside++
+		case flow.Suspicion_POSSIBLE:
+			possible++
+			inside++
+		case flow.Suspicion_BYSTANDER:
+			inside++
+		}
+	}
+	return probable, possible, inside
+}
+
+// Suspect reports whether the task, or its gang, may make workers crash, so that it
+// should run apart from other jobs.
+func (j *Job) Suspect(ref Ref) bool {
+	probable, _, inside := countSuspicions(j.UnitCrashes(ref))
+	return probable > 0 || inside >= isolatedAfterCrashes
+}
+
+// crashesExhausted reports whether a task or gang has made so many workers crash that
+// the job is given up. It waits until the last crash has settled.
+func (j *Job) crashesExhausted(nowUnixMS int64) bool {
+	for ref := range j.crashes {
+		if t := j.tasks[ref]; t != nil && t.Done {
+			continue
+		}
+		crashes := j.UnitCrashes(ref)
+		probable, possible, _ := countSuspicions(crashes)
+		if probable < maxProbableCrashes && possible < maxPossibleCrashes && len(crashes) < maxCrashes {
+			continue
+		}
+		if !Unsettled(crashes, nowUnixMS) {
+			return true
+		}
+	}
+	return false
+}
+
+// Unsettled reports whether the last of the crashes was less than CrashSettleTime ago.
+func Unsettled(crashes []Crash, nowUnixMS int64) bool {
+	for _, c := range crashes {
+		// A crash that lies in the future was recorded by a clock that was ahead.
+		if age := nowUnixMS - c.UnixMS; age >= 0 && age < CrashSettleTime.Milliseconds() {
+			return true
+		}
+	}
+	return false
+}
--- a/graph/job.go
+++ b/graph/job.go
@@ -79,6 +79,8 @@
 	EndedUnixMS int64
 	// tasks has the tasks that were started at least once.
 	tasks map[Ref]*Task
+	// crashes has the crashes of workers under each task.
+	crashes map[Ref][]Crash
 	// activeTasks caches the result of Active; it is nil after a change.
 	activeTasks []*Task
 }
@@ -374,7 +376,7 @@
 	switch {
 	case j.Cancelled:
 		next = flow.Phase_CANCELLED
-	case j.attemptsExhausted():
+	case j.attemptsExhausted() || j.crashesExhausted(nowUnixMS):
 		next = flow.Phase_FAILED
 	case j.allStepsDone():
 		next = flow.Phase_COMPLETED
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -55,6 +55,9 @@
 			d.Starts = append(d.Starts, Assignment{Unit: r.Unit, Places: s.placesOf(workers)})
 			continue
 		}
+		if r.waitsAlone() {
+			continue
+		}
 		stops, held := s.preempt(r)
 		d.Stops = append(d.Stops, stops...)
 		switch {
--- a/plan/fit.go
+++ b/plan/fit.go
@@ -11,7 +11,7 @@
 		}
 	}
 	found, ok := s.fitInto(r, s.free, anywhere)
-	if !ok && !anywhere && !s.waitsForRack(r) && len(r.Held) == 0 && !avoidsFailedWorkers(r) {
+	if !ok && !anywhere && !s.waitsForRack(r) && len(r.Held) == 0 && !avoidsFailedWorkers(r) && !r.Isolated {
 		s.noFit = append(s.noFit, r)
 	}
 	return found, ok
@@ -141,7 +141,7 @@
 		return nil, false
 	}
 	limited := r.Unit.Step.GetMaxPerWorker() > 0
-	if limited {
+	if limited || r.Isolated {
 		s.countStepTasks(r)
 	}
 	found := make([]int, 0, tasks)
@@ -152,6 +152,9 @@
 				continue
 			}
 			cost := s.placementCost(w, s.leftover[w].Sub(r.Need))
+			if r.Isolated {
+				cost = s.exposureCost(w, s.stepTasks[w] > 0)
+			}
 			if (best < 0 || cost < bestCost) && s.respectsReservations(r, w, s.leftover[w]) {
 				best, bestCost = w, cost
 			}
@@ -188,7 +191,7 @@
 	worker := &s.workers[w]
 	label := r.Unit.Step.GetRequiredLabel()
 	return worker.Usable && worker.Service == r.Unit.Job.Spec.GetService() &&
-		(label == "" || worker.hasLabel(label)) && !s.avoidsRack(r, s.rackOf[w]) && s.allowsDespiteFailures(r, w)
+		(label == "" || worker.hasLabel(label)) && !s.avoidsRack(r, s.rackOf[w]) && s.allowsDespiteFailures(r, w) && s.keepsApart(r, w)
 }
 
 // placementCost ranks workers for a task; lower is better. It grows with the
--- a/plan/input.go
+++ b/plan/input.go
@@ -65,6 +65,8 @@
 	Free Resources
 	// Usable reports whether runs may be started on the worker.
 	Usable bool
+	// Runs is the number of runs on the worker.
+	Runs int
 	// Slowness is the run time of tasks on this worker divided by that on a healthy
 	// one.
 	Slowness float64
@@ -112,6 +114,9 @@
 	// FailedOn are the workers on which they failed.
 	Failures int32
 	FailedOn []graph.Place
+	// Isolated reports whether the unit may make its workers crash. It gets workers
+	// without other runs, and none that others are stopped for.
+	Isolated bool
 }
 
 // Running is a run that holds resources on a worker.
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -46,7 +46,7 @@
 // it. Otherwise both results are nil if the unit may not preempt, or if there are
 // no victims or they cost too much.
 func (s *state) preempt(r *Request) (stops []Stop, held []int) {
-	mayPreempt := r.Guaranteed || r.priority() == 0 && r.Slack > stopDelay
+	mayPreempt := !r.Isolated && (r.Guaranteed || r.priority() == 0 && r.Slack > stopDelay)
 	if !mayPreempt && len(r.Held) == 0 {
 		return nil, nil // not urgent, or would miss its objective even with a stop
 	}
--- a/plan/state.go
+++ b/plan/state.go
@@ -47,6 +47,8 @@
 	started map[stepOnWorker]int32
 	// gotTask marks the workers on which this decision has started a task.
 	gotTask []bool
+	// isolated marks those on which it has started a unit that runs apart from others.
+	isolated []bool
 	// noFit are requests that fit nowhere in the free resources. Without a search,
 	// fit rejects a request that is at least as hard as one of them.
 	noFit []*Request
@@ -81,7 +83,7 @@
 		input: in, workers: in.Workers, workerIndex: make(map[graph.Place]int, n), free: make([]Resources, n),
 		rackIndex: map[string]int{}, rackOf: make([]int, n), reserved: make([][]reservation, n),
 		runsOn: make([][]int, n), stopping: make([]bool, len(in.Running)), started: map[stepOnWorker]int32{},
-		allWorkers: make([]int, n), gotTask: make([]bool, n), leftover: make([]Resources, n), stepTasks: make([]int32, n), freeAfter: make([]Resources, n),
+		allWorkers: make([]int, n), gotTask: make([]bool, n), isolated: make([]bool, n), leftover: make([]Resources, n), stepTasks: make([]int32, n), freeAfter: make([]Resources, n),
 	}
 	for i, w := range s.workers {
 		s.allWorkers[i], s.free[i] = i, w.Free
@@ -198,6 +200,7 @@
 		s.rackFree[s.rackOf[w]] -= r.Need.CoreEquivalents()
 		s.started[stepOnWorker{r.Unit.Job, first.Occurrence, first.Step, w}]++
 		s.gotTask[w] = true
+		s.isolated[w] = s.isolated[w] || r.Isolated
 	}
 }
 
