duty, graph, blame: innocent jobs in repeated crashes and outages are not given up

A start now explains a crash for a quarter of a second, two crashes count together only at similar ages, the youngest start comes first, and outages long after a start never count. TestOutagesAccuseNoTask failed with the limit of five crashes of any kind: all eight jobs were given up after five outages.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -1,13 +1,19 @@
 package blame
 
 import (
+	"math"
 	"time"
 
 	"catkinpoint/flow"
 )
 
-// YoungAge is the age up to which the start of a run is taken to explain a crash.
-const YoungAge = time.Second
+const (
+	// YoungAge is the age up to which the start of a run is taken to explain a crash.
+	YoungAge = 250 * time.Millisecond
+	// sameTime is the difference of two ages up to which neither of two starts
+	// explains a crash better than the other.
+	sameTime = 150 * time.Millisecond
+)
 
 // UnknownAge is the age of a run of which it is not known when it started.
 const UnknownAge = time.Duration(-1)
@@ -32,14 +38,16 @@
 	Explained bool
 }
 
-// Judge returns what a crash says about the runs that were on the worker. A fresh
+// Judge returns what a crash says about the runs that were on the worker. The last
 // start explains it best, above all one that did so before, and then a run that was on
 // another worker which crashed after a similar time. All other runs are bystanders. If
 // there is no such run, any may be the cause. The runs of one job count as one cause.
 func Judge[K comparable](runs []Run[K]) Verdict {
+	youngest := youngestAge(runs)
+	fresh := func(r Run[K]) bool { return r.young() && r.Age <= youngest+sameTime }
 	causes := []func(Run[K]) bool{
 		func(r Run[K]) bool { return r.young() && r.repeats() },
-		func(r Run[K]) bool { return r.young() },
+		fresh,
 		func(r Run[K]) bool { return r.repeats() },
 	}
 	for _, isCause := range causes {
@@ -66,6 +74,17 @@
 	return list
 }
 
+// youngestAge returns the least known age of the runs.
+func youngestAge[K comparable](runs []Run[K]) time.Duration {
+	youngest := time.Duration(math.MaxInt64 - sameTime)
+	for _, r := range runs {
+		if r.Age != UnknownAge {
+			youngest = min(youngest, r.Age)
+		}
+	}
+	return youngest
+}
+
 func countJobs[K comparable](runs []Run[K], match func(Run[K]) bool) int {
 	jobs := map[K]bool{}
 	for _, r := range runs {
@@ -82,20 +101,21 @@
 // a similar time.
 func (r Run[K]) repeats() bool {
 	for _, earlier := range r.Earlier {
-		if similar(r.Age, earlier) {
+		if SimilarAges(r.Age, earlier) {
 			return true
 		}
 	}
 	return false
 }
 
-// similar reports whether two ages differ by at most YoungAge or a factor of two.
-func similar(a, b time.Duration) bool {
+// SimilarAges reports whether two ages differ by at most YoungAge or a quarter. The
+// same fault of a task shows after about the same time.
+func SimilarAges(a, b time.Duration) bool {
 	if a == UnknownAge || b == UnknownAge {
 		return false
 	}
 	low, high := min(a, b), max(a, b)
-	return high-low <= YoungAge || high <= 2*low
+	return high-low <= YoungAge || 4*high <= 5*low
 }
 
 // Probation is how long a suspect that crashed workers at the given ages must run to
@@ -109,6 +129,6 @@
 }
 
 const (
-	minProbation = 2 * time.Second
+	minProbation = time.Second
 	maxProbation = 10 * time.Second
 )
--- a/duty/crash.go
+++ b/duty/crash.go
@@ -200,10 +200,3 @@
 	}
 	return relays, jobs
 }
-
-// mayTest reports whether a unit may start now, given whether its job has another on
-// probation. Suspects of a job start one at a time, and only once it is known what
-// else crashed at the same time.
-func (j *job) mayTest(unit graph.Unit, testing bool, nowUnixMS int64) bool {
-	return !testing && !graph.Unsettled(j.graph.UnitCrashes(unit.Tasks[0]), nowUnixMS)
-}
--- a/duty/place.go
+++ b/duty/place.go
@@ -151,7 +151,9 @@
 		for _, unit := range j.graph.Ready(unixMS) {
 			request := st.planRequest(j, unit, guaranteed[j], now)
 			if request.Isolated = j.graph.Suspect(unit.Tasks[0]); request.Isolated {
-				if !j.mayTest(unit, testedJobs[j], unixMS) {
+				// Suspects of a job start one at a time, and only once it is known
+				// what else crashed when the last of them did.
+				if testedJobs[j] || j.graph.CrashesUnsettled(unixMS) {
 					continue
 				}
 				testedJobs[j] = true
--- a/graph/crash.go
+++ b/graph/crash.go
@@ -5,17 +5,18 @@
 	"slices"
 	"time"
 
+	"catkinpoint/blame"
 	"catkinpoint/flow"
 )
 
 const (
-	// maxProbableCrashes is the number of crashes that a unit probably caused after
-	// which its job fails.
+	// maxProbableCrashes is the number of crashes that a unit probably caused, at
+	// similar ages, after which its job fails.
 	maxProbableCrashes = 2
 	// maxPossibleCrashes is that of crashes that it possibly or probably caused.
-	maxPossibleCrashes = 3
-	// maxCrashes is that of all crashes that its tasks were in. After three of them
-	// a task may be started twice more.
+	maxPossibleCrashes = 4
+	// maxCrashes is that of all crashes that its tasks were in, without the outages
+	// that came long after a start. After three a task may be started twice more.
 	maxCrashes = 5
 	// isolatedAfterCrashes is the number of crashes, other than outages, after which
 	// a unit gets workers of its own whatever it is suspected of.
@@ -127,13 +128,13 @@
 	return slices.Index([]flow.Suspicion{flow.Suspicion_OUTAGE, flow.Suspicion_BYSTANDER, flow.Suspicion_POSSIBLE, flow.Suspicion_PROBABLE}, s)
 }
 
-// countSuspicions returns how many crashes a unit probably caused, possibly or
-// probably caused, and was in without an outage.
+// countSuspicions returns how many crashes a unit probably caused at similar ages,
+// possibly or probably caused, and was in without an outage.
 func countSuspicions(crashes []Crash) (probable, possible, inside int) {
 	for _, c := range crashes {
 		switch c.Suspicion {
 		case flow.Suspicion_PROBABLE:
-			probable++
+			probable = max(probable, countSimilar(crashes, c.Age))
 			possible++
 			inside++
 		case flow.Suspicion_POSSIBLE:
@@ -146,11 +147,26 @@
 	return probable, possible, inside
 }
 
+// countSimilar returns how many crashes a unit probably caused at an age similar to
+// the given one.
+func countSimilar(crashes []Crash, age time.Duration) int {
+	n := 0
+	for _, c := range crashes {
+		if c.Suspicion == flow.Suspicion_PROBABLE && (c.Age == age || blame.SimilarAges(c.Age, age)) {
+			n++
+		}
+	}
+	return n
+}
+
 // Suspect reports whether the task, or its gang, may make workers crash, so that it
 // should run apart from other jobs.
 func (j *Job) Suspect(ref Ref) bool {
-	probable, _, inside := countSuspicions(j.UnitCrashes(ref))
-	return probable > 0 || inside >= isolatedAfterCrashes
+	crashes := j.UnitCrashes(ref)
+	_, _, inside := countSuspicions(crashes)
+	return inside >= isolatedAfterCrashes || slices.ContainsFunc(crashes, func(c Crash) bool {
+		return c.Suspicion == flow.Suspicion_PROBABLE || c.Suspicion == flow.Suspicion_POSSIBLE && c.young()
+	})
 }
 
 // crashesExhausted reports whether a task or gang has made so many workers crash that
@@ -162,22 +178,37 @@
 		}
 		crashes := j.UnitCrashes(ref)
 		probable, possible, _ := countSuspicions(crashes)
-		if probable < maxProbableCrashes && possible < maxPossibleCrashes && len(crashes) < maxCrashes {
-			continue
-		}
-		if !Unsettled(crashes, nowUnixMS) {
-			return true
+		if probable >= maxProbableCrashes || possible >= maxPossibleCrashes || countRelevant(crashes) >= maxCrashes {
+			return !j.CrashesUnsettled(nowUnixMS)
 		}
 	}
 	return false
 }
 
-// Unsettled reports whether the last of the crashes was less than CrashSettleTime ago.
-func Unsettled(crashes []Crash, nowUnixMS int64) bool {
+// countRelevant returns how many of the crashes are no outage or shortly followed the
+// start of the run.
+func countRelevant(crashes []Crash) int {
+	n := 0
 	for _, c := range crashes {
-		// A crash that lies in the future was recorded by a clock that was ahead.
-		if age := nowUnixMS - c.UnixMS; age >= 0 && age < CrashSettleTime.Milliseconds() {
-			return true
+		if c.Suspicion != flow.Suspicion_OUTAGE || c.young() {
+			n++
+		}
+	}
+	return n
+}
+
+// young reports whether the worker crashed shortly after the start of the run.
+func (c Crash) young() bool { return c.Age >= 0 && c.Age <= blame.YoungAge }
+
+// CrashesUnsettled reports whether a worker has crashed under a task of the job less
+// than CrashSettleTime ago.
+func (j *Job) CrashesUnsettled(nowUnixMS int64) bool {
+	for _, crashes := range j.crashes {
+		for _, c := range crashes {
+			// A crash that lies in the future was recorded by a clock that was ahead.
+			if age := nowUnixMS - c.UnixMS; age >= 0 && age < CrashSettleTime.Milliseconds() {
+				return true
+			}
 		}
 	}
 	return false
