duty: starts keep within the room of workers that do not check it (LIMIT)

The scheduler took a worker's room from the runs that it had assigned there. Three kinds of runs were missing: those that the worker lists but should not have (a late start, one of an earlier holder) until their stop has ended them; those assigned to an earlier process of the same worker, which the present one may still start; and starts that are carried out after the room has shrunk, which are now taken back, the last first.

--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/plan"
 	"catkinpoint/route"
 	"catkinpoint/store"
 )
@@ -29,6 +31,8 @@
 	// failures counts failed runs, stops counts runs that were stopped by order, and
 	// crashes counts crashed workers.
 	failures, stops, crashes int
+	// overruns are the starts that brought a worker over its room.
+	overruns []string
 }
 
 // fleetJob is a job with its actual behaviour.
@@ -67,6 +71,8 @@
 	downUntil   time.Duration
 	unstored    []*flow.Crash // crashes that are not acknowledged yet
 	oldRelay    bool          // the relay does not report crashes
+	room        []roomAt      // rooms in the order of time; empty means that of idleReport
+	stopTime    time.Duration // from the order of a stop until the run has ended
 }
 
 // fleetRun is a run on a simulated worker.
@@ -77,6 +83,14 @@
 	startsAt time.Duration // when the worker carries out the start
 	begunAt  time.Duration // when all members of the gang had started, or 0
 	worked   time.Duration
+	stopsAt  time.Duration // when an ordered stop ends it, or 0
+	checked  bool          // the room was checked at its start
+}
+
+// roomAt is the room of a worker from a time on.
+type roomAt struct {
+	from time.Duration
+	room plan.Resources
 }
 
 // newFleet returns a fleet of idle workers, four to a rack.
@@ -113,6 +127,10 @@
 	}
 	f.state.loaded = true
 	f.state.finishLoad()
+	for _, w := range f.workers {
+		// With the new epoch the worker refuses what it has not started yet.
+		maps.DeleteFunc(w.running, func(_ string, r *fleetRun) bool { return r.startsAt > clock.Monotonic() })
+	}
 }
 
 // submit submits a job whose tasks actually take the given time.
@@ -172,7 +190,12 @@
 	if w.crashesNow(now) {
 		f.crash(w, now)
 	}
+	f.checkRoom(w, now)
 	for task, r := range w.running {
+		if r.stopsAt > 0 && now >= r.stopsAt {
+			f.endRun(w, task, graph.EndStopped)
+			continue
+		}
 		if r.begunAt == 0 && f.gangComplete(r, now) {
 			r.begunAt = now
 		}
@@ -191,6 +214,52 @@
 	}
 }
 
+// shrinkDelay is the time after which a room that has shrunk binds the starts.
+const shrinkDelay = 5500 * time.Millisecond
+
+// checkRoom records the runs that have started on a worker since the last call and
+// brought it over the largest room of the last shrinkDelay. The worker does not refuse
+// them.
+func (f *fleet) checkRoom(w *fleetWorker, now time.Duration) {
+	held := plan.Resources{}
+	started := ""
+	for task, r := range w.running {
+		if now < r.startsAt {
+			continue
+		}
+		held = held.Add(needOf(r.job.spec.GetSteps()[r.ref.Step]))
+		if !r.checked {
+			started, r.checked = task, true
+		}
+	}
+	if started != "" && !w.largestRoom(now).Covers(held) {
+		f.overruns = append(f.overruns, fmt.Sprintf("%s on worker %d at %v", started, w.number, now))
+	}
+}
+
+// largestRoom returns the largest amounts of any room in the last shrinkDelay.
+func (w *fleetWorker) largestRoom(now time.Duration) plan.Resources {
+	largest := capacity(w.report(1).GetWorker())
+	for i, r := range w.room {
+		if i+1 < len(w.room) && w.room[i+1].from < now-shrinkDelay {
+			continue
+		}
+		largest = plan.Resources{
+			MilliCPU: max(largest.MilliCPU, r.room.MilliCPU), MemoryMB: max(largest.MemoryMB, r.room.MemoryMB),
+			Accelerators: max(largest.Accelerators, r.room.Accelerators),
+		}
+	}
+	return largest
+}
+
+// setRoom changes the room of a worker.
+func (w *fleetWorker) setRoom(now time.Duration, room plan.Resources) {
+	if len(w.room) == 0 {
+		w.room = []roomAt{{0, capacity(w.report(1).GetWorker())}}
+	}
+	w.room = append(w.room, roomAt{now, room})
+}
+
 // crashesNow reports whether a run makes the worker crash.
 func (w *fleetWorker) crashesNow(now time.Duration) bool {
 	for _, r := range w.running {
@@ -236,6 +305,10 @@
 		r.Worker.Id = fmt.Sprintf("%s-%d", r.Worker.Id, w.process)
 	}
 	r.TellsCrashes = !w.oldRelay
+	if len(w.room) > 0 {
+		room := w.room[len(w.room)-1].room
+		r.Worker.Cpu, r.Worker.MemoryMb, r.Worker.Accelerators = room.MilliCPU, room.MemoryMB, room.Accelerators
+	}
 	if r.TellsCrashes {
 		r.Crashes = slices.Clone(w.unstored)
 	}
@@ -355,9 +428,11 @@
 		}
 	}
 	for _, stop := range orders.GetStops() {
-		if r := w.running[stop.GetTask()]; r != nil && r.run == stop.GetRun() {
+		if r := w.running[stop.GetTask()]; r != nil && r.run == stop.GetRun() && r.stopsAt == 0 {
 			f.stops++
-			f.endRun(w, stop.GetTask(), graph.EndStopped)
+			if r.stopsAt = now + w.stopTime; w.stopTime == 0 || r.startsAt > now {
+				f.endRun(w, stop.GetTask(), graph.EndStopped)
+			}
 		}
 	}
 }
--- a/duty/place.go
+++ b/duty/place.go
@@ -28,7 +28,9 @@
 	if table == nil || !ok || age > s.settings.ConfigAge || st.superseded {
 		return
 	}
-	in := st.buildInput(s, table, now)
+	free := st.freeRoom()
+	st.takeBackStarts(free)
+	in := st.buildInput(s, table, free, now)
 	s.guaranteedWorkWaiting.Store(slices.ContainsFunc(in.Requests, func(r plan.Request) bool { return r.Guaranteed }))
 	if len(in.Requests) == 0 {
 		return
@@ -126,25 +128,20 @@
 	return labels[len(labels)-1]
 }
 
-// buildInput returns the state as input of package plan. It reuses the slices of
-// the last input.
-func (st *state) buildInput(s *Scheduler, table *route.Table, now time.Duration) plan.Input {
+// buildInput returns the state as input of package plan, with the free resources of
+// each worker. It reuses the slices of the last input.
+func (st *state) buildInput(s *Scheduler, table *route.Table, free map[graph.Place]plan.Resources, now time.Duration) plan.Input {
 	in := plan.Input{
 		Workers: st.planInput.Workers[:0], Requests: st.planInput.Requests[:0], Running: st.planInput.Running[:0],
 		RemoteFactor: s.settings.RemoteFactor, UrgentWaitedRecently: st.urgentUnitsWaited(now),
 	}
 	guaranteed := st.guaranteed(table)
-	free := map[graph.Place]plan.Resources{}
-	for p, w := range st.byPlace {
-		free[p] = capacity(w.info)
-	}
 	unixMS := time.Now().UnixMilli()
 	testing, testedJobs := st.probation(now)
 	runsOn := map[graph.Place]int{}
 	for _, j := range st.openJobs() {
 		for _, t := range j.graph.Active() {
 			need := needOf(j.graph.Step(t.Ref))
-			free[t.Place] = free[t.Place].Sub(need)
 			runsOn[t.Place]++
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
 		}
