relay, platform, gate, graph: odd entries and bad values change nothing

Operators report that one odd entry among those of the workers ended the processes that read it, or that they stopped following. No input here ends a process (deep nesting, numbers too large, wrong types: the decoders return errors). But one heartbeat with a sequence or a start of the process far above the true ones made a relay ignore its worker for good, and an entry with a port out of range counted as a gate, with its processor. A relay now checks a heartbeat before it takes it, answers what is wrong with it and logs it; negative and huge amounts of workers and of jobs are refused, as their sums could overflow; a gate whose address is not valid is not listed; a change of the capacity is reported at once.

--- a/duty/report.go
+++ b/duty/report.go
@@ -72,6 +72,10 @@
 	if info.GetGone() && place == w.place {
 		st.inferCrash(s, w)
 	}
+	if err := graph.CheckAmounts(info.GetCpu(), info.GetMemoryMb(), info.GetAccelerators()); err != nil {
+		klog.InfoS("duty: capacity of worker counts as none", "worker", place.Worker, "relay", w.relay, "err", err)
+		info.Cpu, info.MemoryMb, info.Accelerators = 0, 0, 0
+	}
 	if w.info.GetDraining() != info.GetDraining() || w.info.GetGone() != info.GetGone() {
 		klog.InfoS("duty: worker changed", "worker", place.Worker, "draining", info.GetDraining(), "gone", info.GetGone(), "remaining_ms", info.GetRemainingMs())
 		st.planNeeded = true
--- a/gate/bad_input_test.go
+++ b/gate/bad_input_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"catkinpoint/duty"
 	"catkinpoint/flow"
 	"catkinpoint/route"
@@ -36,6 +38,18 @@
 		if got := g.operator.Table().Version; got != 1 {
 			t.Errorf("configuration version %d after a bad configuration; want 1", got)
 		}
+		odd, err := proto.Marshal(&flow.Claim{Holder: "odd", Address: "10.0.0.1:99999", Processor: 1 << 60})
+		if err != nil {
+			t.Fatal(err)
+		}
+		putKey(t, kv, duty.GateKey("odd"), string(odd))
+		time.Sleep(time.Second)
+		if got := g.view.otherGateAddresses("g1", 9); len(got) != 0 {
+			t.Errorf("other gates: %v; want none, as the port is out of range", got)
+		}
+		if got := g.view.maxProcessor(); got >= 1<<60 {
+			t.Errorf("largest processor %d is that of an entry that names no gate", got)
+		}
 		putKey(t, kv, "op/table", "2 k1")
 		time.Sleep(3 * time.Second)
 		if got := g.operator.Table().Version; got != 2 {
--- a/gate/view.go
+++ b/gate/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -91,6 +92,11 @@
 	case kind == duty.KindGate:
 		gate := &flow.Claim{}
 		decode(gate)
+		if _, err := netip.ParseAddrPort(gate.GetAddress()); err != nil {
+			klog.InfoS("gate: entry names no gate", "key", e.Key, "revision", e.Revision, "err", err)
+			delete(v.gates, id)
+			break
+		}
 		v.gates[id] = gate
 	case kind == duty.KindJob && e.Deleted:
 		delete(v.jobs, id)
--- a/graph/check.go
+++ b/graph/check.go
@@ -13,6 +13,9 @@
 	MaxSteps = 1000
 	// MaxRepeats limits the occurrences of a scheduled job.
 	MaxRepeats = 10000
+	// MaxAmount limits each amount of resources, in its own unit, and each time in
+	// milliseconds, so that sums of them cannot overflow.
+	MaxAmount = 1 << 40
 	// MaxSpecBytes limits the text that workers are given with each start.
 	MaxSpecBytes = 4000
 )
@@ -48,8 +51,11 @@
 	if step.GetCount() < 1 || step.GetCount() > MaxTasks {
 		return Error.New("step %d: count %d is not between 1 and %d", s, step.GetCount(), MaxTasks)
 	}
-	if step.GetCpu() < 0 || step.GetMemoryMb() < 0 || step.GetAccelerators() < 0 || step.GetEstimateMs() < 0 || step.GetMaxPerWorker() < 0 {
-		return Error.New("step %d: a negative amount", s)
+	if err := CheckAmounts(step.GetCpu(), step.GetMemoryMb(), step.GetAccelerators()); err != nil {
+		return Error.New("step %d: %v", s, err)
+	}
+	if step.GetEstimateMs() < 0 || step.GetEstimateMs() > MaxAmount || step.GetMaxPerWorker() < 0 {
+		return Error.New("step %d: estimate of %d ms or limit of %d tasks on one worker is out of range", s, step.GetEstimateMs(), step.GetMaxPerWorker())
 	}
 	for _, earlier := range step.GetAfter() {
 		if earlier < 0 || int(earlier) >= s {
@@ -59,6 +65,20 @@
 	return nil
 }
 
+// CheckAmounts returns an error that says which amount of resources is negative or
+// larger than MaxAmount, or nil.
+func CheckAmounts(cpu, memoryMB, accelerators int64) error {
+	for _, amount := range []struct {
+		name  string
+		value int64
+	}{{"cpu", cpu}, {"memory", memoryMB}, {"accelerators", accelerators}} {
+		if amount.value < 0 || amount.value > MaxAmount {
+			return Error.New("%s %d is not between 0 and %d", amount.name, amount.value, int64(MaxAmount))
+		}
+	}
+	return nil
+}
+
 // CriticalPathMS returns the declared run time of the longest chain of steps, in
 // milliseconds.
 func CriticalPathMS(job *flow.Job) int64 {
--- a/graph/job_test.go
+++ b/graph/job_test.go
@@ -192,6 +192,8 @@
 		{"too many tasks", &flow.Job{Steps: []*flow.Step{{Count: MaxTasks}, {Count: 1}}}, false},
 		{"step after itself", &flow.Job{Steps: []*flow.Step{{Count: 1, After: []int32{0}}}}, false},
 		{"negative resources", &flow.Job{Steps: []*flow.Step{{Count: 1, Cpu: -1}}}, false},
+		{"resources whose sum overflows", &flow.Job{Steps: []*flow.Step{{Count: 2, MemoryMb: 1 << 62}}}, false},
+		{"run time too long", &flow.Job{Steps: []*flow.Step{{Count: 1, EstimateMs: 1 << 62}}}, false},
 		{"repeated without a period", &flow.Job{Repeats: 2, Steps: []*flow.Step{{Count: 1}}}, false},
 	}
 	for _, test := range tests {
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -25,7 +25,7 @@
 		time.Sleep(500 * time.Millisecond)
 		f.crash()
 		time.Sleep(2 * time.Second)
-		newer := Heartbeat{Worker: &flow.Worker{Id: "w2", BornMs: 200}, Clock: time.Second, Sequence: 1}
+		newer := Heartbeat{Worker: &flow.Worker{Service: "care", Id: "w2", BornMs: 200}, Clock: time.Second, Sequence: 1}
 		if err := f.relay.HandleHeartbeat(t.Context(), newer); err != nil {
 			t.Fatal(err)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,8 +90,13 @@
 }
 
 // HandleHeartbeat handles a heartbeat of the worker. It returns after the state is
-// updated.
+// updated. A heartbeat that describes no worker changes nothing and fails with
+// ErrBadHeartbeat.
 func (r *Relay) HandleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
+	if err := heartbeat.Check(time.Now()); err != nil {
+		klog.InfoS("relay: heartbeat ignored", "worker", heartbeat.Worker.GetId(), "sequence", heartbeat.Sequence, "err", err)
+		return err
+	}
 	err := r.stateOwner.Do(ctx, func(s *state) { s.applyHeartbeat(heartbeat) })
 	if err != nil {
 		return fmt.Errorf("handling heartbeat of worker %s: %w", heartbeat.Worker.GetId(), err)
@@ -145,6 +150,11 @@
 		klog.InfoS("relay: worker drains", "worker", heartbeat.Worker.GetId(), "draining", heartbeat.Worker.GetDraining(), "remaining_ms", heartbeat.Worker.GetRemainingMs())
 		s.requestReport()
 	}
+	if sameProcess && amountsOf(s.worker) != amountsOf(heartbeat.Worker) {
+		klog.InfoS("relay: capacity changed", "worker", heartbeat.Worker.GetId(), "cpu", heartbeat.Worker.GetCpu(), "memory_mb", heartbeat.Worker.GetMemoryMb(),
+			"accelerators", heartbeat.Worker.GetAccelerators(), "old", amountsOf(s.worker))
+		s.requestReport()
+	}
 	leaving := sameProcess && s.leaveAnnounced
 	if sameProcess && s.worker.GetGone() && !leaving {
 		klog.InfoS("relay: heartbeat of a worker that was assumed to have ended", "worker", heartbeat.Worker.GetId(), "sequence", heartbeat.Sequence)
@@ -157,6 +167,11 @@
 	}
 }
 
+// amountsOf returns the capacity of a worker: processor, memory and accelerators.
+func amountsOf(w *flow.Worker) [3]int64 {
+	return [3]int64{w.GetCpu(), w.GetMemoryMb(), w.GetAccelerators()}
+}
+
 // dispatch sends the calls to the worker that are due. It runs after each batch of
 // events.
 func (r *Relay) dispatch(s *state) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -238,7 +238,7 @@
 // heartbeat passes a heartbeat of the worker to the relay.
 func (f *relayFixture) heartbeat(t *testing.T, sequence int64, draining bool) {
 	t.Helper()
-	message := Heartbeat{Worker: &flow.Worker{Id: "w1", BornMs: 100, Draining: draining}, Clock: time.Second, Sequence: sequence}
+	message := Heartbeat{Worker: &flow.Worker{Service: "care", Id: "w1", BornMs: 100, Draining: draining}, Clock: time.Second, Sequence: sequence}
 	if err := f.relay.HandleHeartbeat(t.Context(), message); err != nil {
 		t.Fatal(err)
 	}
@@ -395,7 +395,7 @@
 // the present process.
 func TestLateHeartbeatOfEarlierProcessIsIgnored(t *testing.T) {
 	withRelay(t, func(t *testing.T, f *relayFixture) {
-		old := Heartbeat{Worker: &flow.Worker{Id: "w0", BornMs: 50}, Sequence: 99}
+		old := Heartbeat{Worker: &flow.Worker{Service: "care", Id: "w0", BornMs: 50}, Sequence: 99}
 		if err := f.relay.HandleHeartbeat(t.Context(), old); err != nil {
 			t.Fatal(err)
 		}
