--- a/blame/blame.go
+++ b/blame/blame.go
@@ -40,17 +40,24 @@
 
 // Judge returns what a crash says about the runs that were on the worker. The last
 // start explains it best, above all one that did so before, and then a run that was on
-// another worker which crashed after a similar time. All other runs are bystanders. If
-// there is no such run, any may be the cause. The runs of one job count as one cause.
+// another worker which crashed after a similar time. Of several such runs those count
+// that did so most often, and all others are bystanders. If there is no such run, any
+// may be the cause. The runs of one job count as one cause.
 func Judge[K comparable](runs []Run[K]) Verdict {
 	youngest := youngestAge(runs)
-	fresh := func(r Run[K]) bool { return r.young() && r.Age <= youngest+sameTime }
-	causes := []func(Run[K]) bool{
-		func(r Run[K]) bool { return r.young() && r.repeats() },
-		fresh,
-		func(r Run[K]) bool { return r.repeats() },
+	kinds := []func(Run[K]) bool{
+		func(r Run[K]) bool { return r.young() && r.repeats() > 0 },
+		func(r Run[K]) bool { return r.young() && r.Age <= youngest+sameTime },
+		func(r Run[K]) bool { return r.repeats() > 0 },
 	}
-	for _, isCause := range causes {
+	for _, isKind := range kinds {
+		most := 0
+		for _, r := range runs {
+			if isKind(r) {
+				most = max(most, r.repeats())
+			}
+		}
+		isCause := func(r Run[K]) bool { return isKind(r) && r.repeats() == most }
 		if jobs := countJobs(runs, isCause); jobs > 0 {
 			found := flow.Suspicion_PROBABLE
 			if jobs > 1 {
@@ -97,15 +104,16 @@
 
 func (r Run[K]) young() bool { return r.Age != UnknownAge && r.Age <= YoungAge }
 
-// repeats reports whether an earlier worker crashed when the unit had been on it for
+// repeats returns how many earlier workers crashed when the unit had been on them for
 // a similar time.
-func (r Run[K]) repeats() bool {
+func (r Run[K]) repeats() int {
+	n := 0
 	for _, earlier := range r.Earlier {
 		if SimilarAges(r.Age, earlier) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // SimilarAges reports whether two ages differ by at most YoungAge or a quarter. The
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -28,6 +28,8 @@
 		{"fresh starts of one job", runs{{Job: "a", Age: 0}, {Job: "a", Age: 20 * time.Millisecond}, {Job: "old", Age: 5 * time.Second}}, []flow.Suspicion{probable, probable, bystander}, true},
 		{"a fresh start that crashed a worker before, beside another", runs{{Job: "a", Age: 10 * time.Millisecond, Earlier: ages{12 * time.Millisecond}}, {Job: "b", Age: 0}}, []flow.Suspicion{probable, bystander}, true},
 		{"a start too long before", runs{{Job: "a", Age: 900 * time.Millisecond}, {Job: "b", Age: 2 * time.Second}}, []flow.Suspicion{possible, possible}, false},
+		{"two that were fresh in crashes before, one more often", runs{{Job: "a", Age: 0, Earlier: ages{0, 10 * time.Millisecond}}, {Job: "b", Age: 0, Earlier: ages{0}}}, []flow.Suspicion{probable, bystander}, true},
+		{"two that were fresh in as many crashes", runs{{Job: "a", Age: 0, Earlier: ages{0}}, {Job: "b", Age: 0, Earlier: ages{0}}}, []flow.Suspicion{possible, possible}, true},
 		{"only old runs", runs{{Job: "a", Age: 4 * time.Second}, {Job: "b", Age: 9 * time.Second}}, []flow.Suspicion{possible, possible}, false},
 		{"one old run", runs{{Job: "a", Age: 4 * time.Second}}, []flow.Suspicion{possible}, false},
 		{"an old run at the age of its first crash", runs{{Job: "a", Age: 4 * time.Second, Earlier: ages{5 * time.Second}}, {Job: "b", Age: 9 * time.Second}}, []flow.Suspicion{probable, bystander}, true},
--- a/graph/crash.go
+++ b/graph/crash.go
@@ -15,8 +15,8 @@
 	maxProbableCrashes = 2
 	// maxPossibleCrashes is that of crashes that it possibly or probably caused.
 	maxPossibleCrashes = 4
-	// maxCrashes is that of all crashes that its tasks were in, without the outages
-	// that came long after a start. After three a task may be started twice more.
+	// maxCrashes is that of these and of outages shortly after a start. After three
+	// crashes that it caused a task may be started twice more.
 	maxCrashes = 5
 	// isolatedAfterCrashes is the number of crashes, other than outages, after which
 	// a unit gets workers of its own whatever it is suspected of.
@@ -185,12 +185,12 @@
 	return false
 }
 
-// countRelevant returns how many of the crashes are no outage or shortly followed the
-// start of the run.
+// countRelevant returns how many of the crashes the unit possibly or probably caused,
+// or were outages shortly after the start of the run.
 func countRelevant(crashes []Crash) int {
-	n := 0
+	_, n, _ := countSuspicions(crashes)
 	for _, c := range crashes {
-		if c.Suspicion != flow.Suspicion_OUTAGE || c.young() {
+		if c.Suspicion == flow.Suspicion_OUTAGE && c.young() {
 			n++
 		}
 	}
