--- a/graph/job.go
+++ b/graph/job.go
@@ -388,6 +388,17 @@
 	return true
 }
 
+// EndReason says why the job has ended, for the log.
+func (j *Job) EndReason() string {
+	switch {
+	case j.Phase == flow.Phase_FAILED && !j.attemptsExhausted():
+		return "crashes"
+	case j.Phase == flow.Phase_FAILED:
+		return "failures"
+	}
+	return ""
+}
+
 // attemptsExhausted reports whether a task that is not done has failed as often as
 // the job allows.
 func (j *Job) attemptsExhausted() bool {
