relay, duty, blame: the age of a run counts from the worker's answer, outages from the break

The relay now counts the age from the worker's answer to the start, a start explains a crash for 0.4 s, and only crashes within 0.3 s of each other are an outage: what a relay reports is when the connection broke.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -9,7 +9,7 @@
 
 const (
 	// YoungAge is the age up to which the start of a run is taken to explain a crash.
-	YoungAge = 250 * time.Millisecond
+	YoungAge = 400 * time.Millisecond
 	// sameTime is the difference of two ages up to which neither of two starts
 	// explains a crash better than the other.
 	sameTime = 150 * time.Millisecond
--- a/duty/crash.go
+++ b/duty/crash.go
@@ -16,8 +16,9 @@
 
 const (
 	// outageWindow is the time between two crashes that may have the same outside
-	// cause. Relays notice a crash within half of it.
-	outageWindow = time.Second
+	// cause. Relays report when a connection to the worker broke, not when they were
+	// sure of its end.
+	outageWindow = 300 * time.Millisecond
 	// crashMemory is how long a crash is kept for comparison with later ones.
 	crashMemory = 30 * time.Second
 )
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -56,16 +56,16 @@
 	var runs []*flow.CrashedRun
 	add := func(key runKey) {
 		age := int64(-1)
-		if sentAt, ok := s.startSentAt[key]; ok {
-			age = max(0, at-sentAt).Milliseconds()
+		if since, ok := s.startedSince[key]; ok {
+			age = max(0, at-since).Milliseconds()
 		}
 		runs = append(runs, &flow.CrashedRun{Task: key.task, Run: key.run, AgeMs: age})
 	}
 	for key := range s.running {
 		add(key)
 	}
-	for key, sentAt := range s.startSentAt {
-		if s.running[key] == nil && sentAt <= at {
+	for key, since := range s.startedSince {
+		if s.running[key] == nil && since <= at {
 			add(key)
 		}
 	}
@@ -75,15 +75,14 @@
 	return runs
 }
 
-// forgetStart forgets when the start of a run was sent, as the run has ended or can
-// no longer start.
-func (s *state) forgetStart(key runKey) { delete(s.startSentAt, key) }
+// forgetStart forgets when a run started, as it has ended or can no longer start.
+func (s *state) forgetStart(key runKey) { delete(s.startedSince, key) }
 
 // forgetOldStarts forgets starts whose run is not on the worker and can no longer
 // come to be there.
 func (s *state) forgetOldStarts(now time.Duration) {
-	for key, sentAt := range s.startSentAt {
-		if s.running[key] == nil && s.starts[key] == nil && s.stops[key] == nil && now-sentAt > lateStartTime {
+	for key, since := range s.startedSince {
+		if s.running[key] == nil && s.starts[key] == nil && s.stops[key] == nil && now-since > lateStartTime {
 			s.forgetStart(key)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -270,8 +270,8 @@
 // sendStart sends a start to the worker in the background.
 func (r *Relay) sendStart(s *state, key runKey, st *start) {
 	st.phase, st.tries = startSending, st.tries+1
-	if _, ok := s.startSentAt[key]; !ok {
-		s.startSentAt[key] = clock.Monotonic()
+	if _, ok := s.startedSince[key]; !ok {
+		s.startedSince[key] = clock.Monotonic()
 	}
 	call, order, worker := s.newCall(), st.order, s.worker
 	go func() {
@@ -302,6 +302,9 @@
 	case err != nil || answer == AnswerFenced:
 		delete(s.starts, key)
 	case answer == AnswerStarted:
+		if !s.hasEnded(key) {
+			s.startedSince[key] = clock.Monotonic()
+		}
 		if s.starts[key] == st && st.phase == startPending {
 			delete(s.starts, key)
 		}
--- a/relay/state.go
+++ b/relay/state.go
@@ -55,13 +55,14 @@
 	listed        bool // a hold was answered, so running and ends are complete for this worker and epoch
 	running       map[runKey]*flow.Run
 	startedAtHold map[runKey]int64 // runs known from the answer to their start, with the last hold sent before it
-	// startSentAt is when the first call to start a run was sent, on the relay's clock,
-	// of the runs that are on the worker or may still start there.
-	startSentAt map[runKey]time.Duration
-	ends        map[int64]*flow.End // by number, until the scheduler has stored them
-	refusals    map[runKey]string   // reasons, of runs that will never start
-	starts      map[runKey]*start
-	stops       map[runKey]*stop
+	// startedSince is when the worker confirmed the start of a run or, without an
+	// answer, when the first call was sent, on the relay's clock. It has the runs that
+	// are on the worker or may still start there.
+	startedSince map[runKey]time.Duration
+	ends         map[int64]*flow.End // by number, until the scheduler has stored them
+	refusals     map[runKey]string   // reasons, of runs that will never start
+	starts       map[runKey]*start
+	stops        map[runKey]*stop
 
 	crashes   []crash // not stored by a scheduler yet, oldest first
 	lastCrash int64   // number of the last crash
@@ -106,7 +107,7 @@
 	s.listed = false
 	s.running = map[runKey]*flow.Run{}
 	s.startedAtHold = map[runKey]int64{}
-	s.startSentAt = map[runKey]time.Duration{}
+	s.startedSince = map[runKey]time.Duration{}
 	s.ends = map[int64]*flow.End{}
 	s.refusals = map[runKey]string{}
 	s.starts = map[runKey]*start{}
