--- a/duty/crash_test.go
+++ b/duty/crash_test.go
@@ -238,3 +238,32 @@
 		}
 	})
 }
+
+// While a suspect may still crash its worker, nothing else starts there.
+func TestNothingStartsBesideSuspectOnProbation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.submit(simpleJob(jobID, 1), time.Minute)
+		suspect := f.state.jobs[jobID].graph
+		suspect.AddCrash(graph.Ref{}, graph.Crash{Run: 1, Age: 10 * time.Millisecond, UnixMS: 1, Suspicion: flow.Suspicion_PROBABLE})
+		f.run(200 * time.Millisecond)
+		f.submit(simpleJob(jobNumber(1), 14), time.Minute)
+		f.run(300 * time.Millisecond)
+		beside := func() int {
+			n := 0
+			for _, task := range f.state.jobs[jobNumber(1)].graph.Active() {
+				if task.Place == suspect.Active()[0].Place {
+					n++
+				}
+			}
+			return n
+		}
+		if n := beside(); n > 0 || len(suspect.Active()) != 1 {
+			t.Errorf("%d tasks start beside the suspect, which has %d runs", n, len(suspect.Active()))
+		}
+		f.run(5 * time.Second)
+		if n := beside(); n == 0 {
+			t.Error("no task starts beside the suspect after its probation")
+		}
+	})
+}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -105,3 +105,21 @@
 		}
 	})
 }
+
+// A worker may be back before a call has found nothing at its address.
+func TestRestartAtOnceIsACrash(t *testing.T) {
+	withRelay(t, func(t *testing.T, f *relayFixture) {
+		f.scheduler.setOrders(orderStart)
+		time.Sleep(time.Second)
+		f.worker.withLock(func() { f.worker.born, f.worker.running = 200, map[string]*flow.Run{} })
+		newer := Heartbeat{Worker: &flow.Worker{Service: "care", Id: "w1", BornMs: 200}, Clock: time.Second, Sequence: 1}
+		if err := f.relay.HandleHeartbeat(t.Context(), newer); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		crashes := f.scheduler.lastReport().GetCrashes()
+		if len(crashes) != 1 || crashes[0].GetWorkerBornMs() != 100 || len(crashes[0].GetRuns()) != 1 {
+			t.Errorf("crashes: %v; want one of the process before, with one run", crashes)
+		}
+	})
+}
