--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -36,13 +36,15 @@
 
 // step and job are a job as consumers hand it in.
 type step struct {
-	Count       int   `json:"count"`
-	CPU         int64 `json:"cpu"`
-	Mem         int64 `json:"mem_mb"`
-	GPU         int64 `json:"gpu"`
-	EstimateMS  int64 `json:"estimate_ms"`
-	Gang        bool  `json:"gang,omitempty"`
-	LongRunning bool  `json:"long_running,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int64  `json:"cpu"`
+	Mem          int64  `json:"mem_mb"`
+	GPU          int64  `json:"gpu"`
+	EstimateMS   int64  `json:"estimate_ms"`
+	Gang         bool   `json:"gang,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	MaxPerServer int    `json:"max_per_server,omitempty"`
+	Image        string `json:"image,omitempty"`
 }
 
 type job struct {
