relay, duty: TestShrunkCapacityIsReportedAtOnce is no longer misled by overtaken reports

What was seen: the test failed by chance, 929 of 2,000 runs on ("reported processor 0; want 500").

Cause: the test, not the relay. A heartbeat with another capacity has a report sent at once, beside one that is due at the same instant. Each is sent by a goroutine of its own, so that the later one may arrive first. A trace of 12 runs shows in each failing one report 24 with 500, then report 23 with 0; the fake scheduler kept whichever came last.

The scheduler takes no report with a lower sequence than the last (duty.applyReport). No test showed that: TestOvertakenReportChangesNothing does now, and fails without the check. The fake scheduler ignores overtaken reports as the scheduler does; what the test asks for, and when, is unchanged.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -469,3 +469,24 @@
 		}
 	})
 }
+
+// Reports are sent side by side and may overtake each other. An overtaken report must
+// not bring back what it says of the worker or of its runs.
+func TestOvertakenReportChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, fakekv.New(), 1)
+		b.report(idleReport(1, 1, 1))
+		shrunk := idleReport(1, 3, 1)
+		shrunk.Worker.Cpu = 500
+		b.report(shrunk)
+		b.report(idleReport(1, 2, 1))
+		err := b.scheduler.stateOwner.Do(t.Context(), func(st *state) {
+			if got := st.workers[shrunk.GetRelay()].info.GetCpu(); got != 500 {
+				t.Errorf("processor %d after an overtaken report; want 500", got)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -157,7 +157,8 @@
 	return lists, nil
 }
 
-// fakeScheduler answers reports with its orders and keeps the last report.
+// fakeScheduler answers reports with its orders and keeps the latest report. As the
+// scheduler does, it ignores a report that a later one has overtaken.
 type fakeScheduler struct {
 	mu       sync.Mutex
 	orders   *flow.Orders
@@ -172,7 +173,9 @@
 		f.mu.Unlock()
 		return nil, errors.New("not the holder")
 	}
-	f.received = r
+	if r.GetSequence() > f.received.GetSequence() {
+		f.received = r
+	}
 	orders := f.orders
 	f.mu.Unlock()
 	timer := time.NewTimer(100 * time.Millisecond)
