relay, platform: a refused stop is not carried out; answers tell done, nothing done and not known apart

Cause: each call to the worker gave a reason and an error, and handleStopAnswer took every reason but a stale epoch for success. After a 503 the worker has done nothing; the run was reported as one that can never start, and a stop of a running task was never sent again.

Fix: relay.Answer says what a call did: carried out, nothing done, or not known. Its zero value and each answer that the protocol does not name are not known. Only a stop that was carried out settles a run; any other is sent again. After a stale epoch nothing is sent until the next one. The same class elsewhere: a stop answered by another process or with a stale epoch was dropped, a late answer of an earlier epoch could add a stop, an unknown reason of a 409 counted as a rejection.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,8 @@
 	unstoredEndsHoldPause = 100 * time.Millisecond
 	// callRetryDelay is the pause after a failed call to the worker.
 	callRetryDelay = 300 * time.Millisecond
+	// stopRetryDelay is the pause after a stop that the worker has rejected.
+	stopRetryDelay = 100 * time.Millisecond
 	// connRefusedDelay is the pause after a call whose connection was refused. If the
 	// next connection is refused too, the worker's process has ended.
 	connRefusedDelay = 100 * time.Millisecond
@@ -180,11 +182,15 @@
 		return
 	}
 	now := clock.Monotonic()
+	if s.epoch <= s.fencedEpoch {
+		r.wakeReporter(s) // the worker rejects all calls until there is a new epoch
+		return
+	}
 	for key, st := range s.starts {
 		r.dispatchStart(s, key, st, now)
 	}
 	for key, st := range s.stops {
-		if !st.sending && st.answeredAtHold == 0 && now >= s.nextCallAt {
+		if !st.sending && st.answeredAtHold == 0 && now >= max(s.nextCallAt, st.nextTryAt) {
 			r.sendStop(s, key, st)
 		}
 	}
@@ -237,16 +243,24 @@
 	return s.maxDeadlineSent
 }
 
-// recordCallResult records whether a call to the worker succeeded. The worker is
+// recordCallResult records whether the worker answered a call of an epoch. The worker is
 // considered to have ended once its address has refused connections for
 // connRefusedDelay.
-func (s *state) recordCallResult(now time.Duration, err error) {
+func (s *state) recordCallResult(now time.Duration, epoch int64, answer Answer) {
+	err := answer.Err()
 	ok := err == nil
+	if answer.Fenced() && epoch > s.fencedEpoch {
+		klog.InfoS("relay: worker has received a higher epoch", "worker", s.worker.GetId(), "epoch", epoch)
+		s.fencedEpoch = epoch
+	}
 	if ok == s.unreachable {
 		klog.InfoS("relay: worker answers", "worker", s.worker.GetId(), "answers", ok, "err", err)
 		s.unreachableSince = now
 	}
-	s.unreachable, s.deadlineUnconfirmed = !ok, !ok
+	s.unreachable = !ok
+	if answer.Effect() != EffectNone || !ok {
+		s.deadlineUnconfirmed = !ok
+	}
 	if !errors.Is(err, ErrNoWorker) {
 		s.connRefusedSince = 0
 		if !ok {
@@ -277,31 +291,29 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
-		answer, err := guardedCall("start", func() (string, error) { return r.opts.Worker.Start(ctx, call, order) })
+		answer := guardedCall("start", func() Answer { return r.opts.Worker.Start(ctx, call, order) })
 		r.stateOwner.Post(func(s *state) {
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
-				s.handleStartAnswer(key, st, answer, err)
+				s.handleStartAnswer(key, st, call.Epoch, answer)
 			}
 		})
 	}()
 }
 
-// handleStartAnswer updates the state from the answer to a start.
-func (s *state) handleStartAnswer(key runKey, st *start, answer string, err error) {
-	if st.reachedWorker = st.reachedWorker || !errors.Is(err, ErrNoWorker); !st.reachedWorker {
+// handleStartAnswer updates the state from the answer to a start that was sent under an
+// epoch. A start stays open, and is sent again or revoked by a stop, until it is certain
+// that the run has started or never will.
+func (s *state) handleStartAnswer(key runKey, st *start, epoch int64, answer Answer) {
+	if st.reachedWorker = st.reachedWorker || !errors.Is(answer.Err(), ErrNoWorker); !st.reachedWorker {
 		s.forgetStart(key)
 	}
-	s.recordCallResult(clock.Monotonic(), err)
+	s.recordCallResult(clock.Monotonic(), epoch, answer)
 	if st.phase == startSending {
 		st.phase = startPending
 	}
-	klog.InfoS("relay: start", "task", key.task, "run", key.run, "epoch", s.epoch, "try", st.tries, "answer", answer, "err", err)
-	switch {
-	case err != nil && !errors.Is(err, ErrOtherWorker):
-		return // the start is sent again, or revoked by a stop
-	case err != nil || answer == AnswerFenced:
-		delete(s.starts, key)
-	case answer == AnswerStarted:
+	klog.InfoS("relay: start", "task", key.task, "run", key.run, "epoch", epoch, "try", st.tries, "answer", answer)
+	switch answer.Effect() {
+	case EffectDone:
 		if !s.hasEnded(key) {
 			s.startedSince[key] = clock.Monotonic()
 		}
@@ -314,8 +326,12 @@
 			s.listClock = 0 // the last list is older than the run
 		}
 		s.requestReport()
-	case st.phase == startPending:
-		s.revokeStart(key, st, answer)
+	case EffectNone:
+		// An earlier try may still be carried out, so that only a stop ends the start.
+		if s.starts[key] == st && st.phase == startPending && answer.Err() == nil && !answer.Fenced() {
+			s.revokeStart(key, st, answer.Reason())
+		}
+	case EffectUnknown:
 	}
 }
 
@@ -328,30 +344,34 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
-		answer, err := guardedCall("stop", func() (string, error) { return r.opts.Worker.Stop(ctx, call, st.order) })
+		answer := guardedCall("stop", func() Answer { return r.opts.Worker.Stop(ctx, call, st.order) })
 		r.stateOwner.Post(func(s *state) {
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
-				s.handleStopAnswer(key, st, answer, err)
+				s.handleStopAnswer(key, st, call.Epoch, answer)
 			}
 		})
 	}()
 }
 
-// handleStopAnswer updates the state from the answer to a stop.
-func (s *state) handleStopAnswer(key runKey, st *stop, answer string, err error) {
-	s.recordCallResult(clock.Monotonic(), err)
+// handleStopAnswer updates the state from the answer to a stop that was sent under an
+// epoch. Only a worker that has carried out the stop rejects the run from then on; until
+// it says so, the stop is sent again.
+func (s *state) handleStopAnswer(key runKey, st *stop, epoch int64, answer Answer) {
+	now := clock.Monotonic()
+	s.recordCallResult(now, epoch, answer)
 	st.sending = false
-	klog.InfoS("relay: stop", "task", key.task, "run", key.run, "epoch", s.epoch, "answer", answer, "err", err)
-	switch {
-	case err != nil && !errors.Is(err, ErrOtherWorker):
-		return
-	case err != nil || answer == AnswerFenced:
-		delete(s.stops, key)
-	default:
+	if text := answer.String(); text != st.lastAnswer {
+		klog.InfoS("relay: stop", "task", key.task, "run", key.run, "epoch", epoch, "answer", text, "last", st.lastAnswer)
+		st.lastAnswer = text
+	}
+	switch answer.Effect() {
+	case EffectDone:
 		st.answeredAtHold = s.lastHoldSent
 		if st.answeredAtHold == 0 {
 			st.answeredAtHold = 1 // 0 would mean that the stop is not answered
 		}
+	case EffectNone, EffectUnknown:
+		st.nextTryAt = now + stopRetryDelay
 	}
 }
 
@@ -383,33 +403,42 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout+wait)
 		defer cancel()
-		lists, err := guardedCall("hold", func() (RunLists, error) { return r.opts.Worker.Hold(ctx, call, observed, wait) })
+		var lists RunLists
+		answer := guardedCall("hold", func() (answer Answer) {
+			lists, answer = r.opts.Worker.Hold(ctx, call, observed, wait)
+			return answer
+		})
 		r.stateOwner.Post(func(s *state) {
 			s.holdPending = false
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() && s.epoch == call.Epoch {
-				s.handleHoldAnswer(lists, holdNumber, observed, err)
+				s.handleHoldAnswer(lists, holdNumber, observed, answer)
 			}
 		})
 	}()
 }
 
-// guardedCall calls f and turns a panic into an error. what names the call in the log.
-func guardedCall[T any](what string, f func() (T, error)) (answer T, err error) {
-	err = guard.Call(what, func() error {
-		answer, err = f()
-		return err
-	})
-	return answer, err
+// guardedCall calls the worker by f. The outcome is not known if f panics. what names the
+// call in the log.
+func guardedCall(what string, f func() Answer) (answer Answer) {
+	if err := guard.Run(what, func() { answer = f() }); err != nil {
+		return Unknown(err)
+	}
+	return answer
 }
 
-// handleHoldAnswer updates the state from the answer to a hold.
-func (s *state) handleHoldAnswer(lists RunLists, holdNumber, observed int64, err error) {
+// handleHoldAnswer updates the state from the answer to a hold. A rejected hold has not
+// renewed the lease and shows no lists, so that it counts as one without an answer.
+func (s *state) handleHoldAnswer(lists RunLists, holdNumber, observed int64, answer Answer) {
 	now := clock.Monotonic()
-	if err == nil && lists.Born != 0 && s.worker.GetBornMs() != 0 && lists.Born != s.worker.GetBornMs() {
-		err = ErrOtherWorker
+	if answer.Effect() == EffectDone && lists.Born != 0 && s.worker.GetBornMs() != 0 && lists.Born != s.worker.GetBornMs() {
+		answer = NotReached(ErrOtherWorker)
 	}
-	s.recordCallResult(now, err)
-	if err != nil {
+	fenced := answer.Fenced()
+	if answer.Effect() == EffectNone && answer.Err() == nil && !fenced {
+		answer = Unknown(Error.New("hold rejected: %s", answer.Reason()))
+	}
+	s.recordCallResult(now, s.epoch, answer)
+	if answer.Effect() != EffectDone {
 		return
 	}
 	s.setWorkerClock(lists.Clock, now)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -31,9 +31,12 @@
 	// that time.
 	startDelay time.Duration
 	refusal    string // if not empty, the reason with which starts are rejected
-	holdCount  int
-	starts     []string // tasks that were started
-	lastEnd    int64    // number of the last end
+	// stopAnswers are given to the next stops, which are not carried out.
+	stopAnswers []Answer
+	holdCount   int
+	calls       int
+	starts      []string // tasks that were started
+	lastEnd     int64    // number of the last end
 }
 
 func newFakeWorker() *fakeWorker {
@@ -42,67 +45,73 @@
 
 var errSilent = errors.New("no answer")
 
-// checkCall returns an error or a reason if a call is not carried out, and otherwise
-// applies its epoch and deadline. The caller holds w.mu.
-func (w *fakeWorker) checkCall(call Call) (string, error) {
+// checkCall applies the epoch and the deadline of a call, unless its answer is that the
+// call is not carried out. The caller holds w.mu.
+func (w *fakeWorker) checkCall(call Call) Answer {
+	w.calls++
 	if w.notListening {
-		return "", ErrNoWorker
+		return NotReached(ErrNoWorker)
 	}
 	if w.silent {
-		return "", errSilent
+		return Unknown(errSilent)
 	}
 	if call.Worker != w.id {
-		return "", ErrOtherWorker
+		return NotReached(ErrOtherWorker)
 	}
 	if call.Epoch < w.epoch {
-		return AnswerFenced, nil
+		return NothingDone(graph.RefusedStaleEpoch)
 	}
 	w.epoch = call.Epoch
 	w.deadline = max(w.deadline, call.Deadline)
-	return "", nil
+	return Done()
 }
 
-func (w *fakeWorker) Start(_ context.Context, call Call, s *flow.Start) (string, error) {
+func (w *fakeWorker) Start(_ context.Context, call Call, s *flow.Start) Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.startDelay > 0 {
 		time.AfterFunc(w.startDelay, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			_, _ = w.startRun(call, s) // nobody waits for the answer
+			w.startRun(call, s) // nobody waits for the answer
 		})
-		return "", errSilent
+		return Unknown(errSilent)
 	}
 	return w.startRun(call, s)
 }
 
 // startRun carries out a start. The caller holds w.mu.
-func (w *fakeWorker) startRun(call Call, s *flow.Start) (string, error) {
-	if answer, err := w.checkCall(call); err != nil || answer != "" {
-		return answer, err
+func (w *fakeWorker) startRun(call Call, s *flow.Start) Answer {
+	if answer := w.checkCall(call); answer != Done() {
+		return answer
 	}
 	if w.refusal != "" {
-		return w.refusal, nil
+		return NothingDone(w.refusal)
 	}
 	if s.GetRun() <= w.rejectedUpTo[s.GetTask()] {
-		return graph.RefusedStaleRun, nil
+		return NothingDone(graph.RefusedStaleRun)
 	}
 	w.starts = append(w.starts, s.GetTask())
 	w.running[s.GetTask()] = &flow.Run{Task: s.GetTask(), Run: s.GetRun()}
-	return AnswerStarted, nil
+	return Done()
 }
 
-func (w *fakeWorker) Stop(_ context.Context, call Call, s *flow.Stop) (string, error) {
+func (w *fakeWorker) Stop(_ context.Context, call Call, s *flow.Stop) Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if answer, err := w.checkCall(call); err != nil || answer != "" {
-		return answer, err
+	if len(w.stopAnswers) > 0 {
+		answer := w.stopAnswers[0]
+		w.stopAnswers = w.stopAnswers[1:]
+		return answer
+	}
+	if answer := w.checkCall(call); answer != Done() {
+		return answer
 	}
 	w.rejectedUpTo[s.GetTask()] = max(w.rejectedUpTo[s.GetTask()], s.GetRun())
 	if r := w.running[s.GetTask()]; r != nil && r.GetRun() == s.GetRun() {
 		w.endRun(s.GetTask(), "stopped")
 	}
-	return "", nil
+	return Done()
 }
 
 // withLock runs f while it holds w.mu.
@@ -121,19 +130,15 @@
 	w.ends = append(w.ends, &flow.End{Number: w.lastEnd, Task: task, Run: r.GetRun(), How: how})
 }
 
-func (w *fakeWorker) Hold(ctx context.Context, call Call, observed int64, wait time.Duration) (RunLists, error) {
+func (w *fakeWorker) Hold(ctx context.Context, call Call, observed int64, wait time.Duration) (RunLists, Answer) {
 	w.mu.Lock()
-	answer, err := w.checkCall(call)
+	answer := w.checkCall(call)
 	w.mu.Unlock()
-	if errors.Is(err, ErrNoWorker) {
-		return RunLists{}, err
-	}
-	if err != nil {
+	if answer.Effect() == EffectUnknown {
 		<-ctx.Done() // a silent worker does not answer
-		return RunLists{}, err
 	}
-	if answer != "" {
-		return RunLists{}, errors.New(answer)
+	if answer != Done() {
+		return RunLists{}, answer
 	}
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		w.mu.Lock()
@@ -154,7 +159,7 @@
 		lists.Running = append(lists.Running, r)
 	}
 	lists.Ends = append(lists.Ends, w.ends...)
-	return lists, nil
+	return lists, Done()
 }
 
 // fakeScheduler answers reports with its orders and keeps the latest report. As the
@@ -454,3 +459,79 @@
 		}
 	})
 }
+
+// notCarriedOut are answers after which the worker has done nothing, or may have.
+var notCarriedOut = []Answer{
+	NothingDone(graph.RefusedUnhealthy), NothingDone(graph.RefusedInvalid), NothingDone(graph.RefusedNoRoom),
+	NotReached(ErrOtherWorker), Unknown(errSilent),
+	{},
+}
+
+// A stop that is not carried out must be sent again, and the run not be reported as
+// refused before: its start, which had no answer, was carried out late beside the next
+// run of the task.
+func TestRefusedStopIsNotCarriedOut(t *testing.T) {
+	for _, answer := range notCarriedOut {
+		t.Run(answer.String(), func(t *testing.T) {
+			withRelay(t, func(t *testing.T, f *relayFixture) {
+				f.worker.withLock(func() { f.worker.startDelay, f.worker.stopAnswers = 8*time.Second, []Answer{answer, answer} })
+				f.scheduler.setOrders(orderStart)
+				time.Sleep(4 * time.Second)
+				if got := formatRefusals(f.scheduler.lastReport()); got != "a.0.0.0/unanswered " {
+					t.Errorf("refusals: %q; want the start given up", got)
+				}
+				time.Sleep(10 * time.Second)
+				f.worker.withLock(func() {
+					if len(f.worker.starts) != 0 {
+						t.Errorf("late starts were carried out: %v", f.worker.starts)
+					}
+				})
+			})
+		})
+	}
+}
+
+// A stop of a task that runs, such as that of a cancelled job, must be sent until the
+// worker carries it out: after one refusal the task ran on.
+func TestRefusedStopOfRunningTaskIsSentAgain(t *testing.T) {
+	for _, answer := range notCarriedOut {
+		t.Run(answer.String(), func(t *testing.T) {
+			withRelay(t, func(t *testing.T, f *relayFixture) {
+				f.scheduler.setOrders(orderStart)
+				time.Sleep(time.Second)
+				f.worker.withLock(func() { f.worker.stopAnswers = []Answer{answer, answer} })
+				f.scheduler.setOrders(func(o *flow.Orders) { o.Stops = []*flow.Stop{{Task: "a.0.0.0", Run: 1}} })
+				time.Sleep(2 * time.Second)
+				if r := f.scheduler.lastReport(); len(r.GetRunning()) != 0 || len(r.GetEnds()) != 1 {
+					t.Errorf("running %v, ends %v 2 s after the stop was ordered; want one end", r.GetRunning(), r.GetEnds())
+				}
+			})
+		})
+	}
+}
+
+// A worker that has received a higher epoch rejects all calls of this one: they must
+// not be repeated, and must be made again under the next epoch.
+func TestFencedEpochMakesNoMoreCalls(t *testing.T) {
+	withRelay(t, func(t *testing.T, f *relayFixture) {
+		f.scheduler.setOrders(orderStart)
+		time.Sleep(time.Second)
+		f.worker.withLock(func() { f.worker.epoch = 6 })
+		f.scheduler.setOrders(func(o *flow.Orders) { o.Stops = []*flow.Stop{{Task: "a.0.0.0", Run: 1}} })
+		time.Sleep(time.Second)
+		var before, after int
+		f.worker.withLock(func() { before = f.worker.calls })
+		time.Sleep(5 * time.Second)
+		f.worker.withLock(func() { after = f.worker.calls })
+		if after != before {
+			t.Errorf("%d calls in 5 s under an epoch that the worker rejects; want none", after-before)
+		}
+		f.scheduler.setOrders(func(o *flow.Orders) { o.Epoch, o.Stops = 7, []*flow.Stop{{Task: "a.0.0.0", Run: 1}} })
+		time.Sleep(3 * time.Second)
+		f.worker.withLock(func() {
+			if len(f.worker.running) != 0 {
+				t.Errorf("running under the next epoch: %v; want the run stopped", f.worker.running)
+			}
+		})
+	})
+}
--- a/relay/report.go
+++ b/relay/report.go
@@ -10,6 +10,7 @@
 
 	"catkinpoint/clock"
 	"catkinpoint/flow"
+	"catkinpoint/guard"
 )
 
 const (
@@ -126,7 +127,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		orders, err := guardedCall("report", func() (*flow.Orders, error) { return r.opts.SendReport(ctx, scheduler, report) })
+		var orders *flow.Orders
+		err := guard.Call("report", func() (err error) {
+			orders, err = r.opts.SendReport(ctx, scheduler, report)
+			return err
+		})
 		if err == nil {
 			r.gates.setAddresses(orders.GetGates())
 			r.stateOwner.Post(func(s *state) { s.applyOrders(orders, sentAt, workerSentAt) })
--- a/relay/state.go
+++ b/relay/state.go
@@ -39,9 +39,12 @@
 type stop struct {
 	order   *flow.Stop
 	sending bool // a call to the worker is pending
-	// answeredAtHold is the number of the last hold that was sent before the stop was
-	// answered. The answer to a later hold shows whether the run exists. 0 means that
-	// the stop is not answered.
+	// nextTryAt is the earliest time to send the stop again, on the relay's clock.
+	nextTryAt  time.Duration
+	lastAnswer string // to the last call, for the log
+	// answeredAtHold is the number of the last hold that was sent before the worker
+	// answered that it has carried out the stop. The answer to a later hold shows
+	// whether the run exists. 0 means that the stop is not carried out.
 	answeredAtHold int64
 }
 
@@ -52,7 +55,8 @@
 	heartbeatSeq  int64
 	retired       map[string]bool // earlier processes at this address, as <worker id>/<start time>
 	epoch         int64
-	listed        bool // a hold was answered, so running and ends are complete for this worker and epoch
+	fencedEpoch   int64 // the worker rejects calls of this epoch, and of lower ones
+	listed        bool  // a hold was answered, so running and ends are complete for this worker and epoch
 	running       map[runKey]*flow.Run
 	startedAtHold map[runKey]int64 // runs known from the answer to their start, with the last hold sent before it
 	// startedSince is when the worker confirmed the start of a run or, without an
@@ -112,7 +116,7 @@
 	s.refusals = map[runKey]string{}
 	s.starts = map[runKey]*start{}
 	s.stops = map[runKey]*stop{}
-	s.observed, s.observedSent = 0, 0
+	s.observed, s.observedSent, s.fencedEpoch = 0, 0, 0
 	s.leaseUntil, s.maxDeadlineSent, s.deadlineUnconfirmed = 0, 0, false
 }
 
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -18,7 +18,7 @@
 	key := runKey{task: "00000000000000aa.0.0.0", run: 1}
 	st := &start{order: &flow.Start{Task: key.task, Run: key.run}, phase: startSending}
 	s.starts[key] = st
-	s.handleStartAnswer(key, st, AnswerStarted, nil)
+	s.handleStartAnswer(key, st, 1, Done())
 	if r := s.report("r", "b", 4*time.Second); len(r.GetRunning()) != 1 || r.GetListClockMs() != 0 {
 		t.Errorf("runs %v with list clock %d ms; want one run and no list clock", r.GetRunning(), r.GetListClockMs())
 	}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -7,7 +7,6 @@
 	"github.com/zeebo/errs"
 
 	"catkinpoint/flow"
-	"catkinpoint/graph"
 )
 
 // Error is the class of all errors of this package.
@@ -20,15 +19,6 @@
 // on this machine, so its process has ended or does not listen yet.
 var ErrNoWorker = Error.New("nothing listens at the worker's address")
 
-// Answers of a worker to a call, in addition to the reasons of package graph.
-const (
-	// AnswerStarted means that the worker has started the run.
-	AnswerStarted = "started"
-	// AnswerFenced means that the worker rejected the call because it has received a
-	// higher epoch.
-	AnswerFenced = graph.RefusedStaleEpoch
-)
-
 // Call holds the fields that all calls to a worker have.
 type Call struct {
 	// Worker is the id of the process that must answer.
@@ -54,19 +44,17 @@
 	Ends []*flow.End
 }
 
-// Worker calls the worker. After an error that is neither ErrOtherWorker nor
-// ErrNoWorker it is not known whether the worker carried out the call or still will.
+// Worker calls the worker.
 type Worker interface {
-	// Start renews the task lease and starts a run. It returns AnswerStarted, or the
-	// reason if the worker rejects the run.
-	Start(ctx context.Context, call Call, start *flow.Start) (string, error)
-	// Stop ends a run, or makes the worker reject it for good if it does not run. It
-	// returns "", or the reason if the worker rejects the stop.
-	Stop(ctx context.Context, call Call, stop *flow.Stop) (string, error)
+	// Start renews the task lease and starts a run.
+	Start(ctx context.Context, call Call, start *flow.Start) Answer
+	// Stop ends a run, or makes the worker reject it for good if it does not run.
+	Stop(ctx context.Context, call Call, stop *flow.Stop) Answer
 	// Hold renews the task lease, makes the worker forget the ends up to the number
 	// observed, and returns the lists after wait, or earlier when a run ends. It
-	// returns the lists at once if there are other ends.
-	Hold(ctx context.Context, call Call, observed int64, wait time.Duration) (RunLists, error)
+	// returns the lists at once if there are other ends. Only the lists of a call that
+	// was carried out are valid.
+	Hold(ctx context.Context, call Call, observed int64, wait time.Duration) (RunLists, Answer)
 }
 
 // Heartbeat is one heartbeat of a worker.
--- a/stand/fakewk/worker.go
+++ b/stand/fakewk/worker.go
@@ -204,28 +204,28 @@
 }
 
 // acceptCall checks the worker and the epoch of a call, adopts the epoch and extends
-// the task lease to the call's deadline. It returns the reason if the epoch is
-// stale, and an error if the call does not reach this worker or gets no answer. The
-// caller holds the lock.
-func (w *Worker) acceptCall(call relay.Call) (string, error) {
+// the task lease to the call's deadline. Its answer is that the call is carried out, a
+// rejection, or that the call does not reach this worker or gets no answer. The caller
+// holds the lock.
+func (w *Worker) acceptCall(call relay.Call) relay.Answer {
 	switch {
 	case w.killed:
-		return "", relay.ErrNoWorker
+		return relay.NotReached(relay.ErrNoWorker)
 	case w.silent:
-		return "", ErrNoAnswer
+		return relay.Unknown(ErrNoAnswer)
 	case call.Worker != w.id:
-		return "", relay.ErrOtherWorker
+		return relay.NotReached(relay.ErrOtherWorker)
 	case call.Epoch < w.epoch:
-		return graph.RefusedStaleEpoch, nil
+		return relay.NothingDone(graph.RefusedStaleEpoch)
 	}
 	w.endDueRuns()
 	w.epoch = call.Epoch
 	w.deadline = max(w.deadline, call.Deadline)
-	return "", nil
+	return relay.Done()
 }
 
 // Start implements relay.Worker.
-func (w *Worker) Start(_ context.Context, call relay.Call, start *flow.Start) (string, error) {
+func (w *Worker) Start(_ context.Context, call relay.Call, start *flow.Start) relay.Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.startDelay == 0 || w.killed {
@@ -236,26 +236,25 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.born == born {
-			_, _ = w.startRun(call, start) // the caller has got ErrNoAnswer already
+			w.startRun(call, start) // the caller has got ErrNoAnswer already
 		}
 	})
-	return "", ErrNoAnswer
+	return relay.Unknown(ErrNoAnswer)
 }
 
-// startRun carries out a start. It returns relay.AnswerStarted or the reason of a
-// rejection. The caller holds the lock.
-func (w *Worker) startRun(call relay.Call, start *flow.Start) (string, error) {
-	if reason, err := w.acceptCall(call); err != nil || reason != "" {
-		return reason, err
+// startRun carries out a start. The caller holds the lock.
+func (w *Worker) startRun(call relay.Call, start *flow.Start) relay.Answer {
+	if answer := w.acceptCall(call); answer.Effect() != relay.EffectDone {
+		return answer
 	}
 	if r := w.running[start.GetTask()]; r != nil && r.Run == start.GetRun() {
-		return relay.AnswerStarted, nil
+		return relay.Done()
 	}
 	switch {
 	case start.GetRun() <= w.highestEnded[start.GetTask()] || w.running[start.GetTask()] != nil:
-		return graph.RefusedStaleRun, nil
+		return relay.NothingDone(graph.RefusedStaleRun)
 	case call.Deadline <= w.clock():
-		return graph.RefusedExpired, nil
+		return relay.NothingDone(graph.RefusedExpired)
 	}
 	r := &Run{Task: start.GetTask(), Run: start.GetRun(), Began: time.Now(), gangSize: gangSize(start.GetSpec())}
 	if r.gangSize > 0 {
@@ -263,50 +262,47 @@
 	}
 	w.running[start.GetTask()] = r
 	w.record = append(w.record, r)
-	return relay.AnswerStarted, nil
+	return relay.Done()
 }
 
 // Stop implements relay.Worker.
-func (w *Worker) Stop(_ context.Context, call relay.Call, stop *flow.Stop) (string, error) {
+func (w *Worker) Stop(_ context.Context, call relay.Call, stop *flow.Stop) relay.Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if reason, err := w.acceptCall(call); err != nil || reason != "" {
-		return reason, err
+	answer := w.acceptCall(call)
+	if answer.Effect() != relay.EffectDone {
+		return answer
 	}
 	w.highestEnded[stop.GetTask()] = max(w.highestEnded[stop.GetTask()], stop.GetRun())
 	if r := w.running[stop.GetTask()]; r != nil && r.Run == stop.GetRun() {
 		w.endRun(stop.GetTask(), graph.EndStopped, time.Now())
 	}
-	return "", nil
+	return answer
 }
 
 // Hold implements relay.Worker.
-func (w *Worker) Hold(ctx context.Context, call relay.Call, observed int64, wait time.Duration) (relay.RunLists, error) {
+func (w *Worker) Hold(ctx context.Context, call relay.Call, observed int64, wait time.Duration) (relay.RunLists, relay.Answer) {
 	until := time.Now().Add(wait)
 	for {
-		lists, hasEnds, err := w.runLists(call, observed)
-		if err != nil || hasEnds || !time.Now().Before(until) {
-			return lists, err
+		lists, answer := w.runLists(call, observed)
+		if answer.Effect() != relay.EffectDone || len(lists.Ends) > 0 || !time.Now().Before(until) {
+			return lists, answer
 		}
 		select {
 		case <-ctx.Done():
-			return relay.RunLists{}, Error.Wrap(ctx.Err())
+			return relay.RunLists{}, relay.Unknown(Error.Wrap(ctx.Err()))
 		case <-time.After(pollInterval):
 		}
 	}
 }
 
-// runLists forgets the ends that were observed and returns the lists. The second
-// result reports whether an end remains that was not observed.
-func (w *Worker) runLists(call relay.Call, observed int64) (relay.RunLists, bool, error) {
+// runLists forgets the ends that were observed and returns the lists.
+func (w *Worker) runLists(call relay.Call, observed int64) (relay.RunLists, relay.Answer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	reason, err := w.acceptCall(call)
-	if err != nil {
-		return relay.RunLists{}, false, err
-	}
-	if reason != "" {
-		return relay.RunLists{}, false, Error.New("hold refused: %s", reason)
+	answer := w.acceptCall(call)
+	if answer.Effect() != relay.EffectDone {
+		return relay.RunLists{}, answer
 	}
 	w.ends = slices.DeleteFunc(w.ends, func(e *flow.End) bool { return e.GetNumber() <= observed })
 	lists := relay.RunLists{Clock: w.clock(), Born: w.born, Ends: slices.Clone(w.ends)}
@@ -314,5 +310,5 @@
 		percent := int32(100 * time.Since(r.Began) / w.runTime)
 		lists.Running = append(lists.Running, &flow.Run{Task: r.Task, Run: r.Run, Percent: percent})
 	}
-	return lists, len(w.ends) > 0, nil
+	return lists, answer
 }
--- a/stand/fakewk/worker_test.go
+++ b/stand/fakewk/worker_test.go
@@ -1,7 +1,6 @@
 package fakewk
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -14,6 +13,8 @@
 
 const task = "a.0.0.0"
 
+var started = relay.Done()
+
 // startOf returns the start of a run of task.
 func startOf(run int64) *flow.Start { return &flow.Start{Task: task, Run: run} }
 
@@ -30,33 +31,33 @@
 		want []string
 	}{
 		{"a task ends when its time is over", func(t *testing.T, w *Worker) {
-			expectStart(t, w, call(1, 9*time.Second), startOf(1), relay.AnswerStarted)
+			expectStart(t, w, call(1, 9*time.Second), startOf(1), started)
 			time.Sleep(3 * time.Second)
 		}, []string{graph.EndDone}},
 		{"a run ends when the task lease expires", func(t *testing.T, w *Worker) {
-			expectStart(t, w, call(1, time.Second), startOf(1), relay.AnswerStarted)
+			expectStart(t, w, call(1, time.Second), startOf(1), started)
 			time.Sleep(3 * time.Second)
 		}, []string{graph.EndLeaseExpired}},
 		{"a start after its deadline is rejected", func(t *testing.T, w *Worker) {
 			time.Sleep(2 * time.Second)
-			expectStart(t, w, call(1, time.Second), startOf(1), graph.RefusedExpired)
+			expectStart(t, w, call(1, time.Second), startOf(1), relay.NothingDone(graph.RefusedExpired))
 		}, nil},
 		{"a call with a lower epoch is rejected", func(t *testing.T, w *Worker) {
-			expectStart(t, w, call(2, 9*time.Second), startOf(1), relay.AnswerStarted)
-			expectStart(t, w, call(1, 9*time.Second), startOf(2), graph.RefusedStaleEpoch)
+			expectStart(t, w, call(2, 9*time.Second), startOf(1), started)
+			expectStart(t, w, call(1, 9*time.Second), startOf(2), relay.NothingDone(graph.RefusedStaleEpoch))
 		}, []string{""}},
 		{"a run that was stopped before its start is rejected", func(t *testing.T, w *Worker) {
-			if reason, err := w.Stop(t.Context(), call(1, 0), &flow.Stop{Task: task, Run: 2}); reason != "" || err != nil {
-				t.Errorf("stop: %q, %v", reason, err)
+			if answer := w.Stop(t.Context(), call(1, 0), &flow.Stop{Task: task, Run: 2}); answer != relay.Done() {
+				t.Errorf("stop: %v", answer)
 			}
-			expectStart(t, w, call(1, 9*time.Second), startOf(1), graph.RefusedStaleRun)
-			expectStart(t, w, call(1, 9*time.Second), startOf(2), graph.RefusedStaleRun)
-			expectStart(t, w, call(1, 9*time.Second), startOf(3), relay.AnswerStarted)
+			expectStart(t, w, call(1, 9*time.Second), startOf(1), relay.NothingDone(graph.RefusedStaleRun))
+			expectStart(t, w, call(1, 9*time.Second), startOf(2), relay.NothingDone(graph.RefusedStaleRun))
+			expectStart(t, w, call(1, 9*time.Second), startOf(3), started)
 		}, []string{""}},
 		{"a delayed start has no effect on a new process", func(t *testing.T, w *Worker) {
 			w.SetStartDelay(2 * time.Second)
-			if _, err := w.Start(t.Context(), call(1, 9*time.Second), startOf(1)); !errors.Is(err, ErrNoAnswer) {
-				t.Errorf("delayed start: %v", err)
+			if answer := w.Start(t.Context(), call(1, 9*time.Second), startOf(1)); answer != relay.Unknown(ErrNoAnswer) {
+				t.Errorf("delayed start: %v", answer)
 			}
 			time.Sleep(time.Second)
 			w.CrashAndRestart()
@@ -64,8 +65,8 @@
 		}, nil},
 		{"a killed process starts nothing", func(t *testing.T, w *Worker) {
 			w.Kill()
-			if _, err := w.Start(t.Context(), call(1, 9*time.Second), startOf(1)); !errors.Is(err, relay.ErrNoWorker) {
-				t.Errorf("start: %v", err)
+			if answer := w.Start(t.Context(), call(1, 9*time.Second), startOf(1)); answer != relay.NotReached(relay.ErrNoWorker) {
+				t.Errorf("start: %v", answer)
 			}
 		}, nil},
 	}
@@ -89,10 +90,10 @@
 }
 
 // expectStart starts a run and checks the answer.
-func expectStart(t *testing.T, w *Worker, call relay.Call, start *flow.Start, want string) {
+func expectStart(t *testing.T, w *Worker, call relay.Call, start *flow.Start, want relay.Answer) {
 	t.Helper()
-	if got, err := w.Start(t.Context(), call, start); got != want || err != nil {
-		t.Errorf("start of run %d: %q, %v; want %q", start.GetRun(), got, err, want)
+	if got := w.Start(t.Context(), call, start); got != want {
+		t.Errorf("start of run %d: %v; want %v", start.GetRun(), got, want)
 	}
 }
 
@@ -102,19 +103,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := New(NewCoordinator(), "w", time.Second)
 		call := relay.Call{Worker: "w", Epoch: 1, Deadline: 20 * time.Second}
-		expectStart(t, w, call, startOf(1), relay.AnswerStarted)
+		expectStart(t, w, call, startOf(1), started)
 		began := time.Now()
 		for range 2 {
-			lists, err := w.Hold(t.Context(), call, 0, 5*time.Second)
-			if err != nil || len(lists.Ends) != 1 || len(lists.Running) != 0 {
-				t.Fatalf("lists: %+v, %v", lists, err)
+			lists, answer := w.Hold(t.Context(), call, 0, 5*time.Second)
+			if answer != relay.Done() || len(lists.Ends) != 1 || len(lists.Running) != 0 {
+				t.Fatalf("lists: %+v, %v", lists, answer)
 			}
 		}
 		if took := time.Since(began); took > 1100*time.Millisecond {
 			t.Errorf("the end was listed after %v", took)
 		}
-		if lists, err := w.Hold(t.Context(), call, 1, 0); err != nil || len(lists.Ends) != 0 {
-			t.Errorf("lists after the end was observed: %+v, %v", lists, err)
+		if lists, answer := w.Hold(t.Context(), call, 1, 0); answer != relay.Done() || len(lists.Ends) != 0 {
+			t.Errorf("lists after the end was observed: %+v, %v", lists, answer)
 		}
 	})
 }
@@ -134,8 +135,8 @@
 		{"one not started", 2, func(*testing.T, []*Worker, relay.Call) {}, graph.EndGangIncomplete, joinTimeout},
 		{"one stopped", 3, func(t *testing.T, workers []*Worker, call relay.Call) {
 			call.Worker = "w0"
-			if reason, err := workers[0].Stop(t.Context(), call, &flow.Stop{Task: "a.0.0.0", Run: 1}); reason != "" || err != nil {
-				t.Errorf("stop: %q, %v", reason, err)
+			if answer := workers[0].Stop(t.Context(), call, &flow.Stop{Task: "a.0.0.0", Run: 1}); answer != relay.Done() {
+				t.Errorf("stop: %v", answer)
 			}
 		}, graph.EndGangBroken, time.Second},
 		{"one crashed", 3, func(_ *testing.T, workers []*Worker, _ relay.Call) { workers[0].CrashAndRestart() }, graph.EndGangBroken, time.Second},
@@ -155,7 +156,7 @@
 						time.Sleep(time.Second)
 					}
 					call.Worker = fmt.Sprint("w", n)
-					expectStart(t, workers[n], call, &flow.Start{Task: fmt.Sprint("a.0.0.", n), Run: 1, Spec: GangSpec(3)}, relay.AnswerStarted)
+					expectStart(t, workers[n], call, &flow.Start{Task: fmt.Sprint("a.0.0.", n), Run: 1, Spec: GangSpec(3)}, started)
 				}
 				test.afterStarts(t, workers, call)
 				time.Sleep(10 * time.Second)
