duty: a new holder resumes the stops that follow from a job's records

What callers saw: the task of a job that was cancelled and is shown as cancelled ran on (UNASKED), when the duty moved before the stop was carried out.

Cause: that a run is to be stopped was in the holder's memory and was ordered when the job's phase changed, or when a member of its gang ended. The next holder reads records in which both have happened already. The same for failed jobs and broken gangs.

--- a/duty/records.go
+++ b/duty/records.go
@@ -99,6 +99,9 @@
 		}
 	}
 	st.loadedProgress, st.loadedCrashes, st.openCache = nil, nil, nil
+	for _, j := range st.openJobs() {
+		st.resumeStops(j)
+	}
 	st.planNeeded = true
 }
 
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -29,6 +29,22 @@
 	}
 }
 
+// resumeStops orders the stops that follow from a job's records. Its earlier holder may
+// have ordered them, but kept that in memory only: of the runs of a job that has ended or
+// was cancelled, and of the members of a gang that another member has broken.
+func (st *state) resumeStops(j *job) {
+	stops := 0
+	for _, t := range j.graph.Active() {
+		if !t.Done && (j.graph.Ended() || j.graph.Cancelled || j.graph.GangBroken(t.Ref, t.Run)) {
+			st.orderStop(j, t)
+			stops++
+		}
+	}
+	if stops > 0 {
+		klog.InfoS("duty: stops resumed", "job", j.graph.Spec.GetId(), "runs", stops, "phase", j.graph.Phase, "cancelled", j.graph.Cancelled)
+	}
+}
+
 // orderStop orders the worker of a task to stop its run.
 func (st *state) orderStop(j *job, t *graph.Task) {
 	r := j.runs[t.Ref]
--- a/graph/job.go
+++ b/graph/job.go
@@ -313,6 +313,15 @@
 	return true
 }
 
+// GangBroken reports whether a member of the task's gang has ended the given run without
+// being done, after which the other members cannot complete it.
+func (j *Job) GangBroken(ref Ref, run int64) bool {
+	return slices.ContainsFunc(j.Members(ref), func(member Ref) bool {
+		m := j.tasks[member]
+		return m != nil && m.Run == run && !m.Active() && !m.Done
+	})
+}
+
 // End records the end of a run with its last checkpoint, if any. The outcome is one
 // of the End constants or another reason, such as that of a refusal. Only EndDone
 // marks the task as done, and only EndFailed counts as a failure. End reports whether
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -535,3 +536,27 @@
 		})
 	})
 }
+
+// A start that is given up when the scheduler changes has no stop any more. It must not
+// be carried out late under the next epoch, which the worker has received by then.
+func TestGivenUpStartNeverRunsUnderNextEpoch(t *testing.T) {
+	withRelay(t, func(t *testing.T, f *relayFixture) {
+		f.worker.withLock(func() {
+			f.worker.startDelay = 8 * time.Second
+			f.worker.stopAnswers = slices.Repeat([]Answer{NothingDone(graph.RefusedUnhealthy)}, 100)
+		})
+		f.scheduler.setOrders(orderStart)
+		time.Sleep(2 * time.Second)
+		f.scheduler.setOrders(func(o *flow.Orders) { o.Epoch = 6 })
+		time.Sleep(time.Second)
+		if r := f.scheduler.lastReport(); r.GetEpoch() != 6 || !r.GetListed() || len(r.GetRunning()) != 0 {
+			t.Errorf("report under the next epoch: %v; want complete lists without a run", r)
+		}
+		time.Sleep(10 * time.Second)
+		f.worker.withLock(func() {
+			if len(f.worker.starts) != 0 {
+				t.Errorf("starts of the earlier epoch were carried out: %v", f.worker.starts)
+			}
+		})
+	})
+}
