duty: the wait of a unit does not begin anew with each holder

What callers saw: after a handover, a job that had waited for a rack, or for a worker that is not on trial, waited the whole time again.

Cause: a unit counted as ready since its scheduler first saw it.

Fix: units of a first step that have not run count from the job's acceptance or, if it is scheduled, from the due time. When later steps became ready is not stored; they count from the first sight, as before.

Evidence: duty TestWaitOfUnitSurvivesHandover failed for the first step and for an occurrence before (0 s; want 7 s and 4 s), and passes now.

--- a/duty/place.go
+++ b/duty/place.go
@@ -209,8 +209,8 @@
 	first := unit.Tasks[0]
 	since, ok := j.readySince[first]
 	if !ok {
-		since = now
-		j.readySince[first] = now
+		since = j.readyAt(unit, now)
+		j.readySince[first] = since
 	}
 	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
 	left := objective - (now - j.submitted)
@@ -226,6 +226,18 @@
 	}
 }
 
+// readyAt returns when a unit that this holder sees as ready for the first time became
+// ready, as far as the job's records tell: not for a later step or a task that has run,
+// which count from now.
+func (j *job) readyAt(unit graph.Unit, now time.Duration) time.Duration {
+	first := unit.Tasks[0]
+	if len(unit.Step.GetAfter()) > 0 || j.graph.Task(first) != nil {
+		return now
+	}
+	waited := time.Duration(time.Now().UnixMilli()-j.graph.DueUnixMS(first.Occurrence)) * time.Millisecond
+	return min(now, max(j.submitted, now-waited))
+}
+
 // failures returns the largest number of failures of any task of the unit, and the
 // places of the workers on which its tasks failed.
 func (j *job) failures(unit graph.Unit) (maxFailures int32, places []graph.Place) {
