duty: failures of tasks that last no longer ban all their workers

What callers saw: a job with tasks that last had no run for 12 s after its tasks had stopped failing, and four of its tasks none for 33 s, among sound and empty workers (LOST).

Cause: the tasks of a step fail on all their workers at once; each counted against its worker, all of which were on trial before a task had failed on a second one. Such tasks never end as done, which alone ended a trial early.

Fix: a step that lasts is at fault when its tasks fail on several workers and run soundly on none; a run that has been at work for 3 s proves its worker.

--- a/duty/job.go
+++ b/duty/job.go
@@ -27,6 +27,8 @@
 	moves int
 	// failedOn holds the workers on which a task has failed.
 	failedOn map[graph.Ref][]*worker
+	// lastingFailures has when tasks of a step that lasts last failed on each worker.
+	lastingFailures map[stepKey]map[*worker]time.Duration
 }
 
 // run is the last run of a task, with the state that the task's stored record does
@@ -35,6 +37,7 @@
 	run         int64 // number of the run
 	stored      bool  // the record with the run is committed, so it may be ordered
 	stopOrdered bool
+	proved      bool          // it lasts, and has shown that its worker is sound
 	knownSince  time.Duration // when this scheduler assigned or first saw the run
 	// begunAt is when the worker of the run, and those of all other members of its
 	// gang, had listed their runs for the first time, or 0.
--- a/duty/report.go
+++ b/duty/report.go
@@ -191,6 +191,10 @@
 	case graph.EndDone:
 		w.health.taskSucceeded()
 	case graph.EndFailed:
+		if j.graph.Step(ref).GetLongRunning() {
+			st.recordLastingFailure(w, j, ref, now)
+			return
+		}
 		taskAtFault := false
 		for _, other := range j.failedOn[ref] {
 			if other != w && !w.health.onTrial(now) {
@@ -244,6 +248,10 @@
 	}
 	known.updateProgress(r.GetPercent(), j.graph.MembersStarted(ref, t.Run), listed)
 	w.health.addSample(j, known, listed)
+	if !known.proved && j.graph.Step(ref).GetLongRunning() && known.provesWorker(listed.received) {
+		known.proved = true
+		w.health.taskSucceeded()
+	}
 	if r.GetCheckpoint() != "" {
 		known.checkpoint = r.GetCheckpoint()
 	}
