graph, duty: a job is queued until its first start

Cause: a job was RUNNING from the assignment of a run on, whatever became of the start.

Fix: it is RUNNING from the first start or end that a worker lists, and that is stored.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -490,3 +490,24 @@
 		}
 	})
 }
+
+// Gates count the jobs that have not begun by the stored phase. It must follow the first
+// start, not the assignment of a run.
+func TestStoredPhaseFollowsFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, fakekv.New(), 1)
+		orders, sequence := startJob(t, b, simpleJob(jobID, 1))
+		time.Sleep(time.Second)
+		if got := b.storedProgress(jobID).GetPhase(); got != flow.Phase_QUEUED {
+			t.Errorf("stored phase of a job with a run that has not started: %v; want QUEUED", got)
+		}
+		started := idleReport(1, sequence, 1)
+		started.OrdersVersion = orders.GetVersion()
+		started.Running = []*flow.Run{{Task: orders.GetStarts()[0].GetTask(), Run: 1}}
+		b.report(started)
+		time.Sleep(time.Second)
+		if got := b.storedProgress(jobID).GetPhase(); got != flow.Phase_RUNNING {
+			t.Errorf("stored phase of a job that has begun: %v; want RUNNING", got)
+		}
+	})
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -243,8 +243,12 @@
 		known = &run{run: t.Run, stored: true, knownSince: listed.received, expectedTime: declaredTime(j, ref)}
 		j.runs[ref] = known
 	}
+	phase := j.graph.Phase
 	if j.graph.MarkStarted(ref, t.Run) {
 		w.ordersChanged = true
+		if j.graph.Phase != phase {
+			st.markDirty(j) // gates count the jobs that have not begun
+		}
 	}
 	known.updateProgress(r.GetPercent(), j.graph.MembersStarted(ref, t.Run), listed)
 	w.health.addSample(j, known, listed)
--- a/graph/job.go
+++ b/graph/job.go
@@ -22,6 +22,9 @@
 	EndGangIncomplete = "alone"
 )
 
+// workerEnds are the ends that a worker lists, of runs that have started.
+var workerEnds = []string{EndDone, EndFailed, EndStopped, EndLeaseExpired, EndGangBroken, EndGangIncomplete}
+
 // Reasons for which the start of a run is refused.
 const (
 	// RefusedStaleEpoch means that the worker has seen a scheduler with a higher
@@ -285,20 +288,26 @@
 		}
 		t.Run, t.Place, t.Started, t.Checkpoint = run, places[i], false, checkpoint
 	}
+	return run
+}
+
+// markBegun moves a job that is queued to RUNNING, as a task has started.
+func (j *Job) markBegun() {
 	if j.Phase == flow.Phase_QUEUED {
 		j.Phase = flow.Phase_RUNNING
 	}
-	return run
 }
 
 // MarkStarted records that a worker has reported the run as started, and reports
-// whether that was not recorded before. It ignores runs that are not the task's last.
+// whether that was not recorded before. It ignores runs that are not the task's last. The
+// job is RUNNING from its first start on.
 func (j *Job) MarkStarted(ref Ref, run int64) bool {
 	t := j.tasks[ref]
 	if t == nil || t.Run != run || !t.Active() || t.Started {
 		return false
 	}
 	t.Started = true
+	j.markBegun()
 	return true
 }
 
@@ -333,6 +342,9 @@
 	}
 	j.activeTasks = nil
 	t.Place, t.Started = Place{}, false
+	if slices.Contains(workerEnds, outcome) {
+		j.markBegun() // the worker may list the end before the run
+	}
 	if checkpoint != "" {
 		j.SaveCheckpoint(ref, run, checkpoint)
 	}
--- a/graph/job_test.go
+++ b/graph/job_test.go
@@ -220,3 +220,31 @@
 		t.Errorf("active tasks after an end: %v; the slice returned before the end: %v", after, before)
 	}
 }
+
+// A job whose runs were assigned and never started counted as begun, so that it was not
+// among the pending ones.
+func TestJobIsQueuedUntilItsFirstStart(t *testing.T) {
+	tests := []struct {
+		name  string
+		event func(j *Job, ref Ref)
+		want  flow.Phase
+	}{
+		{"assigned", func(*Job, Ref) {}, flow.Phase_QUEUED},
+		{"refused", func(j *Job, ref Ref) { j.End(ref, 1, "refused_"+RefusedNoRoom, "") }, flow.Phase_QUEUED},
+		{"never started", func(j *Job, ref Ref) { j.End(ref, 1, "never_started", "") }, flow.Phase_QUEUED},
+		{"started", func(j *Job, ref Ref) { j.MarkStarted(ref, 1) }, flow.Phase_RUNNING},
+		{"started and lost", func(j *Job, ref Ref) { j.MarkStarted(ref, 1); j.End(ref, 1, "gone", "") }, flow.Phase_RUNNING},
+		{"ended before it was listed", func(j *Job, ref Ref) { j.End(ref, 1, EndFailed, "") }, flow.Phase_RUNNING},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := New(&flow.Job{Id: "a", MaxAttempts: 2, Steps: []*flow.Step{{Count: 1}}}, nil)
+			u := j.Ready(0)[0]
+			j.Assign(u, testPlaces(u))
+			test.event(j, u.Tasks[0])
+			if j.Phase != test.want {
+				t.Errorf("phase %v; want %v", j.Phase, test.want)
+			}
+		})
+	}
+}
