relay: one answer and one bounded log line for each heartbeat or notice without effect

A notice of an end of another worker got 200 and no line; it gets 409 and the line of a rejected heartbeat. The line on a process that is not identified yet is bounded like the others. A call that nothing answers at once, or that is rejected without telling by whom, is repeated within the same heartbeat, so that a worker that sheds calls while its relay starts does not wait for its next one. The clock of a new worker is that of its answer; the one in the heartbeat counts only if the answer has none.

--- a/relay/identify.go
+++ b/relay/identify.go
@@ -16,7 +16,8 @@
 const (
 	// maxIdentifications bounds the calls at a time that identify senders of heartbeats.
 	maxIdentifications = 4
-	// identifyTries is how often a call is made to an address at which nothing listens.
+	// identifyTries is how often a call is made that nothing answers at once, or that is
+	// rejected without telling who rejects it.
 	identifyTries = 3
 	// confirmTime is how long what a worker says of itself stands against heartbeats in
 	// its name that contradict it.
@@ -35,6 +36,10 @@
 // relay.
 var ErrForeignHeartbeat = errors.New("heartbeat is not of the relay's worker")
 
+// errUnidentified means that the process which a heartbeat describes could not be
+// identified for now.
+var errUnidentified = errors.New("its process is not identified yet")
+
 // identity is what is known of the sender of a heartbeat.
 type identity int
 
@@ -71,7 +76,7 @@
 			return identityOther, 0
 		case answer.Fenced() && !sameID:
 			return identityWorker, 0
-		case !errors.Is(answer.Err(), ErrNoWorker) || !clock.Sleep(ctx, connRefusedDelay):
+		case answer.Effect() == EffectUnknown || !clock.Sleep(ctx, connRefusedDelay):
 			return identityUnknown, 0
 		}
 	}
@@ -83,8 +88,8 @@
 	return s.worker != nil && s.worker.GetId() == info.GetId() && s.worker.GetBornMs() == info.GetBornMs()
 }
 
-// replaceWorker makes the sender of a heartbeat the worker. Its clock is reading, or 0 if
-// only the heartbeat tells it.
+// replaceWorker makes the sender of a heartbeat the worker. Its clock is reading or, if
+// that is 0, the one in the heartbeat.
 func (s *state) replaceWorker(heartbeat Heartbeat, reading time.Duration) {
 	now := clock.Monotonic()
 	if s.worker != nil && !s.worker.GetGone() {
@@ -96,7 +101,8 @@
 	s.unreachable, s.leaveAnnounced = false, false
 	s.takeHeartbeat(heartbeat, now)
 	s.workerClock = 0
-	s.setWorkerClock(max(reading, heartbeat.Clock), now)
+	s.setWorkerClock(heartbeat.Clock, now)
+	s.setWorkerClock(reading, now)
 	s.requestReport()
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -143,7 +143,7 @@
 	case identityOther:
 		return fmt.Errorf("%w: another process is at the worker's address", ErrForeignHeartbeat), nil
 	case identityUnknown:
-		klog.InfoS("relay: heartbeat of an unidentified worker", "worker", fmt.Sprintf("%.64s", heartbeat.Worker.GetId()), "born", heartbeat.Worker.GetBornMs())
+		r.logRejected(heartbeat.Worker.GetId(), errUnidentified)
 		return nil, nil
 	}
 	return nil, r.stateOwner.Do(ctx, func(s *state) {
@@ -154,10 +154,13 @@
 }
 
 // HandleLeave handles the announcement of a worker that its process ends. Until it no
-// longer answers, its runs go on and nothing starts on it.
+// longer answers, its runs go on and nothing starts on it. An announcement of another
+// worker fails with ErrForeignHeartbeat.
 func (r *Relay) HandleLeave(ctx context.Context, worker string) error {
+	known := false
 	err := r.stateOwner.Do(ctx, func(s *state) {
-		if s.worker.GetId() == worker && !s.worker.GetGone() && !s.leaveAnnounced {
+		known = s.worker.GetId() == worker
+		if known && !s.worker.GetGone() && !s.leaveAnnounced {
 			klog.InfoS("relay: worker announced its end", "worker", worker, "draining", s.worker.GetDraining())
 			s.leaveAnnounced, s.leaveAnnouncedAt = true, clock.Monotonic()
 			s.requestReport()
@@ -166,6 +169,11 @@
 	if err != nil {
 		return fmt.Errorf("handling leave of worker %.64s: %w", worker, err)
 	}
+	if !known {
+		err := fmt.Errorf("%w: another worker announced its end", ErrForeignHeartbeat)
+		r.logRejected(worker, err)
+		return err
+	}
 	return nil
 }
 
