duty: a job whose progress record cannot be decoded is not started

What callers saw: nothing yet; found while listing what a foreign record may do. A new holder that could not decode the progress of a job took the job for a new one and started it from the beginning, beside the runs that it had.

Fix: the job is passed over, with a line in the log; its runs are stopped as unexpected.

Evidence: duty TestJobWithUnreadableProgressIsNotStarted failed before.

--- a/duty/handover_test.go
+++ b/duty/handover_test.go
@@ -9,6 +9,7 @@
 	"catkinpoint/flow"
 	"catkinpoint/graph"
 	"catkinpoint/stand/fakekv"
+	"catkinpoint/store"
 )
 
 // storeJob stores a job and its progress as an earlier holder left them.
@@ -230,3 +231,19 @@
 		})
 	}
 }
+
+// A job whose progress record cannot be decoded was started from the beginning by the
+// next holder, beside its runs.
+func TestJobWithUnreadableProgressIsNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		storeMessage(t, kv, JobKey(jobID), simpleJob(jobID, 1))
+		if _, err := kv.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: ProgressKey(jobID), Value: []byte("\xff")}}}); err != nil {
+			t.Fatal(err)
+		}
+		b := newHarness(t, kv, 2)
+		if orders := b.collectOrders(idleReport(1, 1, 2))[0]; len(orders.GetStarts()) != 0 {
+			t.Errorf("starts of a job whose progress is not known: %v", orders.GetStarts())
+		}
+	})
+}
--- a/duty/records.go
+++ b/duty/records.go
@@ -78,7 +78,9 @@
 		}
 		record := &flow.Work{}
 		if err := proto.Unmarshal(item.Value, record); err != nil {
-			klog.ErrorS(err, "duty: cannot decode progress record", "job", id)
+			// Its tasks may run or be done, so that none may be started.
+			klog.ErrorS(err, "duty: cannot decode progress record, job is passed over", "job", id)
+			st.removeJob(id)
 			continue
 		}
 		cancelled := j.graph.Cancelled
