relay: the tests' worker does not answer a hold once its process has ended

The stand-in worker of the test answered a hold that had waited while the process crashed, with an empty list, so that the relay took the runs off its list before it noticed the crash. The test checks what it did before.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -155,6 +155,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.notListening {
+		return RunLists{}, Unknown(errSilent) // the process ended while the call waited
+	}
 	w.holdCount++
 	for len(w.ends) > 0 && w.ends[0].GetNumber() <= observed {
 		w.ends = w.ends[1:]
