duty, relay: log runs that a worker lists after they were taken as over, and the lease of a start

Which conclusion was wrong could not be told from the logs: the end of a run that had counted as over was passed over without a line, and nothing showed what lease a call asked for. "duty: worker lists a run that was over" names the conclusion, its age and the later run, once for each list; the counter catkinpoint_duty_contradictions has them by kind. "relay: start" has the lease that the call asked for and the age of the reading of the worker's clock behind it.

--- a/duty/job.go
+++ b/duty/job.go
@@ -25,6 +25,9 @@
 	readySince map[graph.Ref]time.Duration
 	// moves counts how often runs were stopped because of slow or stalled workers.
 	moves int
+	// concluded holds, by task, the last run that was taken as over without an end that
+	// its worker listed.
+	concluded map[graph.Ref]conclusion
 	// failedOn holds the workers on which a task has failed.
 	failedOn map[graph.Ref][]*worker
 	// lastingFailures has when tasks of a step that lasts last failed on each worker.
--- a/duty/records.go
+++ b/duty/records.go
@@ -62,6 +62,7 @@
 	st.jobs[id] = &job{
 		graph: graph.New(spec, nil), submitted: clock.Monotonic() - min(age, time.Hour),
 		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedOn: map[graph.Ref][]*worker{},
+		concluded: map[graph.Ref]conclusion{},
 	}
 	klog.InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
 	if st.cancelled[id] {
--- a/duty/report.go
+++ b/duty/report.go
@@ -128,6 +128,9 @@
 				unexpected[run.GetTask()] = map[int64]bool{}
 			}
 			unexpected[run.GetTask()][run.GetRun()] = true
+			if !w.unexpectedRuns[run.GetTask()][run.GetRun()] {
+				st.logUnexpectedRun(w, run)
+			}
 		}
 	}
 	if !maps.EqualFunc(unexpected, w.unexpectedRuns, maps.Equal) {
@@ -144,6 +147,15 @@
 	}
 }
 
+// logUnexpectedRun logs that a worker runs what is not assigned to it.
+func (st *state) logUnexpectedRun(w *worker, r *flow.Run) {
+	id, ref, err := graph.ParseTask(r.GetTask())
+	klog.InfoS("duty: worker lists an unexpected run", "task", r.GetTask(), "run", r.GetRun(), "worker", w.place.Worker, "relay", w.relay, "err", err)
+	if j := st.jobs[id]; err == nil && j != nil {
+		j.reportContradiction(w, ref, r.GetRun(), "running")
+	}
+}
+
 // reconcile ends the runs that earlier holders assigned and the worker does not
 // list. They can't start any more, as the worker has adopted this epoch and refuses
 // orders of earlier ones.
@@ -173,6 +185,7 @@
 		klog.InfoS("duty: ignored the end of an unknown task", "task", e.GetTask(), "run", e.GetRun(), "worker", w.place.Worker, "err", err)
 		return
 	}
+	j.reportContradiction(w, ref, e.GetRun(), e.GetHow())
 	t := j.graph.Task(ref)
 	if t == nil || !w.sameWorker(t.Place) {
 		return
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -79,6 +79,7 @@
 		return false
 	}
 	delete(st.activeByRelay[place.Relay], t)
+	j.recordConclusion(ref, number, how)
 	count(endsCounter, 1, "how", how)
 	count(lostWorkCounter, int64(lost), "how", how)
 	klog.InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -12,17 +12,18 @@
 // Metric instruments. They use the global meter provider, which the process may
 // set later.
 var (
-	meter              = otel.Meter("catkinpoint/duty")
-	startsCounter      = newCounter("catkinpoint_duty_starts", "Runs of tasks assigned to workers.")
-	endsCounter        = newCounter("catkinpoint_duty_ends", "Runs that have ended, by how they ended.")
-	lostWorkCounter    = newCounter("catkinpoint_duty_thrown_core_seconds", "Work lost in runs that ended without success, core-seconds.")
-	preemptionsCounter = newCounter("catkinpoint_duty_preemptions", "Runs ordered to stop for more urgent units of work.")
-	claimsCounter      = newCounter("catkinpoint_duty_claims", "Times that this process claimed the scheduler role.")
-	unconfirmedCounter = newCounter("catkinpoint_duty_unconfirmed_writes", "Writes of progress whose outcome was at first unknown.")
-	waitHistogram      = newHistogram("catkinpoint_duty_wait_seconds", "Time from the acceptance of a job to the placement of one of its units of work.")
-	crashesCounter     = newCounter("catkinpoint_duty_crashed_runs", "Runs that were on a worker when it crashed, by how far they are suspected.")
-	decisionHistogram  = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
-	writeHistogram     = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
+	meter                 = otel.Meter("catkinpoint/duty")
+	startsCounter         = newCounter("catkinpoint_duty_starts", "Runs of tasks assigned to workers.")
+	endsCounter           = newCounter("catkinpoint_duty_ends", "Runs that have ended, by how they ended.")
+	lostWorkCounter       = newCounter("catkinpoint_duty_thrown_core_seconds", "Work lost in runs that ended without success, core-seconds.")
+	preemptionsCounter    = newCounter("catkinpoint_duty_preemptions", "Runs ordered to stop for more urgent units of work.")
+	claimsCounter         = newCounter("catkinpoint_duty_claims", "Times that this process claimed the scheduler role.")
+	unconfirmedCounter    = newCounter("catkinpoint_duty_unconfirmed_writes", "Writes of progress whose outcome was at first unknown.")
+	waitHistogram         = newHistogram("catkinpoint_duty_wait_seconds", "Time from the acceptance of a job to the placement of one of its units of work.")
+	crashesCounter        = newCounter("catkinpoint_duty_crashed_runs", "Runs that were on a worker when it crashed, by how far they are suspected.")
+	contradictionsCounter = newCounter("catkinpoint_duty_contradictions", "Runs that a worker listed after they had been taken as over, by how.")
+	decisionHistogram     = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
+	writeHistogram        = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
 )
 
 func newCounter(name, help string) metric.Int64Counter {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -351,6 +351,7 @@
 		s.startedSince[key] = clock.Monotonic()
 	}
 	call, order, worker := s.newCall(), st.order, s.worker
+	st.leaseLeft, st.clockAge = call.Deadline-s.workerNow(clock.Monotonic()), clock.Monotonic()-s.workerClockReadAt
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
@@ -374,7 +375,8 @@
 	if st.phase == startSending {
 		st.phase = startPending
 	}
-	klog.InfoS("relay: start", "task", key.task, "run", key.run, "epoch", epoch, "try", st.tries, "answer", answer)
+	klog.InfoS("relay: start", "task", key.task, "run", key.run, "epoch", epoch, "try", st.tries, "answer", answer,
+		"lease_ms", st.leaseLeft.Milliseconds(), "clock_age_ms", st.clockAge.Milliseconds())
 	switch answer.Effect() {
 	case EffectDone:
 		if !s.hasEnded(key) {
--- a/relay/state.go
+++ b/relay/state.go
@@ -28,6 +28,9 @@
 	order *flow.Start
 	phase startPhase
 	tries int // calls sent to the worker
+	// leaseLeft is the lease that the last call asked for, and clockAge the age of the
+	// reading of the worker's clock by which it was computed; both are for the log.
+	leaseLeft, clockAge time.Duration
 	// reachedWorker is false while nothing has listened at the worker's address for
 	// any of the calls.
 	reachedWorker bool
