--- a/duty/paths_red_test.go
+++ b/duty/paths_red_test.go
@@ -219,20 +219,42 @@
 	})
 }
 
-// Guards against a start by a relay that still has an unanswered call for it: once its
-// worker is heard again, the run that was taken as unreachable must be stopped there
-// before the lease lets the relay send it again.
-func TestUnreachableRunIsStoppedWhenItsWorkerReturns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newHarness(t, fakekv.New(), 1)
-		_, sequence := startJob(t, b, simpleJob(jobID, 1))
-		time.Sleep(12 * time.Second)
-		orders := b.report(idleReport(1, sequence, 1))
-		stopped := slices.ContainsFunc(orders.GetStops(), func(s *flow.Stop) bool { return s.GetTask() == firstTaskName && s.GetRun() == 1 })
-		if task := b.storedProgress(jobID).GetTasks()[0]; task.GetWorker() == "" && !stopped && orders.GetLeaseMs() > 0 {
-			t.Errorf("lease of %d ms without a stop of run 1, which is over for the scheduler: %v", orders.GetLeaseMs(), task)
-		}
-	})
+// Guards against a call for a run that is taken as over and reaches the worker late, from
+// a relay that sends it again or in the next process under the same id, which knows neither
+// the fence nor the stops of the last one: the worker must be told to stop that run.
+func TestRunTakenAsOverIsStoppedOnItsWorker(t *testing.T) {
+	tests := []struct {
+		name   string
+		born   int64 // start of the worker's process in its next report
+		isOver func(b *harness, r *flow.Report)
+	}{
+		{"unreachable, the same process", 100, func(*harness, *flow.Report) { time.Sleep(12 * time.Second) }},
+		{"unreachable, the next process", 200, func(*harness, *flow.Report) { time.Sleep(12 * time.Second) }},
+		{"gone, the next process", 200, func(b *harness, r *flow.Report) {
+			r.Worker.Gone = true
+			b.report(r)
+		}},
+		{"refused by the last process", 200, func(b *harness, r *flow.Report) {
+			r.Refusals = []*flow.Refusal{{Task: firstTaskName, Run: 1, Reason: graph.RefusedUnanswered}}
+			b.report(r)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, fakekv.New(), 1)
+				_, sequence := startJob(t, b, simpleJob(jobID, 1))
+				test.isOver(b, idleReport(1, sequence, 1))
+				time.Sleep(100 * time.Millisecond)
+				r := idleReport(1, sequence+1, 1)
+				r.Worker.BornMs = test.born
+				orders := b.report(r)
+				if !slices.ContainsFunc(orders.GetStops(), func(s *flow.Stop) bool { return s.GetTask() == firstTaskName && s.GetRun() == 1 }) {
+					t.Errorf("stops %v, with a lease of %d ms; want run 1 to be stopped", orders.GetStops(), orders.GetLeaseMs())
+				}
+			})
+		})
+	}
 }
 
 // Guards against a job that blocks all writes: its run was assigned but not stored when it
