relay: the task lease is kept on the relay's clock

The scheduler takes their runs as over and starts the tasks again; the runs had gone on, since their leases did not lapse.

Cause: a report took the worker's clock along, and the lease in its answer counted from there. The scheduler answers the report that waits as soon as the worker's next process is known, so that the time on the former process's clock became the lease of the next one, whose clock starts anew: the relay renewed that lease by itself for as long as the former process had lived. It is the class of evidence about one process that is used for its successor. The same conversion trusted a reading of any age (a worker that was idle for minutes, with a clock 2% slow) and the clock in a heartbeat, which may be of another sender; and a process that no deadline had been sent to counted as one whose lease had run out.

Now what the scheduler allows stays on the relay's clock and is converted when a call is made, from a reading that the process gave in an answer, as if its clock had been slow since. No process counts as without a lease before one lease has passed since it became known.

--- a/relay/identify.go
+++ b/relay/identify.go
@@ -100,9 +100,9 @@
 	s.replacements++
 	s.unreachable, s.leaveAnnounced = false, false
 	s.takeHeartbeat(heartbeat, now)
-	s.workerClock = 0
-	s.setWorkerClock(heartbeat.Clock, now)
-	s.setWorkerClock(reading, now)
+	s.workerKnownAt, s.workerClock, s.clockConfirmed = now, 0, false
+	s.setWorkerClock(heartbeat.Clock, now, false)
+	s.setWorkerClock(reading, now, true)
 	s.requestReport()
 }
 
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -9,9 +9,9 @@
 	"catkinpoint/graph"
 )
 
-// applyOrders updates the state from the answer to a report. sentAt and workerSentAt
-// are the times on the relay's and on the worker's clock at which the report was sent.
-func (s *state) applyOrders(orders *flow.Orders, sentAt, workerSentAt time.Duration) {
+// applyOrders updates the state from the answer to a report that was sent at the relay's
+// time sentAt.
+func (s *state) applyOrders(orders *flow.Orders, sentAt time.Duration) {
 	s.forgetStoredCrashes(orders.GetCrashesStored())
 	if orders.GetEpoch() < s.epoch || s.worker == nil ||
 		orders.GetWorker() != s.worker.GetId() || orders.GetWorkerBornMs() != s.worker.GetBornMs() {
@@ -26,7 +26,10 @@
 		s.refusals = map[runKey]string{}
 		s.requestReport()
 	}
-	s.leaseUntil = max(s.leaseUntil, workerSentAt+time.Duration(orders.GetLeaseMs())*time.Millisecond)
+	if lease := time.Duration(orders.GetLeaseMs()) * time.Millisecond; lease > 0 {
+		s.lease = lease
+		s.leaseUntil = max(s.leaseUntil, sentAt+lease)
+	}
 	s.startsAllowedUntil = max(s.startsAllowedUntil, sentAt+time.Duration(orders.GetPermitMs())*time.Millisecond)
 	if orders.GetVersion() < s.ordersVersion {
 		return
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -318,8 +318,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := newState()
 			s.worker = &flow.Worker{Id: "w", BornMs: 100}
-			s.applyOrders(&flow.Orders{Version: 7, Epoch: 5, LeaseMs: 9000, Worker: "w", WorkerBornMs: 100}, 0, time.Second)
-			s.applyOrders(test.orders, 0, time.Second)
+			s.applyOrders(&flow.Orders{Version: 7, Epoch: 5, LeaseMs: 9000, Worker: "w", WorkerBornMs: 100}, 0)
+			s.applyOrders(test.orders, 0)
 			if len(s.starts) != 0 || len(s.stops) != 0 || s.observed != 0 || s.epoch != 5 {
 				t.Errorf("starts %v, stops %v, observed %d, epoch %d; want no effect", s.starts, s.stops, s.observed, s.epoch)
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -208,7 +208,7 @@
 	}
 	s.takeHeartbeat(heartbeat, now)
 	if s.workerClock == 0 {
-		s.setWorkerClock(heartbeat.Clock, now)
+		s.setWorkerClock(heartbeat.Clock, now, false)
 	}
 	return nil
 }
@@ -275,22 +275,27 @@
 		s.revokeStart(key, st, graph.RefusedDraining)
 	case st.tries >= maxStartTries:
 		s.revokeStart(key, st, graph.RefusedUnanswered)
-	case now < s.startsAllowedUntil && s.leaseUntil > s.workerNow(now):
+	case now < min(s.startsAllowedUntil, s.leaseUntil) && s.clockConfirmed:
 		r.sendStart(s, key, st)
 	}
 }
 
-// newCall returns the common fields of a call to the present worker.
-func (s *state) newCall() Call {
-	return Call{Worker: s.worker.GetId(), Epoch: s.epoch, Deadline: s.leaseDeadline()}
+// newCall returns the common fields of a call at the relay's time now that renews the task
+// lease of the present worker.
+func (s *state) newCall(now time.Duration) Call {
+	return Call{Worker: s.worker.GetId(), Epoch: s.epoch, Deadline: s.leaseDeadline(now)}
 }
 
-// leaseDeadline returns the end of the task lease to request from the worker. It is
-// not extended after a failed call, so that the lease of a worker that has stopped
-// answering has a known end.
-func (s *state) leaseDeadline() time.Duration {
-	if !s.deadlineUnconfirmed {
-		s.maxDeadlineSent = max(s.maxDeadlineSent, s.leaseUntil)
+// leaseDeadline returns the end of the task lease to request from the worker, or 0 while
+// its clock is not known. It is not extended after a failed call, so that the lease of a
+// worker that has stopped answering has a known end.
+//
+// What the scheduler allows is kept on the relay's clock: a deadline on the worker's clock
+// means nothing to the worker's next process.
+func (s *state) leaseDeadline(now time.Duration) time.Duration {
+	if !s.deadlineUnconfirmed && s.clockConfirmed && now < s.leaseUntil {
+		s.maxDeadlineSent = max(s.maxDeadlineSent, s.workerNow(now)+s.leaseUntil-now)
+		s.leaseSentUntil = max(s.leaseSentUntil, s.leaseUntil)
 	}
 	return s.maxDeadlineSent
 }
@@ -350,8 +355,9 @@
 	if _, ok := s.startedSince[key]; !ok {
 		s.startedSince[key] = clock.Monotonic()
 	}
-	call, order, worker := s.newCall(), st.order, s.worker
-	st.leaseLeft, st.clockAge = call.Deadline-s.workerNow(clock.Monotonic()), clock.Monotonic()-s.workerClockReadAt
+	now := clock.Monotonic()
+	call, order, worker := s.newCall(now), st.order, s.worker
+	st.leaseLeft, st.clockAge = call.Deadline-s.workerNow(now), now-s.workerClockReadAt
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
@@ -404,8 +410,7 @@
 // deadline of the lease.
 func (r *Relay) sendStop(s *state, key runKey, st *stop) {
 	st.sending = true
-	call, worker := s.newCall(), s.worker
-	call.Deadline = 0
+	call, worker := Call{Worker: s.worker.GetId(), Epoch: s.epoch}, s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
@@ -466,7 +471,7 @@
 	}
 	s.holdPending = true
 	s.lastHoldSent++
-	holdNumber, observed, call, worker := s.lastHoldSent, s.observed, s.newCall(), s.worker
+	holdNumber, observed, call, worker := s.lastHoldSent, s.observed, s.newCall(clock.Monotonic()), s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout+wait)
 		defer cancel()
@@ -508,7 +513,7 @@
 	if answer.Effect() != EffectDone {
 		return
 	}
-	s.setWorkerClock(lists.Clock, now)
+	s.setWorkerClock(lists.Clock, now, true)
 	s.applyLists(lists, holdNumber, observed)
 	s.listClock = lists.Clock
 	s.nextUnaskedHoldAt = now + unstoredEndsHoldPause
--- a/relay/report.go
+++ b/relay/report.go
@@ -112,13 +112,12 @@
 // returns false if there is nothing to report.
 func (r *Relay) sendReport(ctx context.Context, scheduler netip.AddrPort, answers chan<- error) bool {
 	var report *flow.Report
-	var sentAt, workerSentAt time.Duration
+	var sentAt time.Duration
 	err := r.stateOwner.Do(ctx, func(s *state) {
 		if s.worker == nil {
 			return
 		}
 		sentAt = clock.Monotonic()
-		workerSentAt = s.workerNow(sentAt)
 		report = s.report(r.opts.Name, r.bootID, sentAt)
 	})
 	if err != nil || report == nil {
@@ -134,7 +133,7 @@
 		})
 		if err == nil {
 			r.gates.setAddresses(orders.GetGates())
-			r.stateOwner.Post(func(s *state) { s.applyOrders(orders, sentAt, workerSentAt) })
+			r.stateOwner.Post(func(s *state) { s.applyOrders(orders, sentAt) })
 		}
 		answers <- err
 	}()
--- a/relay/state.go
+++ b/relay/state.go
@@ -79,11 +79,16 @@
 	observedSent int64 // the value of observed that the worker has received
 
 	// workerClock is the last known reading of the worker's clock, which arrived at
-	// workerClockReadAt on the relay's clock.
+	// workerClockReadAt on the relay's clock. clockConfirmed is set if the worker gave it in
+	// an answer: a heartbeat may be of another sender.
 	workerClock       time.Duration
 	workerClockReadAt time.Duration
+	clockConfirmed    bool
 
-	leaseUntil          time.Duration // worker's clock; end of the task lease that the scheduler allows
+	workerKnownAt       time.Duration // relay's clock; when the worker's process became known
+	lease               time.Duration // length of the task lease in the last orders, or 0
+	leaseUntil          time.Duration // relay's clock; end of the task lease that the scheduler allows
+	leaseSentUntil      time.Duration // relay's clock; the end of the lease that calls to the worker asked for
 	maxDeadlineSent     time.Duration // worker's clock; the latest lease deadline sent to the worker
 	deadlineUnconfirmed bool          // the last call failed, so the worker may lack the deadline
 	startsAllowedUntil  time.Duration // relay's clock; starts may be sent until then
@@ -122,20 +127,21 @@
 	s.starts = map[runKey]*start{}
 	s.stops = map[runKey]*stop{}
 	s.observed, s.observedSent, s.fencedEpoch = 0, 0, 0
-	s.leaseUntil, s.maxDeadlineSent, s.deadlineUnconfirmed = 0, 0, false
+	s.leaseUntil, s.leaseSentUntil, s.maxDeadlineSent, s.deadlineUnconfirmed = 0, 0, 0, false
 }
 
-// workerNow estimates the worker's clock at the relay's time now. The estimate is
-// behind by the time that the last reading took to arrive.
+// workerNow estimates the worker's clock at the relay's time now. The estimate is never
+// ahead: it leaves out the time that the last reading took to arrive, and assumes that the
+// clock has been slow since.
 func (s *state) workerNow(now time.Duration) time.Duration {
-	return s.workerClock + now - s.workerClockReadAt
+	return s.workerClock + time.Duration((1-maxClockSlowness)*float64(now-s.workerClockReadAt))
 }
 
 // setWorkerClock records a reading of the worker's clock that arrived at the relay's
-// time now. A reading of 0 is ignored.
-func (s *state) setWorkerClock(reading, now time.Duration) {
+// time now, in an answer of the worker or else in a heartbeat. A reading of 0 is ignored.
+func (s *state) setWorkerClock(reading, now time.Duration, answered bool) {
 	if reading > 0 {
-		s.workerClock, s.workerClockReadAt = reading, now
+		s.workerClock, s.workerClockReadAt, s.clockConfirmed = reading, now, answered
 	}
 }
 
@@ -143,16 +149,24 @@
 func (s *state) requestReport() { s.reportRequests++ }
 
 // leaseExpired reports whether a worker that does not answer has certainly killed all
-// its runs by now, because the lease has expired on its clock.
+// its runs by now, because the lease has expired on its clock. Until a whole lease has
+// passed, the worker may have one from calls of an earlier process of the relay, or from
+// calls that were meant for an earlier process of the worker.
 func (s *state) leaseExpired(now time.Duration) bool {
-	const clockTolerance = 1.03 // the worker's clock may be 2% slow, a factor of 1/0.98 or 1.021
-	remaining := s.maxDeadlineSent - s.workerClock
-	return s.unreachable && now-s.workerClockReadAt > time.Duration(float64(remaining)*clockTolerance)+killMargin
+	end := max(s.leaseSentUntil, s.workerKnownAt+s.lease)
+	return s.unreachable && s.lease > 0 && now > end+time.Duration(slowClockMargin*float64(s.lease))+killMargin
 }
 
-// killMargin covers the time that a worker takes to kill its runs after the lease has
-// expired.
-const killMargin = 300 * time.Millisecond
+const (
+	// maxClockSlowness is how much slower than the relay's clock that of a worker may be.
+	maxClockSlowness = 0.02
+	// slowClockMargin is the share of a lease by which it may last longer on such a clock,
+	// a factor of 1/0.98 or 1.021.
+	slowClockMargin = 0.03
+	// killMargin covers the time that a worker takes to kill its runs after the lease has
+	// expired.
+	killMargin = 300 * time.Millisecond
+)
 
 // runKnown reports whether a run is running, ended or refused.
 func (s *state) runKnown(key runKey) bool {
