relay: a start that the scheduler no longer orders is not sent again

A start call had no answer; the machine then stood still, or was cut off, for longer than a task lease. The scheduler took the run as over and dropped its order. The relay kept the start, as the call might have been carried out, and when it had a permit again it did not revoke the start but made the next try, with the new lease, beside the next run. In the same way a start that had been carried out without an answer was tried again after its run had ended, and one that was ordered before the worker counted as gone was sent when a heartbeat undid that.

Cause: an order counted as long as its outcome was open. Now the relay makes calls for what is ordered only: a start that is dropped, or whose worker is reported as gone, is withdrawn, and if a call was made a stop makes sure that it cannot be carried out. The listed end of a run settles its start.

TestStartThatIsNoLongerOrderedIsNotSentAgain and TestStartOfEndedRunIsNotSentAgain failed before.

--- a/relay/orders.go
+++ b/relay/orders.go
@@ -41,12 +41,15 @@
 			delete(s.ends, number)
 		}
 	}
-	s.setStarts(orders.GetStarts())
+	starts := orders.GetStarts()
+	if s.worker.GetGone() {
+		starts = nil // the scheduler takes them as over once it knows
+	}
+	s.setStarts(starts)
 	s.setStops(orders.GetStops())
 }
 
-// setStarts replaces the ordered starts. A start that is no longer ordered, but may
-// have been sent to the worker, stays until its outcome is certain.
+// setStarts replaces the ordered starts.
 func (s *state) setStarts(orders []*flow.Start) {
 	ordered := map[runKey]bool{}
 	for _, order := range orders {
@@ -56,11 +59,7 @@
 			s.starts[key] = &start{order: order}
 		}
 	}
-	for key, st := range s.starts {
-		if !ordered[key] && st.phase == startPending && st.tries == 0 {
-			delete(s.starts, key)
-		}
-	}
+	s.withdrawStarts(ordered)
 	for key := range s.refusals {
 		if _, ok := s.stops[key]; !ordered[key] && !ok {
 			delete(s.refusals, key)
@@ -68,6 +67,20 @@
 	}
 }
 
+// withdrawStarts gives up the starts that are not ordered. One that may have been sent to
+// the worker stays until a stop has made sure that it cannot be carried out.
+func (s *state) withdrawStarts(ordered map[runKey]bool) {
+	for key, st := range s.starts {
+		switch {
+		case ordered[key] || st.phase == startRevoking:
+		case st.phase == startPending && st.tries == 0:
+			delete(s.starts, key)
+		default:
+			st.withdrawn = true
+		}
+	}
+}
+
 // setStops replaces the ordered stops. A stop that is no longer ordered stays while
 // it is being sent, and while it revokes a start.
 func (s *state) setStops(orders []*flow.Stop) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -265,12 +265,14 @@
 }
 
 // dispatchStart sends a start if the permit and the lease allow it. It revokes the
-// start if the worker drains or if maxStartTries calls had no answer.
+// start if it was withdrawn, if the worker drains or if maxStartTries calls had no answer.
 func (r *Relay) dispatchStart(s *state, key runKey, st *start, now time.Duration) {
 	if st.phase != startPending || s.epoch == 0 || !s.listed {
 		return
 	}
 	switch {
+	case st.withdrawn:
+		s.revokeStart(key, st, graph.RefusedStopped)
 	case s.worker.GetDraining() || s.leaveAnnounced:
 		s.revokeStart(key, st, graph.RefusedDraining)
 	case st.tries >= maxStartTries:
@@ -346,6 +348,7 @@
 	s.recordCrash(now)
 	s.worker = cloneWorker(s.worker)
 	s.worker.Gone = true
+	s.withdrawStarts(nil)
 	s.requestReport()
 }
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -28,6 +28,9 @@
 	order *flow.Start
 	phase startPhase
 	tries int // calls sent to the worker
+	// withdrawn is set once the scheduler no longer orders the start: it may count the run
+	// as over, so that no further call must be made.
+	withdrawn bool
 	// leaseLeft is the lease that the last call asked for, and clockAge the age of the
 	// reading of the worker's clock by which it was computed; both are for the log.
 	leaseLeft, clockAge time.Duration
@@ -201,6 +204,7 @@
 	if s.leaseExpired(now) && !s.worker.GetGone() {
 		r.Worker = cloneWorker(s.worker)
 		r.Worker.Gone = true
+		s.withdrawStarts(nil)
 	}
 	if s.leaveAnnounced && !r.GetWorker().GetDraining() {
 		r.Worker = cloneWorker(r.GetWorker())
@@ -243,8 +247,12 @@
 			s.ends[end.GetNumber()] = end
 			s.requestReport()
 		}
-		delete(running, runKey{end.GetTask(), end.GetRun()})
-		s.forgetStart(runKey{end.GetTask(), end.GetRun()})
+		key := runKey{end.GetTask(), end.GetRun()}
+		delete(running, key)
+		s.forgetStart(key)
+		if st, ok := s.starts[key]; ok && st.phase != startRevoking {
+			delete(s.starts, key) // it was carried out without an answer
+		}
 	}
 	for key, startedAt := range s.startedAtHold {
 		if startedAt >= holdNumber && !s.hasEnded(key) {
