duty: a relay's report counts once its process has had an answer under the claim

A holder took the first report of a relay process that it did not know for the newest. A report that the network had delayed, of a process that had ended, then silenced the present one for good: its reports were not applied, yet each was answered with orders that renewed the task lease, and 10.8 s later its runs were taken as over. In the same way the late report's old worker, or its worker that had ended, ended the runs at once.

Cause: order by arrival, and a lease that was granted without the report counting. Now a report counts only if it carries the epoch of this claim, which its process has from an answer: it is alive and the report is newer than that answer. Processes are ordered by their first report here; one that can send such reports had its first before its successor started. Other reports get the epoch and no lease.

--- a/duty/report.go
+++ b/duty/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/clock"
@@ -13,21 +14,37 @@
 )
 
 // applyReport applies a relay's report. The reply is sent on the channel answer, at
-// once for an outdated report and otherwise when there are new orders.
+// once for a report that does not count and otherwise when there are new orders.
 func (st *state) applyReport(s *Scheduler, r *flow.Report, answer chan *flow.Orders) {
 	w := st.workers[r.GetRelay()]
 	if w == nil {
-		w = &worker{relay: r.GetRelay(), earlierBoots: map[string]bool{}}
+		w = &worker{relay: r.GetRelay(), bootOrder: map[string]int{}, ignoredLog: rate.Sometimes{First: 3, Interval: time.Second}}
 		st.workers[w.relay] = w
 	}
-	if w.earlierBoots[r.GetRelayBoot()] || w.relayBoot == r.GetRelayBoot() && r.GetSequence() <= w.sequence {
-		// The report was overtaken by a later one and changes nothing.
+	boot := r.GetRelayBoot()
+	if w.bootOrder[boot] == 0 {
+		w.bootOrder[boot] = len(w.bootOrder) + 1
+	}
+	switch {
+	case r.GetEpoch() != s.claim.Epoch:
+		// The report was sent before its process had an answer under this claim. How long
+		// ago is not known: the process may have ended since, or its worker.
+		s.replyEpoch(r, answer)
+		return
+	case w.bootOrder[boot] < w.bootOrder[w.relayBoot]:
+		w.ignoredLog.Do(func() {
+			klog.InfoS("duty: report of an earlier relay process ignored", "relay", w.relay, "boot", boot, "sequence", r.GetSequence(), "present", w.relayBoot)
+		})
+		s.replyEpoch(r, answer)
+		return
+	case w.relayBoot == boot && r.GetSequence() <= w.sequence:
+		// It was overtaken by a later one, from whose arrival the lease counts.
 		st.reply(s, w.relay, answer)
 		return
 	}
-	if w.relayBoot != r.GetRelayBoot() {
-		w.earlierBoots[w.relayBoot] = true
-		w.relayBoot = r.GetRelayBoot()
+	if w.relayBoot != boot {
+		klog.InfoS("duty: relay known", "relay", w.relay, "boot", boot, "earlier", w.relayBoot, "epoch", s.claim.Epoch)
+		w.relayBoot = boot
 		w.unstoredCrashes, w.lastAppliedCrash, w.lastStoredCrash = nil, 0, 0
 	}
 	w.sequence = r.GetSequence()
@@ -38,14 +55,14 @@
 	}
 	st.applyCrashes(w, r.GetCrashes())
 	st.updateWorker(s, w, r.GetWorker())
-	if r.GetListed() && r.GetEpoch() == s.claim.Epoch && !r.GetWorker().GetGone() {
+	if r.GetListed() && !r.GetWorker().GetGone() {
 		st.applyLists(s, w, r)
 	}
 	if w.pendingReply != nil {
 		st.reply(s, w.relay, w.pendingReply)
 	}
 	w.pendingReply = answer
-	if r.GetOrdersVersion() < w.ordersVersion || r.GetEpoch() != s.claim.Epoch {
+	if r.GetOrdersVersion() < w.ordersVersion {
 		w.ordersChanged = true
 	}
 }
@@ -305,6 +322,19 @@
 	sendReply(answer, orders)
 }
 
+// replyEpoch answers a report that does not count with the epoch alone, or nil if the claim
+// is not valid. The relay's next report shows that its process is alive; until then it gets
+// no lease, which is counted from the reports that count.
+func (s *Scheduler) replyEpoch(r *flow.Report, answer chan *flow.Orders) {
+	if !s.claim.Valid() {
+		sendReply(answer, nil)
+		return
+	}
+	sendReply(answer, &flow.Orders{
+		Epoch: s.claim.Epoch, Worker: r.GetWorker().GetId(), WorkerBornMs: r.GetWorker().GetBornMs(), Gates: s.gates(),
+	})
+}
+
 // sendReply sends the only reply to a report, where nil orders mean that this
 // process does not hold the duty.
 func sendReply(answer chan *flow.Orders, orders *flow.Orders) {
--- a/duty/worker.go
+++ b/duty/worker.go
@@ -3,19 +3,25 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"catkinpoint/flow"
 	"catkinpoint/graph"
 )
 
 // worker is a worker as its relay reports it.
 type worker struct {
-	relay        string          // address of the relay
-	relayBoot    string          // differs after each start of the relay
-	earlierBoots map[string]bool // values of relayBoot of earlier processes
-	sequence     int64           // of the last report of this relay process
-	place        graph.Place
-	info         *flow.Worker
-	lastReport   time.Duration
+	relay     string // address of the relay
+	relayBoot string // of the relay's process whose reports count; differs after each start
+	// bootOrder numbers the relay's processes in the order of their first reports here. Only
+	// a process that has had an answer sends reports that count, so that of two such
+	// processes the one with the lower number is the earlier one.
+	bootOrder  map[string]int
+	ignoredLog rate.Sometimes // of reports of earlier processes
+	sequence   int64          // of the last report of this relay process
+	place      graph.Place
+	info       *flow.Worker
+	lastReport time.Duration // that counted; the task lease lasts from there
 	// reconciled is set once the worker has adopted the epoch of this claim, so
 	// that it refuses orders of earlier ones, and has listed its runs since.
 	reconciled     bool
