relay: a worker that has announced its end counts as ended only once nothing answers

A worker that had drained and announced its end was taken as gone, and its runs as over, after one call that failed. A rejected hold (503), any other status and one call without an answer counted as failed, although a process that answers lives, and the announcement may be late or the worker go on for some seconds.

Now it is gone once its address refuses a connection, another process answers there, or it has answered nothing for 0.9 s. Holds are bounded to 0.3 s and repeated after 0.1 s meanwhile, so that a real end is seen as early as before (TestAnnouncedEndOfWorkerThatEnds, unchanged). TestOneFailedCallAfterAnnouncedEndIsNotGone failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,6 +39,11 @@
 	// connRefusedDelay is the pause after a call whose connection was refused. If the
 	// next connection is refused too, the worker's process has ended.
 	connRefusedDelay = 100 * time.Millisecond
+	// leaveCallTimeout bounds one hold while the worker is about to end, which may go on
+	// for some seconds after it announced its end. If it has drained and answers nothing for
+	// leaveSilence, it has ended.
+	leaveCallTimeout = 300 * time.Millisecond
+	leaveSilence     = 900 * time.Millisecond
 	// tickPeriod is the time between two checks for calls that have become due.
 	tickPeriod = 100 * time.Millisecond
 )
@@ -308,6 +313,9 @@
 func (s *state) recordCallResult(now time.Duration, epoch int64, answer Answer) {
 	err := answer.Err()
 	ok := err == nil
+	if ok {
+		s.answeredAt = now
+	}
 	if answer.Fenced() && epoch > s.fencedEpoch {
 		klog.InfoS("relay: worker has received a higher epoch", "worker", s.worker.GetId(), "epoch", epoch)
 		s.fencedEpoch = epoch
@@ -322,12 +330,18 @@
 	}
 	if !errors.Is(err, ErrNoWorker) {
 		s.connRefusedSince = 0
-		if !ok {
+		switch {
+		case ok:
+		case s.leaveAnnounced && errors.Is(err, ErrOtherWorker):
+			s.setGone(now, err)
+		case s.leaveAnnounced:
+			s.nextCallAt = now + connRefusedDelay // it may end at any moment
+			if s.worker.GetDraining() && now-max(s.leaveAnnouncedAt, s.answeredAt) >= leaveSilence {
+				s.setGone(now, err)
+			}
+		default:
 			s.nextCallAt = now + callRetryDelay
 		}
-		if !ok && s.leaveAnnounced && s.worker.GetDraining() {
-			s.setGone(now, err) // it has drained and announced its end
-		}
 		return
 	}
 	s.nextCallAt = now + connRefusedDelay
@@ -472,11 +486,15 @@
 	default:
 		return
 	}
+	timeout := callTimeout + wait
+	if s.leaveAnnounced {
+		timeout = leaveCallTimeout
+	}
 	s.holdPending = true
 	s.lastHoldSent++
 	holdNumber, observed, call, worker := s.lastHoldSent, s.observed, s.newCall(clock.Monotonic()), s.worker
 	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, callTimeout+wait)
+		ctx, cancel := context.WithTimeout(r.ctx, timeout)
 		defer cancel()
 		var lists RunLists
 		answer := guardedCall("hold", func() (answer Answer) {
@@ -510,6 +528,7 @@
 	}
 	fenced := answer.Fenced()
 	if answer.Effect() == EffectNone && answer.Err() == nil && !fenced {
+		s.answeredAt = now
 		answer = Unknown(Error.New("hold rejected: %s", answer.Reason()))
 	}
 	s.recordCallResult(now, s.epoch, answer)
