duty: no start is ordered of a gang member that is done

The success of one member counts for its gang; the others' runs stay active until their ends are listed. A start of such a member that its relay had not confirmed was ordered again, which a next process of the worker would carry out. TestDoneGangMemberIsNotStarted failed before; it now also reports as the relay does once it has the epoch, since its first report no longer counts.

--- a/duty/paths_red_test.go
+++ b/duty/paths_red_test.go
@@ -195,6 +195,8 @@
 		b.collectOrders(reports[0])
 		restarted := idleReport(2, 1, 0)
 		restarted.RelayBoot = "b2"
+		restarted.Epoch = b.report(restarted).GetEpoch() // as the relay has it from the answer
+		restarted.Sequence++
 		if got := b.report(restarted).GetStarts(); len(got) != 0 {
 			t.Errorf("starts for a restarted relay after the gang was done: %v", got)
 		}
--- a/duty/report.go
+++ b/duty/report.go
@@ -359,7 +359,7 @@
 		case r == nil || !r.stored:
 		case r.stopOrdered:
 			orders.Stops = append(orders.Stops, &flow.Stop{Task: t.name(), Run: t.Run})
-		case !t.Started:
+		case !t.Started && !t.Done:
 			orders.Starts = append(orders.Starts, &flow.Start{Task: t.name(), Run: t.Run, Spec: t.job.graph.Spec.GetSpec(), Checkpoint: t.Checkpoint})
 		}
 	}
