duty: ends are acknowledged while a job changes during each write

An end is acknowledged once all changes before it are stored. What a write has stored now moves it on. TestEndsAreAcknowledgedWhileJobKeepsChanging failed before.

--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -367,6 +367,8 @@
 		j.recordRevision = result.revision
 		if j.lastChangeSeq == b.changeSeqs[i] {
 			j.dirty, j.crashesDirty = false, false
+		} else {
+			j.firstUnstoredSeq = b.changeSeqs[i] + 1
 		}
 		for _, ref := range b.starts[i] {
 			if r := j.runs[ref.ref]; r != nil && r.run == ref.run {
