duty: the cancellation of a failed job does not block writes

A job that failed while a run of it was assigned and not stored, and was cancelled before the next write, made that write fail for good: it required that no cancellation is stored, and a job that has ended is not cancelled. No job of the batch was stored or started again. The condition guards starts; those of an ended job are stopped instead. TestCancellationOfFailedJobBlocksNoOtherJob failed before.

--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -341,7 +341,7 @@
 		}
 		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: ProgressKey(id), Revision: j.recordRevision})
 		starts := j.unstoredRuns()
-		if len(starts) > 0 && !j.graph.Cancelled {
+		if len(starts) > 0 && !j.graph.Cancelled && !j.graph.Ended() { // the stops of an ended job are ordered
 			b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: CancelKey(id)})
 		}
 		b.txn.Writes = append(b.txn.Writes, store.Write{Key: ProgressKey(id), Value: value})
