duty: the success of a run that was taken as over counts

The end of a run that had been taken as over, for example as unreachable, was ignored when its worker listed it later, and acknowledged all the same; the task stayed open and was started again. A worker lists the end of a run as done only if it has succeeded, so it counts now whatever had been concluded before, and a later run is stopped. It does not replace what makes conclusions right; it keeps a wrong one from starting a task that is done.

--- a/duty/paths_test.go
+++ b/duty/paths_test.go
@@ -300,3 +300,27 @@
 		t.Error("the ends are not acknowledged")
 	})
 }
+
+// Guards against working on a task that is done: the end of a run that was taken as over
+// counts although the task has a later run, which is stopped.
+func TestDoneEndOfRunTakenAsGoneStopsLaterRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, fakekv.New(), 1)
+		r := startOnFirstWorker(t, b)
+		r.Worker.Gone = true
+		b.report(r)
+		later := idleReport(2, 0, 1)
+		if orders := b.collectOrders(later)[0]; len(orders.GetStarts()) != 1 || orders.GetStarts()[0].GetRun() != 2 {
+			t.Fatalf("starts %v on w2; want run 2", orders.GetStarts())
+		}
+		back := idleReport(1, r.GetSequence(), 1)
+		back.Ends = []*flow.End{{Number: 1, Task: firstTaskName, Run: 1, How: graph.EndDone}}
+		orders := b.collectOrders(back, later)
+		if got := stopNames(orders[1]); !slices.Equal(got, []string{firstTaskName}) || len(orders[1].GetStarts()) != 0 {
+			t.Errorf("stops %v, starts %v on w2; want a stop of run 2", got, orders[1].GetStarts())
+		}
+		if work := b.storedProgress(jobID); work.GetPhase() != flow.Phase_COMPLETED || orders[0].GetObserved() != 1 {
+			t.Errorf("phase %v, end %d acknowledged; want the job completed and the end acknowledged", work.GetPhase(), orders[0].GetObserved())
+		}
+	})
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -203,6 +203,10 @@
 		return
 	}
 	j.reportContradiction(w, ref, e.GetRun(), e.GetHow())
+	if e.GetHow() == graph.EndDone && j.graph.RecordLateSuccess(ref, e.GetRun()) {
+		st.stopAfterLateSuccess(j, ref, e.GetRun())
+		return
+	}
 	t := j.graph.Task(ref)
 	if t == nil || !w.sameWorker(t.Place) {
 		return
@@ -213,6 +217,21 @@
 	st.endRun(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint())
 }
 
+// stopAfterLateSuccess stops the later runs of a task, or of its gang, whose earlier run has
+// turned out to have succeeded.
+func (st *state) stopAfterLateSuccess(j *job, ref graph.Ref, run int64) {
+	stopped := 0
+	for _, member := range j.graph.Members(ref) {
+		if m := j.graph.Task(member); m != nil && m.Active() && m.Run > run {
+			st.orderStop(j, m)
+			stopped++
+		}
+	}
+	klog.InfoS("duty: run that was over had succeeded", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index, "occurrence", ref.Occurrence,
+		"run", run, "last_run", j.graph.Task(ref).Run, "later_runs_stopped", stopped)
+	st.markDirty(j)
+}
+
 // recordOutcome uses the end of a run as evidence on its worker's health. If a task
 // has also failed on another worker that is not on trial, the task is at fault, and
 // its failures do not count against its workers.
--- a/graph/job.go
+++ b/graph/job.go
@@ -364,6 +364,23 @@
 	return true
 }
 
+// RecordLateSuccess marks a task, or all members of its gang, as done because a run that
+// counted as over had succeeded, and reports whether it was not done. The task may have a
+// later run, which stays active. It ignores runs that were never assigned.
+func (j *Job) RecordLateSuccess(ref Ref, run int64) bool {
+	t := j.tasks[ref]
+	if t == nil || t.Done || run < 1 || run > t.Run || run == t.Run && t.Active() {
+		return false
+	}
+	for _, member := range j.Members(ref) {
+		if m := j.tasks[member]; m != nil {
+			m.Done = true
+		}
+	}
+	j.markBegun()
+	return true
+}
+
 // countFailure counts a failure for the task, or for all members of its gang.
 func (j *Job) countFailure(ref Ref, run int64) {
 	for _, member := range j.Members(ref) {
