duty, relay: what a worker's process has refused or lost may still start in its next one

A worker that comes back under the id that it had knows no fence, stops or ends of before, and may carry out a start that its former process left without an answer. The task ran elsewhere by then: the worker had been reported as gone, or the start refused after a stop.

Cause: a conclusion that holds for one process of a worker was used for the next.

* The relay remembers starts of which a call has no answer, for as long as it may be carried out, and has the next process under the same id reject them first.
* The scheduler keeps a run that no worker has confirmed for that long when its worker is gone; the relay refuses at once what it never sent.
Ends that the relay knows count although the worker is gone.
* The scheduler stops runs that it has taken as over on their worker once that is heard of again, until its present process has rejected them.

--- a/duty/conclusion.go
+++ b/duty/conclusion.go
@@ -7,9 +7,13 @@
 	"k8s.io/klog/v2"
 
 	"catkinpoint/clock"
+	"catkinpoint/flow"
 	"catkinpoint/graph"
 )
 
+// lateCallTime is how long a call to a worker that had no answer may still be carried out.
+const lateCallTime = 15 * time.Second
+
 // listedEnds are the ends that a worker lists itself.
 var listedEnds = []string{
 	graph.EndDone, graph.EndFailed, graph.EndStopped, graph.EndLeaseExpired, graph.EndGangBroken, graph.EndGangIncomplete,
@@ -42,3 +46,61 @@
 		"run", run, "listed", listedAs, "over", c.how, "ago_ms", (clock.Monotonic() - c.at).Milliseconds(), "last_run", j.graph.Task(ref).Run,
 		"worker", w.place.Worker, "relay", w.relay)
 }
+
+// overRun is a run that was taken as over although a call for it may still be carried out:
+// by its worker, or by that worker's next process, which knows no stops of before. It is
+// stopped there.
+type overRun struct {
+	task  string
+	run   int64
+	place graph.Place
+	// settled is the process of the worker that rejects the run for good, if any is known.
+	settled graph.Place
+	// heardAt is when the relay first reported after the run was taken as over, or 0.
+	heardAt time.Duration
+}
+
+// recordOverRun remembers a run that was taken as over, unless its worker listed the end or
+// has another successor, which accepts no calls for it.
+func (st *state) recordOverRun(place graph.Place, task string, number int64, how string) {
+	w := st.workers[place.Relay]
+	if w == nil || slices.Contains(listedEnds, how) || how == "replaced" {
+		return
+	}
+	r := &overRun{task: task, run: number, place: place}
+	if how != "gone" && how != "unreachable" {
+		r.settled = place // refused, or never started under the worker's epoch
+	}
+	w.overRuns = append(w.overRuns, r)
+}
+
+// settleOverRun records that the present process of the worker rejects a run for good.
+func (w *worker) settleOverRun(task string, number int64) {
+	for _, r := range w.overRuns {
+		if r.task == task && r.run == number {
+			r.settled = w.place
+		}
+	}
+}
+
+// forgetOverRuns forgets the runs for which no call can be carried out any more.
+func (w *worker) forgetOverRuns() {
+	for _, r := range w.overRuns {
+		if r.heardAt == 0 {
+			r.heardAt = w.lastReport
+		}
+	}
+	w.overRuns = slices.DeleteFunc(w.overRuns, func(r *overRun) bool { return w.lastReport-r.heardAt > lateCallTime })
+}
+
+// stopsOfOverRuns returns stops of the runs that were taken as over and that the present
+// process of their worker may still start.
+func (w *worker) stopsOfOverRuns() []*flow.Stop {
+	var stops []*flow.Stop
+	for _, r := range w.overRuns {
+		if r.place.Worker == w.place.Worker && r.settled != w.place {
+			stops = append(stops, &flow.Stop{Task: r.task, Run: r.run})
+		}
+	}
+	return stops
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -49,12 +49,13 @@
 	}
 	w.sequence = r.GetSequence()
 	w.lastReport = clock.Monotonic()
+	w.forgetOverRuns()
 	w.tellsCrashes = r.GetTellsCrashes()
 	if r.GetListed() && r.GetListClockMs() != w.listClockMS {
 		w.listedAt, w.listClockMS = w.lastReport, r.GetListClockMs()
 	}
 	st.applyCrashes(w, r.GetCrashes())
-	st.updateWorker(s, w, r.GetWorker())
+	st.updateWorker(s, w, r)
 	if r.GetListed() && !r.GetWorker().GetGone() {
 		st.applyLists(s, w, r)
 	}
@@ -68,22 +69,27 @@
 }
 
 // updateWorker applies what a report says about the worker itself. A worker that is
-// gone, or replaced by one with another id, ends all runs that were assigned to it.
+// gone, or replaced by one with another id, ends the runs that were assigned to it.
 // A new process of a worker with the same id accepts orders that were meant for the
 // process before, so it may still start these runs: they stay active, and are
-// stopped there first.
-func (st *state) updateWorker(s *Scheduler, w *worker, info *flow.Worker) {
+// stopped there first. For the same reason a run that no worker has confirmed outlives
+// a worker that is gone by lateCallTime.
+func (st *state) updateWorker(s *Scheduler, w *worker, r *flow.Report) {
+	info := r.GetWorker()
 	place := graph.Place{Worker: info.GetId(), StartUnixMS: info.GetBornMs(), Relay: w.relay}
 	if place != w.place {
 		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.StartUnixMS, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
 		st.inferCrash(s, w)
 		delete(st.byPlace, w.place)
 		w.place, w.reconciled, w.lastAppliedEnd, w.lastStoredEnd, w.unstoredEnds, w.unexpectedRuns = place, false, 0, 0, nil, nil
+		if w.goneSince = 0; place.Worker != w.place.Worker {
+			w.overRuns = nil // calls for them name another worker
+		}
 		w.health = health{}
 		w.ordersVersion++
 		w.ordersChanged = true
 		st.byPlace[place] = w
-		st.endRunsAt(w, func(p graph.Place) bool { return p.Worker != place.Worker }, "replaced")
+		st.endRunsAt(w, func(t activeTask) bool { return t.Place.Worker != place.Worker }, "replaced")
 		st.planNeeded = true
 	}
 	if info.GetGone() && place == w.place {
@@ -98,9 +104,21 @@
 		st.planNeeded = true
 	}
 	w.info, w.infoBoot = info, w.relayBoot
-	if info.GetGone() {
-		st.endRunsAt(w, w.sameWorker, "gone")
+	if !info.GetGone() {
+		w.goneSince = 0
+		return
+	}
+	if w.goneSince == 0 {
+		w.goneSince = w.lastReport
+	}
+	if r.GetListed() {
+		st.applyEnds(w, r)
 	}
+	st.endRunsAt(w, func(t activeTask) bool {
+		run := t.job.runs[t.Ref]
+		unconfirmed := !t.Started && run != nil && run.stored
+		return w.sameWorker(t.Place) && (!unconfirmed || w.lastReport-w.goneSince > lateCallTime)
+	}, "gone")
 }
 
 // sameWorker reports whether a place is that of this worker, in its present process
@@ -110,18 +128,18 @@
 	return p.Relay == w.relay && p.Worker == w.place.Worker
 }
 
-// endRunsAt ends the runs at the matching places of a worker's relay for a reason
-// other than an end that the worker reported.
-func (st *state) endRunsAt(w *worker, match func(graph.Place) bool, reason string) {
+// endRunsAt ends the matching runs at a worker's relay for a reason other than an end that
+// the worker reported.
+func (st *state) endRunsAt(w *worker, match func(activeTask) bool, reason string) {
 	for _, t := range st.activeOn(w.relay) {
-		if match(t.Place) {
+		if match(t) {
 			st.endRun(t.job, t.Ref, t.Run, reason, "")
 		}
 	}
 }
 
-// applyLists applies a worker's lists of ended, refused and running runs.
-func (st *state) applyLists(s *Scheduler, w *worker, r *flow.Report) {
+// applyEnds applies a worker's lists of ended and refused runs.
+func (st *state) applyEnds(w *worker, r *flow.Report) {
 	ends := slices.Clone(r.GetEnds())
 	slices.SortFunc(ends, func(a, b *flow.End) int { return int(a.GetNumber() - b.GetNumber()) })
 	for _, e := range ends {
@@ -135,6 +153,14 @@
 	for _, refusal := range r.GetRefusals() {
 		st.applyRefusal(w, refusal)
 	}
+	if len(w.unstoredEnds) > 0 {
+		st.acknowledgeEnds()
+	}
+}
+
+// applyLists applies a worker's lists of ended, refused and running runs.
+func (st *state) applyLists(s *Scheduler, w *worker, r *flow.Report) {
+	st.applyEnds(w, r)
 	listed := map[string]int64{}
 	unexpected := map[string]map[int64]bool{}
 	listTaken := listTime{received: clock.Monotonic(), workerClock: time.Duration(r.GetListClockMs()) * time.Millisecond}
@@ -159,9 +185,6 @@
 		st.reconcile(s, w, listed)
 		st.planNeeded = true
 	}
-	if len(w.unstoredEnds) > 0 {
-		st.acknowledgeEnds()
-	}
 }
 
 // logUnexpectedRun logs that a worker runs what is not assigned to it.
@@ -203,6 +226,7 @@
 		return
 	}
 	j.reportContradiction(w, ref, e.GetRun(), e.GetHow())
+	w.settleOverRun(e.GetTask(), e.GetRun())
 	if e.GetHow() == graph.EndDone && j.graph.RecordLateSuccess(ref, e.GetRun()) {
 		st.stopAfterLateSuccess(j, ref, e.GetRun())
 		return
@@ -267,6 +291,7 @@
 	if err != nil || j == nil || j.graph.Step(ref) == nil {
 		return
 	}
+	w.settleOverRun(refusal.GetTask(), refusal.GetRun())
 	t := j.graph.Task(ref)
 	if t == nil || !w.sameWorker(t.Place) || t.Run != refusal.GetRun() {
 		return
@@ -365,7 +390,8 @@
 
 // addStartsAndStops adds to the orders the stored starts that the worker has not
 // confirmed, and the stops: of runs with an ordered stop, of runs that were assigned
-// to an earlier process of the worker, and of unexpected runs.
+// to an earlier process of the worker, of runs that were taken as over, and of
+// unexpected runs.
 func (st *state) addStartsAndStops(w *worker, orders *flow.Orders) {
 	for _, t := range st.activeOn(w.relay) {
 		if !w.sameWorker(t.Place) {
@@ -382,6 +408,7 @@
 			orders.Starts = append(orders.Starts, &flow.Start{Task: t.name(), Run: t.Run, Spec: t.job.graph.Spec.GetSpec(), Checkpoint: t.Checkpoint})
 		}
 	}
+	orders.Stops = append(orders.Stops, w.stopsOfOverRuns()...)
 	for task, numbers := range w.unexpectedRuns {
 		for number := range numbers {
 			orders.Stops = append(orders.Stops, &flow.Stop{Task: task, Run: number})
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -80,6 +80,7 @@
 	}
 	delete(st.activeByRelay[place.Relay], t)
 	j.recordConclusion(ref, number, how)
+	st.recordOverRun(place, graph.TaskName(j.graph.Spec.GetId(), ref), number, how)
 	count(endsCounter, 1, "how", how)
 	count(lostWorkCounter, int64(lost), "how", how)
 	klog.InfoS("duty: run over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index,
--- a/duty/worker.go
+++ b/duty/worker.go
@@ -42,8 +42,13 @@
 	// unexpectedRuns are runs that the worker lists but should not have, by task
 	// and number of the run. They are stopped.
 	unexpectedRuns map[string]map[int64]bool
-	ordersVersion  int64
-	ordersChanged  bool // the next orders need a new version
+	// goneSince is when the relay first reported the worker as gone, or 0.
+	goneSince time.Duration
+	// overRuns are runs that were taken as over on this machine, as long as a call for one
+	// of them may still be carried out.
+	overRuns      []*overRun
+	ordersVersion int64
+	ordersChanged bool // the next orders need a new version
 	// pendingReply is the channel of the report that waits for new orders, or nil.
 	pendingReply chan *flow.Orders
 	health       health
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -81,6 +81,11 @@
 // forgetOldStarts forgets starts whose run is not on the worker and can no longer
 // come to be there.
 func (s *state) forgetOldStarts(now time.Duration) {
+	for key, sentAt := range s.openStarts {
+		if now-sentAt > lateStartTime {
+			delete(s.openStarts, key)
+		}
+	}
 	for key, since := range s.startedSince {
 		if s.running[key] == nil && s.starts[key] == nil && s.stops[key] == nil && now-since > lateStartTime {
 			s.forgetStart(key)
--- a/relay/identify.go
+++ b/relay/identify.go
@@ -97,6 +97,11 @@
 	}
 	klog.InfoS("relay: new worker", "worker", heartbeat.Worker.GetId(), "born", heartbeat.Worker.GetBornMs(), "old", s.worker.GetId())
 	s.resetRuns()
+	if s.worker.GetId() == heartbeat.Worker.GetId() {
+		s.revokeOpenStarts(now)
+	} else {
+		s.openStarts = map[runKey]time.Duration{} // the calls name another worker
+	}
 	s.replacements++
 	s.unreachable, s.leaveAnnounced = false, false
 	s.takeHeartbeat(heartbeat, now)
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -41,21 +41,22 @@
 			delete(s.ends, number)
 		}
 	}
-	starts := orders.GetStarts()
-	if s.worker.GetGone() {
-		starts = nil // the scheduler takes them as over once it knows
-	}
-	s.setStarts(starts)
+	s.setStarts(orders.GetStarts())
 	s.setStops(orders.GetStops())
 }
 
-// setStarts replaces the ordered starts.
+// setStarts replaces the ordered starts. None is accepted while the worker's process has
+// ended.
 func (s *state) setStarts(orders []*flow.Start) {
 	ordered := map[runKey]bool{}
 	for _, order := range orders {
 		key := runKey{order.GetTask(), order.GetRun()}
 		ordered[key] = true
-		if _, ok := s.starts[key]; !ok && !s.runKnown(key) {
+		switch _, ok := s.starts[key]; {
+		case ok || s.runKnown(key):
+		case s.worker.GetGone():
+			s.refuse(key, graph.RefusedStopped)
+		default:
 			s.starts[key] = &start{order: order}
 		}
 	}
@@ -67,6 +68,28 @@
 	}
 }
 
+// refuseUnsentStarts gives up all starts, as the process of the worker has ended, and
+// refuses those of which no call can have reached it. The others may still be carried out
+// by the worker's next process.
+func (s *state) refuseUnsentStarts() {
+	for key, st := range s.starts {
+		if st.phase == startPending && !st.reachedWorker {
+			s.refuse(key, graph.RefusedStopped)
+		}
+	}
+	s.withdrawStarts(nil)
+}
+
+// revokeOpenStarts has the new process of a worker reject the starts of which a call to the
+// process before has no answer.
+func (s *state) revokeOpenStarts(now time.Duration) {
+	for key, sentAt := range s.openStarts {
+		if now-sentAt <= lateStartTime {
+			s.revokeStart(key, &start{order: &flow.Start{Task: key.task, Run: key.run}}, graph.RefusedStopped)
+		}
+	}
+}
+
 // withdrawStarts gives up the starts that are not ordered. One that may have been sent to
 // the worker stays until a stop has made sure that it cannot be carried out.
 func (s *state) withdrawStarts(ordered map[runKey]bool) {
@@ -110,6 +133,7 @@
 func (s *state) revokeStart(key runKey, st *start, reason string) {
 	klog.InfoS("relay: start given up", "task", key.task, "run", key.run, "tries", st.tries, "reason", reason)
 	st.phase, st.reason = startRevoking, reason
+	s.starts[key] = st
 	if _, ok := s.stops[key]; !ok {
 		s.stops[key] = &stop{order: &flow.Stop{Task: key.task, Run: key.run}}
 	}
--- a/relay/paths_red_test.go
+++ b/relay/paths_red_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -213,6 +214,7 @@
 				time.Sleep(100 * time.Millisecond)
 				f.restartWorker("w1", 200)
 				f.worker.withLock(func() {
+					f.worker.stopAnswers = slices.Repeat([]Answer{NothingDone(graph.RefusedUnhealthy)}, 100)
 					holds := 0
 					f.worker.onHold = func(Call, int64) bool {
 						if holds++; holds == 1 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -362,7 +362,7 @@
 	s.recordCrash(now)
 	s.worker = cloneWorker(s.worker)
 	s.worker.Gone = true
-	s.withdrawStarts(nil)
+	s.refuseUnsentStarts()
 	s.requestReport()
 }
 
@@ -374,6 +374,7 @@
 	}
 	now := clock.Monotonic()
 	call, order, worker := s.newCall(now), st.order, s.worker
+	s.openStarts[key] = now
 	st.leaseLeft, st.clockAge = call.Deadline-s.workerNow(now), now-s.workerClockReadAt
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
@@ -395,6 +396,11 @@
 		s.forgetStart(key)
 	}
 	s.recordCallResult(clock.Monotonic(), epoch, answer)
+	if answer.Effect() == EffectUnknown {
+		st.unansweredTries++
+	} else if st.unansweredTries == 0 {
+		delete(s.openStarts, key)
+	}
 	if st.phase == startSending {
 		st.phase = startPending
 	}
--- a/relay/state.go
+++ b/relay/state.go
@@ -28,6 +28,8 @@
 	order *flow.Start
 	phase startPhase
 	tries int // calls sent to the worker
+	// unansweredTries is the number of them that may have been or may still be carried out.
+	unansweredTries int
 	// withdrawn is set once the scheduler no longer orders the start: it may count the run
 	// as over, so that no further call must be made.
 	withdrawn bool
@@ -75,6 +77,11 @@
 	starts       map[runKey]*start
 	stops        map[runKey]*stop
 
+	// openStarts has when the last call was sent of each start of which a call has no answer.
+	// Such a call may still be carried out, also by the worker's next process under the same
+	// id, which knows no stops of before.
+	openStarts map[runKey]time.Duration
+
 	crashes   []crash // not stored by a scheduler yet, oldest first
 	lastCrash int64   // number of the last crash
 
@@ -115,7 +122,7 @@
 }
 
 func newState() *state {
-	s := &state{}
+	s := &state{openStarts: map[runKey]time.Duration{}}
 	s.resetRuns()
 	return s
 }
@@ -205,7 +212,7 @@
 	if s.leaseExpired(now) && !s.worker.GetGone() {
 		r.Worker = cloneWorker(s.worker)
 		r.Worker.Gone = true
-		s.withdrawStarts(nil)
+		s.refuseUnsentStarts()
 	}
 	if s.leaveAnnounced && !r.GetWorker().GetDraining() {
 		r.Worker = cloneWorker(r.GetWorker())
