relay, duty: a list of 500 ends does not show that a run has no end

A worker lists at most 500 ends at a time. A list of that length now completes nothing; its ends are applied and acknowledged, after which the worker lists the others.

--- a/duty/report.go
+++ b/duty/report.go
@@ -56,8 +56,12 @@
 	}
 	st.applyCrashes(w, r.GetCrashes())
 	st.updateWorker(s, w, r)
-	if r.GetListed() && !r.GetWorker().GetGone() {
+	switch {
+	case r.GetWorker().GetGone():
+	case r.GetListed() && len(r.GetEnds()) < graph.MaxListedEnds:
 		st.applyLists(s, w, r)
+	default:
+		st.applyEnds(w, r) // the lists may not be complete
 	}
 	if w.pendingReply != nil {
 		st.reply(s, w.relay, w.pendingReply)
@@ -111,9 +115,7 @@
 	if w.goneSince == 0 {
 		w.goneSince = w.lastReport
 	}
-	if r.GetListed() {
-		st.applyEnds(w, r)
-	}
+	st.applyEnds(w, r)
 	st.endRunsAt(w, func(t activeTask) bool {
 		run := t.job.runs[t.Ref]
 		unconfirmed := !t.Started && run != nil && run.stored
--- a/graph/job.go
+++ b/graph/job.go
@@ -22,6 +22,10 @@
 	EndGangIncomplete = "alone"
 )
 
+// MaxListedEnds is the most ends that a worker lists at a time. A list of that length may
+// lack others.
+const MaxListedEnds = 500
+
 // workerEnds are the ends that a worker lists, of runs that have started.
 var workerEnds = []string{EndDone, EndFailed, EndStopped, EndLeaseExpired, EndGangBroken, EndGangIncomplete}
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -277,6 +277,9 @@
 	}
 	s.running = running
 	s.forgetOldStarts(clock.Monotonic())
+	if len(lists.Ends) >= graph.MaxListedEnds {
+		return // a run in neither list may have an end that is not listed yet
+	}
 	if !s.listed {
 		s.listed = true
 		s.requestReport()
