--- a/relay/paths_red_test.go
+++ b/relay/paths_red_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -332,7 +333,13 @@
 			f.worker.withLock(func() {
 				f.worker.onHold = func(call Call, observed int64) bool {
 					f.worker.onHold = nil
-					time.AfterFunc(5*time.Second, func() { _, _ = f.worker.fakeWorker.Hold(t.Context(), call, observed, 0) })
+					time.AfterFunc(5*time.Second, func() {
+						f.worker.withLock(func() {
+							if f.worker.checkCall(call) == Done() {
+								f.worker.ends = slices.DeleteFunc(f.worker.ends, func(e *flow.End) bool { return e.GetNumber() <= observed })
+							}
+						})
+					})
 					return true
 				}
 			})
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -148,7 +148,9 @@
 // applyReport changes the orders as a report needs it. The caller holds f.mu.
 func (f *pathScheduler) applyReport(r *flow.Report) {
 	next := proto.Clone(f.orders).(*flow.Orders)
-	next.Worker, next.WorkerBornMs = r.GetWorker().GetId(), r.GetWorker().GetBornMs()
+	if w := r.GetWorker(); w.GetId() != next.GetWorker() || w.GetBornMs() != next.GetWorkerBornMs() {
+		next.Worker, next.WorkerBornMs, next.Observed, next.Starts, next.Stops = w.GetId(), w.GetBornMs(), 0, nil, nil
+	}
 	if r.GetWorker().GetGone() {
 		f.goneReported, next.Starts, next.Stops = true, nil, nil
 	}
