--- a/relay/paths_red_test.go
+++ b/relay/paths_red_test.go
@@ -325,6 +325,28 @@
 			f.expectEndReported(t, "c.0.0.0")
 		})
 	})
+	t.Run("hold with a number that the former process has not received", func(t *testing.T) {
+		withPath(t, 1, func(t *testing.T, f *pathFixture) {
+			f.scheduler.order(startOrder("a.0.0.0", "b.0.0.0"))
+			time.Sleep(time.Second)
+			f.worker.withLock(func() { f.worker.endRun("a.0.0.0", graph.EndDone) })
+			time.Sleep(time.Second)
+			f.restartWorker("w1", 200)
+			f.scheduler.order(func(o *flow.Orders) { startOrder("b.0.0.0", "c.0.0.0")(o); o.Observed = 1 })
+			time.Sleep(200 * time.Millisecond)
+			f.worker.withLock(func() {
+				if f.worker.running["c.0.0.0"] != nil { // a relay that has noticed the next process may not start it there
+					f.worker.endRun("c.0.0.0", graph.EndDone)
+				}
+			})
+			time.Sleep(800 * time.Millisecond)
+			f.send(t, f.liveHeartbeat(1), nil)
+			time.Sleep(time.Second)
+			if f.worker.lastEnd > 0 {
+				f.expectEndReported(t, "c.0.0.0")
+			}
+		})
+	})
 	t.Run("hold that is carried out late", func(t *testing.T) {
 		withPath(t, 1, func(t *testing.T, f *pathFixture) {
 			f.scheduler.order(startOrder("a.0.0.0", "b.0.0.0"))
