--- a/relay/paths_red_test.go
+++ b/relay/paths_red_test.go
@@ -99,7 +99,7 @@
 			f.worker.withLock(func() { f.worker.notListening = true })
 			f.scheduler.order(func(o *flow.Orders) { startOrder("a.0.0.0")(o); o.Observed, o.PermitMs = 1, 0 }) // has the relay make a call
 			time.Sleep(time.Second)
-			if !f.scheduler.goneReported {
+			if !f.scheduler.sawGone() {
 				t.Error("the worker is not reported as gone")
 			}
 			f.worker.withLock(func() { f.worker.notListening = false })
@@ -144,7 +144,7 @@
 		f.worker.withLock(func() { f.worker.onStart, calls = nil, f.worker.startCalls })
 		f.scheduler.order(func(o *flow.Orders) { o.PermitMs = 0 }) // no start, as the scheduler may know the end
 		time.Sleep(time.Second)
-		f.scheduler.order(func(o *flow.Orders) { o.Observed = f.worker.lastEnd })
+		f.scheduler.order(func(o *flow.Orders) { o.Observed = 1 })
 		time.Sleep(2 * time.Second)
 		f.worker.withLock(func() {
 			if f.worker.startCalls != calls {
@@ -184,8 +184,8 @@
 				f.send(t, f.liveHeartbeat(1), nil)
 				time.Sleep(10 * time.Second)
 				f.worker.withLock(func() {
-					if len(f.worker.starts) != 0 && (f.scheduler.goneReported || f.scheduler.refused != "") {
-						t.Errorf("started %v after it was reported as gone (%v) or refused (%q)", f.worker.starts, f.scheduler.goneReported, f.scheduler.refused)
+					if len(f.worker.starts) != 0 && (f.scheduler.sawGone() || f.scheduler.sawRefusals() != "") {
+						t.Errorf("started %v after it was reported as gone (%v) or refused (%q)", f.worker.starts, f.scheduler.sawGone(), f.scheduler.sawRefusals())
 					}
 				})
 			})
@@ -230,7 +230,7 @@
 						t.Errorf("runs on the worker: %v; want the late start", f.worker.running)
 					}
 				})
-				if f.scheduler.goneReported {
+				if f.scheduler.sawGone() {
 					t.Error("reported as gone while it runs a late start")
 				}
 			})
@@ -271,7 +271,7 @@
 						t.Errorf("runs on the worker: %v; want one under its lease", f.worker.running)
 					}
 				})
-				if f.scheduler.goneReported {
+				if f.scheduler.sawGone() {
 					t.Error("reported as gone while its task runs")
 				}
 			})
@@ -342,7 +342,9 @@
 			time.Sleep(800 * time.Millisecond)
 			f.send(t, f.liveHeartbeat(1), nil)
 			time.Sleep(time.Second)
-			if f.worker.lastEnd > 0 {
+			var ends int64
+			f.worker.withLock(func() { ends = f.worker.lastEnd })
+			if ends > 0 {
 				f.expectEndReported(t, "c.0.0.0")
 			}
 		})
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -176,6 +176,20 @@
 	})
 }
 
+// sawGone returns whether the worker was ever reported as gone.
+func (f *pathScheduler) sawGone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.goneReported
+}
+
+// sawRefusals returns all refusals that were ever reported.
+func (f *pathScheduler) sawRefusals() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
 // setDown cuts the relay off from the scheduler, or ends the cut.
 func (f *pathScheduler) setDown(down bool) {
 	f.mu.Lock()
@@ -256,7 +270,9 @@
 	t.Helper()
 	f.scheduler.setDown(true)
 	time.Sleep(14 * time.Second)
+	f.scheduler.mu.Lock()
 	last := f.scheduler.lastReportAt
+	f.scheduler.mu.Unlock()
 	f.worker.withLock(func() {
 		if len(f.worker.running) != 1 {
 			t.Fatalf("runs on the worker: %v; want one", f.worker.running)
@@ -385,7 +401,7 @@
 		f.send(t, f.liveHeartbeat(2), nil)
 		f.worker.withLock(func() { f.worker.onHold = func(Call, int64) bool { return true } })
 		time.Sleep(8 * time.Second)
-		if f.scheduler.goneReported {
+		if f.scheduler.sawGone() {
 			t.Error("reported as gone while the lease may be valid")
 		}
 	})
@@ -400,12 +416,12 @@
 		for range 12 {
 			time.Sleep(time.Second)
 			f.worker.withLock(func() {
-				if f.worker.clock() < f.worker.leaseEnd && f.scheduler.goneReported {
+				if f.worker.clock() < f.worker.leaseEnd && f.scheduler.sawGone() {
 					t.Error("reported as gone while the lease is valid")
 				}
 			})
 		}
-		if !f.scheduler.goneReported {
+		if !f.scheduler.sawGone() {
 			t.Error("not reported as gone after the lease has ended")
 		}
 	})
@@ -422,13 +438,13 @@
 				for range 200 {
 					time.Sleep(10 * time.Millisecond)
 					f.worker.withLock(func() {
-						if f.scheduler.refused != "" && f.worker.rejectedUpTo["a.0.0.0"] != 1 {
+						if f.scheduler.sawRefusals() != "" && f.worker.rejectedUpTo["a.0.0.0"] != 1 {
 							t.Error("reported as refused before the stop")
 						}
 					})
 				}
-				if f.scheduler.refused != "a.0.0.0/"+reason+" " {
-					t.Errorf("refusals: %q; want one", f.scheduler.refused)
+				if f.scheduler.sawRefusals() != "a.0.0.0/"+reason+" " {
+					t.Errorf("refusals: %q; want one", f.scheduler.sawRefusals())
 				}
 			})
 		})
