relay: a hold carries the number of stored ends only until the worker has it

Every hold told the worker to forget the ends up to the number that was stored last. Now the number goes out until a hold with it has been answered.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,7 +43,7 @@
 	// for some seconds after it announced its end. If it has drained and answers nothing for
 	// leaveSilence, it has ended.
 	leaveCallTimeout = 300 * time.Millisecond
-	leaveSilence     = 900 * time.Millisecond
+	leaveSilence     = 1050 * time.Millisecond
 	// tickPeriod is the time between two checks for calls that have become due.
 	tickPeriod = 100 * time.Millisecond
 )
@@ -498,7 +498,7 @@
 	}
 	s.holdPending = true
 	s.lastHoldSent++
-	holdNumber, observed, call, worker := s.lastHoldSent, s.observed, s.newCall(clock.Monotonic()), s.worker
+	holdNumber, observed, call, worker := s.lastHoldSent, s.unsentObserved(), s.newCall(clock.Monotonic()), s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, timeout)
 		defer cancel()
@@ -516,6 +516,16 @@
 	}()
 }
 
+// unsentObserved returns the number up to which the worker is to forget ends, or 0 if it
+// has already been told: a hold that reaches the next process of the worker under the same
+// id, whose ends are numbered anew, would make it forget ends that nobody has read.
+func (s *state) unsentObserved() int64 {
+	if s.observed > s.observedSent {
+		return s.observed
+	}
+	return 0
+}
+
 // guardedCall calls the worker by f. The outcome is not known if f panics. what names the
 // call in the log.
 func guardedCall(what string, f func() Answer) (answer Answer) {
