--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,8 +40,8 @@
 	// next connection is refused too, the worker's process has ended.
 	connRefusedDelay = 100 * time.Millisecond
 	// leaveCallTimeout bounds one hold while the worker is about to end, which may go on
-	// for some seconds after it announced its end. If it has drained and answers nothing for
-	// leaveSilence, it has ended.
+	// for some seconds after it announced its end. If it has drained and answers no call of
+	// several for leaveSilence, it has ended.
 	leaveCallTimeout = 300 * time.Millisecond
 	leaveSilence     = 1050 * time.Millisecond
 	// tickPeriod is the time between two checks for calls that have become due.
@@ -313,8 +313,9 @@
 func (s *state) recordCallResult(now time.Duration, epoch int64, answer Answer) {
 	err := answer.Err()
 	ok := err == nil
+	s.unansweredCalls++
 	if ok {
-		s.answeredAt = now
+		s.answeredAt, s.unansweredCalls = now, 0
 	}
 	if answer.Fenced() && epoch > s.fencedEpoch {
 		klog.InfoS("relay: worker has received a higher epoch", "worker", s.worker.GetId(), "epoch", epoch)
@@ -336,7 +337,7 @@
 			s.setGone(now, err)
 		case s.leaveAnnounced:
 			s.nextCallAt = now + connRefusedDelay // it may end at any moment
-			if s.worker.GetDraining() && now-max(s.leaveAnnouncedAt, s.answeredAt) >= leaveSilence {
+			if s.worker.GetDraining() && s.unansweredCalls > 1 && now-max(s.leaveAnnouncedAt, s.answeredAt) >= leaveSilence {
 				s.setGone(now, err)
 			}
 		default:
@@ -544,7 +545,7 @@
 	}
 	fenced := answer.Fenced()
 	if answer.Effect() == EffectNone && answer.Err() == nil && !fenced {
-		s.answeredAt = now
+		s.answeredAt, s.unansweredCalls = now, -1 // it is counted below
 		answer = Unknown(Error.New("hold rejected: %s", answer.Reason()))
 	}
 	s.recordCallResult(now, s.epoch, answer)
