sched: an agent may forget a task that has ended once the record of its job has

An agent that drained while the scheduling entry stopped ended only after 30 s.

Cause: an agent that drains ends once the scheduler has told it that every outcome is recorded. If the scheduler is replaced between the end of a job's record and the agent's next report, the successor knows the task only as an orphan. It read the ended record and marked the orphan as stale, but still kept it for orphanRetention (30 s), for an entry that submits the job again. No entry asks the agent for such a task: the outcome is in the record.

Fix: settledTasks no longer retains a stale orphan. An orphan is marked only if it has started, and the record of such a task is committed before the start, so the record cannot name it later. The result of a job without a record is kept as before.

Evidence: TestForgetTaskOfEndedJob failed before for a task that was done, failed or stopped ("may forget [], want [job.1.1-0]").

--- a/sched/control.go
+++ b/sched/control.go
@@ -138,7 +138,8 @@
 	lastSeen time.Time // last report of the task before it ended
 	// lookedUpState is the state of the task when its job record was last looked up.
 	lookedUpState wire.TaskState
-	// stale means that the job record names other tasks or has ended.
+	// stale means that the job record names other tasks or has ended, so that nobody
+	// will ask for the task's result.
 	stale bool
 	// expired means that no entry has submitted the job within orphanRetention, so
 	// the agent may forget the task.
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -39,6 +39,7 @@
 	sequence int64
 	listener *pipe.Listener
 	tasks    map[string]*wire.TaskStatus
+	settled  []string // ids in the answer to the last report of the tasks that it may forget
 	bodies   []string // of the prepared tasks, in order
 	resumes  []int64  // ResumeMs of the prepared tasks, in order
 	starts   int      // tasks started
@@ -281,9 +282,11 @@
 			}
 		}
 		a.mu.Unlock()
-		if _, err := h.scheduler.Report(h.t.Context(), report); err != nil {
+		response, err := h.scheduler.Report(h.t.Context(), report)
+		if err != nil {
 			h.t.Fatal(err)
 		}
+		a.settled = response.GetSettled()
 	}
 }
 
--- a/sched/orphan.go
+++ b/sched/orphan.go
@@ -224,9 +224,10 @@
 }
 
 // markStaleOrphans marks the orphans of the record's job that the record does not
-// name, so that they are stopped. Otherwise a task whose job has ended, for example
-// by a cancellation while its worker was unreachable, would use its accelerators
-// until it ended by itself.
+// name, so that they are stopped, and forgotten by their agents once they have ended.
+// Otherwise a task whose job has ended, for example by a cancellation while its
+// worker was unreachable, would use its accelerators until it ended by itself, and
+// an agent that drains would wait for orphanRetention.
 func (s *Scheduler) markStaleOrphans(c *control, item store.Item) {
 	record := new(wire.JobRecord)
 	if err := proto.Unmarshal(item.Value, record); err != nil {
--- a/sched/orphan_test.go
+++ b/sched/orphan_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,37 @@
 		})
 	}
 }
+
+// TestForgetTaskOfEndedJob guards against an agent that drains for 30 s longer than
+// its tasks run, because the scheduler that recorded the end of a job was replaced
+// before it could tell the agent. A result that an entry may still ask for has to
+// stay at the agent.
+func TestForgetTaskOfEndedJob(t *testing.T) {
+	tests := []struct {
+		name     string
+		recorded bool // the job has a record, which has ended
+		state    wire.TaskState
+		want     []string
+	}{
+		{"done", true, wire.TaskState_TASK_DONE, []string{"job.1.1-0"}},
+		{"failed", true, wire.TaskState_TASK_FAILED, []string{"job.1.1-0"}},
+		{"stopped", true, wire.TaskState_TASK_STOPPED, []string{"job.1.1-0"}},
+		{"done without a record", false, wire.TaskState_TASK_DONE, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withScheduler(t, 1, func(t *testing.T, h *harness) {
+				if test.recorded {
+					record := h.committedRecord(1)
+					record.Phase, record.Outcome = wire.JobRecord_ENDED, &wire.Outcome{Fate: wire.Fate_FAILED}
+					h.writeRecord(record, 0)
+				}
+				h.setTask(test.state, true)
+				h.takeDuty(2)
+				if got := h.agents[0].settled; !slices.Equal(got, test.want) {
+					t.Errorf("2 s after the takeover the agent may forget %q, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
--- a/sched/report.go
+++ b/sched/report.go
@@ -96,7 +96,7 @@
 		id := status.GetAttempt()
 		_, active := c.tasks[id]
 		o, retained := c.orphans[id]
-		retained = retained && !o.expired
+		retained = retained && !o.expired && !o.stale
 		if !active && !retained && !c.isEnding(status.GetJobId()) && c.recordsRead {
 			settled = append(settled, id)
 		}
