duty: gang members beside an unconfirmed one on a lost worker are stopped at once

Three faults, found by review. (2) Older: the failure of a run that was taken as over was acknowledged and not counted (BUDGET); it counts once.

TestGangIsStoppedWhileUnconfirmedMemberIsGone, TestLateFailureOfRunTakenAsGoneCounts and TestLateReportOfKnownEarlierRelayProcessChangesNothing failed on; the last one asked for an answer without effect before, and now for no orders at all.

--- a/duty/paths_test.go
+++ b/duty/paths_test.go
@@ -25,10 +25,13 @@
 		b.report(r)
 		late := idleReport(1, 100, 1)
 		late.Worker.Id, late.Worker.BornMs = "w0", 50
-		b.report(late)
-		late.Worker.Gone = true
-		late.Sequence++
-		b.report(late)
+		for range 2 {
+			if orders, err := b.scheduler.HandleReport(late); !errors.Is(err, ErrNotHolder) {
+				t.Errorf("report of the earlier process: orders %v, error %v; want ErrNotHolder, after which a relay pauses", orders, err)
+			}
+			late.Worker.Gone = true
+			late.Sequence++
+		}
 		time.Sleep(time.Second)
 		checkFirstRun(t, b, "after reports of the earlier process")
 	})
@@ -324,3 +327,54 @@
 		}
 	})
 }
+
+// Guards against gang members that wait in vain: once the worker of an unconfirmed member is
+// gone, the others must be stopped at once and not after lateCallTime.
+func TestGangIsStoppedWhileUnconfirmedMemberIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, fakekv.New(), 1)
+		spec := gangJob(jobID, 2)
+		spec.Steps[0].MaxPerWorker = 1
+		b.scheduler.Apply([]store.Event{storeMessage(t, b.kv, JobKey(jobID), spec)})
+		r1, r2 := idleReport(1, 0, 1), idleReport(2, 0, 1)
+		orders := b.collectOrders(r1, r2)
+		r1.Running = []*flow.Run{{Task: orders[0].GetStarts()[0].GetTask(), Run: 1}}
+		b.report(r1)
+		r1.Sequence++
+		r2.Sequence += 10
+		r2.Worker.Gone = true
+		b.report(r2)
+		start := time.Now()
+		for time.Since(start) < 20*time.Second {
+			r1.Sequence++
+			r2.Sequence++
+			o := b.report(r1)
+			go func() { _, _ = b.scheduler.HandleReport(r2) }()
+			time.Sleep(300 * time.Millisecond)
+			if len(o.GetStops()) > 0 {
+				break
+			}
+		}
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("the other member was stopped %v after the worker was gone; want at once", took)
+		}
+	})
+}
+
+// Guards against more starts than MaxAttempts allows: the failure of a run that was taken as
+// over is acknowledged, so it must count, and only once.
+func TestLateFailureOfRunTakenAsGoneCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, fakekv.New(), 1)
+		r := startOnFirstWorker(t, b)
+		r.Worker.Gone = true
+		b.report(r)
+		back := idleReport(1, r.GetSequence(), 1)
+		back.Ends = []*flow.End{{Number: 1, Task: firstTaskName, Run: 1, How: graph.EndFailed}}
+		orders := b.collectOrders(back)[0]
+		task := b.storedProgress(jobID).GetTasks()[0]
+		if orders.GetObserved() != 1 || task.GetFailures() != 1 {
+			t.Errorf("end %d acknowledged, task %v; want the end acknowledged and one failure", orders.GetObserved(), task)
+		}
+	})
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -26,6 +26,9 @@
 		w.bootOrder[boot] = len(w.bootOrder) + 1
 	}
 	switch {
+	case r.GetEpoch() > s.claim.Epoch:
+		sendReply(answer, nil) // there is a later holder
+		return
 	case r.GetEpoch() != s.claim.Epoch:
 		// The report was sent before its process had an answer under this claim. How long
 		// ago is not known: the process may have ended since, or its worker.
@@ -35,7 +38,7 @@
 		w.ignoredLog.Do(func() {
 			klog.InfoS("duty: report of an earlier relay process ignored", "relay", w.relay, "boot", boot, "sequence", r.GetSequence(), "present", w.relayBoot)
 		})
-		s.replyEpoch(r, answer)
+		sendReply(answer, nil)
 		return
 	case w.relayBoot == boot && r.GetSequence() <= w.sequence:
 		// It was overtaken by a later one, from whose arrival the lease counts.
@@ -116,11 +119,14 @@
 		w.goneSince = w.lastReport
 	}
 	st.applyEnds(w, r)
-	st.endRunsAt(w, func(t activeTask) bool {
+	mayStartLate := func(t activeTask) bool {
 		run := t.job.runs[t.Ref]
-		unconfirmed := !t.Started && run != nil && run.stored
-		return w.sameWorker(t.Place) && (!unconfirmed || w.lastReport-w.goneSince > lateCallTime)
-	}, "gone")
+		return !t.Started && run != nil && run.stored && w.lastReport-w.goneSince <= lateCallTime
+	}
+	st.endRunsAt(w, func(t activeTask) bool { return w.sameWorker(t.Place) && !mayStartLate(t) }, "gone")
+	for _, t := range st.activeOn(w.relay) {
+		st.stopUnit(t.job, t.Ref) // the other members of a gang cannot continue either
+	}
 }
 
 // sameWorker reports whether a place is that of this worker, in its present process
@@ -233,6 +239,11 @@
 		st.stopAfterLateSuccess(j, ref, e.GetRun())
 		return
 	}
+	if e.GetHow() == graph.EndFailed && j.concluded[ref].run == e.GetRun() {
+		j.graph.RecordLateFailure(ref)
+		delete(j.concluded, ref) // it counts once
+		st.markDirty(j)
+	}
 	t := j.graph.Task(ref)
 	if t == nil || !w.sameWorker(t.Place) {
 		return
--- a/graph/job.go
+++ b/graph/job.go
@@ -385,6 +385,18 @@
 	return true
 }
 
+// RecordLateFailure counts the failure of a run that counted as over for another reason.
+func (j *Job) RecordLateFailure(ref Ref) {
+	if j.Step(ref).GetLongRunning() {
+		return
+	}
+	for _, member := range j.Members(ref) {
+		if m := j.tasks[member]; m != nil {
+			m.Failures++
+		}
+	}
+}
+
 // countFailure counts a failure for the task, or for all members of its gang.
 func (j *Job) countFailure(ref Ref, run int64) {
 	for _, member := range j.Members(ref) {
