--- a/duty/paths_red_test.go
+++ b/duty/paths_red_test.go
@@ -257,6 +257,33 @@
 	}
 }
 
+// Guards against a lease that is counted on the wrong clock: the relay counts it on the
+// clock of the worker's process in its report, so that the answer must be for that process
+// and not for one that another report has named meanwhile.
+func TestAnswerIsForTheProcessInItsReport(t *testing.T) {
+	for _, next := range []string{"w1", "w9"} {
+		t.Run(next, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHarness(t, fakekv.New(), 1)
+				pending := idleReport(1, 2, 1)
+				pending.OrdersVersion = b.report(idleReport(1, 1, 1)).GetVersion()
+				answer := make(chan *flow.Orders, 1)
+				go func() {
+					orders, _ := b.scheduler.HandleReport(pending) // an error is an answer without a lease
+					answer <- orders
+				}()
+				time.Sleep(100 * time.Millisecond)
+				r := idleReport(1, 3, 1)
+				r.Worker.Id, r.Worker.BornMs = next, 200
+				b.report(r)
+				if orders := <-answer; orders.GetLeaseMs() > 0 && orders.GetWorkerBornMs() != 100 {
+					t.Errorf("report of the process 100 answered with a lease for %s, process %d", orders.GetWorker(), orders.GetWorkerBornMs())
+				}
+			})
+		})
+	}
+}
+
 // Guards against a job that blocks all writes: its run was assigned but not stored when it
 // failed, and its cancellation is stored before the next write.
 func TestCancellationOfFailedJobBlocksNoOtherJob(t *testing.T) {
