duty: a report that waits is not answered with the orders of the worker's next process

Such a report now gets the epoch alone. TestAnswerIsForTheProcessInItsReport failed before; relay TestLeaseOfNextProcessCountsOnItsClock failed on.

--- a/duty/report.go
+++ b/duty/report.go
@@ -42,6 +42,10 @@
 		return
 	case w.relayBoot == boot && r.GetSequence() <= w.sequence:
 		// It was overtaken by a later one, from whose arrival the lease counts.
+		if placeOfReport(r) != w.place {
+			s.replyEpoch(r, answer)
+			return
+		}
 		st.reply(s, w.relay, answer)
 		return
 	}
@@ -58,6 +62,11 @@
 		w.listedAt, w.listClockMS = w.lastReport, r.GetListClockMs()
 	}
 	st.applyCrashes(w, r.GetCrashes())
+	if w.pendingReply != nil && placeOfReport(r) != w.place {
+		// The relay may count the lease on the clock of the process before.
+		s.replyEpoch(&flow.Report{Worker: w.info}, w.pendingReply)
+		w.pendingReply = nil
+	}
 	st.updateWorker(s, w, r)
 	switch {
 	case r.GetWorker().GetGone():
@@ -75,6 +84,11 @@
 	}
 }
 
+// placeOfReport returns the process of the worker that a report describes.
+func placeOfReport(r *flow.Report) graph.Place {
+	return graph.Place{Worker: r.GetWorker().GetId(), StartUnixMS: r.GetWorker().GetBornMs(), Relay: r.GetRelay()}
+}
+
 // updateWorker applies what a report says about the worker itself. A worker that is
 // gone, or replaced by one with another id, ends the runs that were assigned to it.
 // A new process of a worker with the same id accepts orders that were meant for the
@@ -83,7 +97,7 @@
 // a worker that is gone by lateCallTime.
 func (st *state) updateWorker(s *Scheduler, w *worker, r *flow.Report) {
 	info := r.GetWorker()
-	place := graph.Place{Worker: info.GetId(), StartUnixMS: info.GetBornMs(), Relay: w.relay}
+	place := placeOfReport(r)
 	if place != w.place {
 		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.StartUnixMS, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
 		st.inferCrash(s, w)
