--- a/duty/paths_test.go
+++ b/duty/paths_test.go
@@ -15,6 +15,30 @@
 	"catkinpoint/store"
 )
 
+// firstTaskName is the name of the first task of the job with the id jobID.
+var firstTaskName = graph.TaskName(jobID, graph.Ref{})
+
+// startOnFirstWorker has a scheduler start a job with one task on worker 1, whose relay
+// then lists the run, and returns that report with the sequence of the next one.
+func startOnFirstWorker(t *testing.T, b *harness) *flow.Report {
+	t.Helper()
+	orders, sequence := startJob(t, b, simpleJob(jobID, 1))
+	r := idleReport(1, sequence, b.claim.Epoch)
+	r.OrdersVersion, r.Running = orders.GetVersion(), []*flow.Run{{Task: firstTaskName, Run: 1}}
+	b.report(r)
+	r.Sequence++
+	return r
+}
+
+// checkFirstRun fails the test unless run 1 of the first task is still the active one, on
+// worker 1.
+func checkFirstRun(t *testing.T, b *harness, when string) {
+	t.Helper()
+	if task := b.storedProgress(jobID).GetTasks()[0]; task.GetRun() != 1 || task.GetWorker() != "w1" {
+		t.Errorf("task %s: %v; want run 1 on w1, which the worker lists", when, task)
+	}
+}
+
 // Guards against ending runs by what a killed process of the relay reported: its reports
 // are ignored once the holder knows its successor.
 func TestLateReportOfKnownEarlierRelayProcessChangesNothing(t *testing.T) {
