relay: starts without an answer are refused once their worker's lease has expired

A run that no worker has confirmed outlives its worker that is gone. If it is gone because it has been silent for a whole lease, the deadlines of its starts have passed, so that none can be carried out; the scheduler does not wait longer for them. TestStartWithoutAnswerIsRefusedOnceLeaseExpires failed before.

--- a/relay/orders.go
+++ b/relay/orders.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// refuseExpiredStarts refuses the starts whose calls all had a deadline that has passed.
+func (s *state) refuseExpiredStarts() {
+	for key, st := range s.starts {
+		if st.phase != startSending {
+			s.refuse(key, graph.RefusedExpired)
+		}
+	}
+	s.withdrawStarts(nil)
+}
+
 // refuseUnsentStarts gives up all starts, as the process of the worker has ended, and
 // refuses those of which every call has an answer. The others may still be carried out by
 // the worker's next process.
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -506,3 +506,16 @@
 		t.Error("gone, although no call was sent since the relay goes on")
 	}
 }
+
+// A start without an answer must not keep its task from starting elsewhere for longer than
+// the lease of the worker: its deadline has passed by then.
+func TestStartWithoutAnswerIsRefusedOnceLeaseExpires(t *testing.T) {
+	withPath(t, 1, func(t *testing.T, f *pathFixture) {
+		f.worker.withLock(func() { f.worker.silent = true })
+		f.scheduler.order(startOrder("a.0.0.0"))
+		time.Sleep(testLease + 2*time.Second)
+		if got := f.scheduler.sawRefusals(); got != "a.0.0.0/unanswered " || !f.scheduler.sawGone() {
+			t.Errorf("refusals %q, gone %v; want the start refused with its worker gone", got, f.scheduler.sawGone())
+		}
+	})
+}
--- a/relay/state.go
+++ b/relay/state.go
@@ -213,7 +213,7 @@
 	if s.leaseExpired(now) && !s.worker.GetGone() {
 		r.Worker = cloneWorker(s.worker)
 		r.Worker.Gone = true
-		s.refuseUnsentStarts()
+		s.refuseExpiredStarts()
 	}
 	if s.leaveAnnounced && !r.GetWorker().GetDraining() {
 		r.Worker = cloneWorker(r.GetWorker())
