duty, graph, relay: bounds of late successes and failures, found by review

A later run of a task that is done is stopped by the next holder too (TestStopAfterLateSuccessSurvivesHandover failed before); late ends change nothing once their job has ended, as such a job is not written again; a failure that is listed after "unreachable" does not count, as the lease had lapsed by then; and what the relay knows of the silence of a worker does not outlive its process.

--- a/duty/paths_test.go
+++ b/duty/paths_test.go
@@ -402,3 +402,30 @@
 		}
 	})
 }
+
+// Guards against work on a task that is done: the stop of its later run is in the memory of
+// the holder that learned of the success.
+func TestStopAfterLateSuccessSurvivesHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		job := graph.New(simpleJob(jobID, 2), nil)
+		assignAll(job, true)
+		job.End(graph.Ref{}, 1, "unreachable", "")
+		for _, u := range job.Ready(time.Now().UnixMilli()) {
+			job.Assign(u, []graph.Place{placeOf(1)})
+		}
+		job.MarkStarted(graph.Ref{}, 2)
+		if !job.RecordLateSuccess(graph.Ref{}, 1) {
+			t.Fatal("no late success")
+		}
+		storeJob(t, kv, job)
+		b := newHarness(t, kv, 2)
+		b.report(idleReport(1, 1, 0))
+		r := idleReport(1, 1, 2)
+		r.Running = []*flow.Run{{Task: firstTaskName, Run: 2}, {Task: graph.TaskName(jobID, graph.Ref{Index: 1}), Run: 1}}
+		orders := b.collectOrders(r)[0]
+		if len(orders.GetStops()) != 1 {
+			t.Errorf("stops %v; want run 2 of the first task, which is done", orders.GetStops())
+		}
+	})
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -253,7 +253,8 @@
 		st.stopAfterLateSuccess(j, ref, e.GetRun())
 		return
 	}
-	if e.GetHow() == graph.EndFailed && j.concluded[ref].run == e.GetRun() {
+	// A run that lasted until its lease lapsed is over by that, not by a failure.
+	if c := j.concluded[ref]; e.GetHow() == graph.EndFailed && c.run == e.GetRun() && c.how != "unreachable" && !j.graph.Ended() {
 		j.graph.RecordLateFailure(ref)
 		delete(j.concluded, ref) // it counts once
 		st.markDirty(j)
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -31,11 +31,14 @@
 
 // resumeStops orders the stops that follow from a job's records. Its earlier holder may
 // have ordered them, but kept that in memory only: of the runs of a job that has ended or
-// was cancelled, and of the members of a gang that another member has broken.
+// was cancelled, of the members of a gang that another member has broken, and of a task
+// that is done.
 func (st *state) resumeStops(j *job) {
 	stops := 0
 	for _, t := range j.graph.Active() {
-		if !t.Done && (j.graph.Ended() || j.graph.Cancelled || j.graph.GangBroken(t.Ref, t.Run)) {
+		// The task may be done by an earlier run; a member of a gang that is done ends by itself.
+		doneBefore := t.Done && !j.graph.Step(t.Ref).GetGang()
+		if doneBefore || !t.Done && (j.graph.Ended() || j.graph.Cancelled || j.graph.GangBroken(t.Ref, t.Run)) {
 			st.orderStop(j, t)
 			stops++
 		}
--- a/graph/job.go
+++ b/graph/job.go
@@ -370,10 +370,11 @@
 
 // RecordLateSuccess marks a task, or all members of its gang, as done because a run that
 // counted as over had succeeded, and reports whether it was not done. The task may have a
-// later run, which stays active. It ignores runs that were never assigned.
+// later run, which stays active. It ignores runs that were never assigned, and does nothing
+// once the job has ended.
 func (j *Job) RecordLateSuccess(ref Ref, run int64) bool {
 	t := j.tasks[ref]
-	if t == nil || t.Done || run < 1 || run > t.Run || run == t.Run && t.Active() {
+	if j.Ended() || t == nil || t.Done || run < 1 || run > t.Run || run == t.Run && t.Active() {
 		return false
 	}
 	for _, member := range j.Members(ref) {
@@ -387,7 +388,7 @@
 
 // RecordLateFailure counts the failure of a run that counted as over for another reason.
 func (j *Job) RecordLateFailure(ref Ref) {
-	if j.Step(ref).GetLongRunning() {
+	if j.Ended() || j.Step(ref).GetLongRunning() {
 		return
 	}
 	for _, member := range j.Members(ref) {
--- a/relay/identify.go
+++ b/relay/identify.go
@@ -103,7 +103,7 @@
 		s.openStarts = map[runKey]time.Duration{} // the calls name another worker
 	}
 	s.replacements++
-	s.unreachable, s.leaveAnnounced = false, false
+	s.unreachable, s.leaveAnnounced, s.answeredAt, s.unansweredHolds = false, false, 0, 0
 	s.takeHeartbeat(heartbeat, now)
 	s.workerKnownAt, s.workerClock, s.clockConfirmed = now, 0, false
 	s.setWorkerClock(heartbeat.Clock, now, false)
