--- a/relay/evidence_test.go
+++ b/relay/evidence_test.go
@@ -100,6 +100,9 @@
 			f.worker.withLock(func() { f.worker.notListening = true })
 			f.scheduler.order(func(o *flow.Orders) { startOrder("a.0.0.0")(o); o.Observed, o.PermitMs = 1, 0 }) // has the relay make a call
 			time.Sleep(time.Second)
+			if !f.scheduler.sawGone() {
+				t.Error("the worker is not reported as gone")
+			}
 			f.worker.withLock(func() { f.worker.notListening = false })
 			f.send(t, f.liveHeartbeat(2), nil)
 		}, func(f *pathFixture) bool { return f.scheduler.sawGone() }},
