--- a/model/fault_test.go
+++ b/model/fault_test.go
@@ -30,6 +30,7 @@
 	faultLateHeartbeat faultKind = "late-heartbeat"
 	faultTasks         faultKind = "tasks" // some runs fail
 	faultGangs         faultKind = "gangs" // some steps are gangs
+	faultIdle          faultKind = "idle"  // the first job comes late
 	faultCancel        faultKind = "cancel"
 	faultCut           faultKind = "cut"
 	faultLateReport    faultKind = "late-report"
@@ -39,9 +40,11 @@
 	faultGateFreeze    faultKind = "gate-freeze"
 	faultGateYield     faultKind = "gate-yield"
 	faultStoreDown     faultKind = "store-down"
+	faultStorePause    faultKind = "store-pause" // down, and leases do not run meanwhile
 	faultStoreSlow     faultKind = "store-slow"
 	faultStoreLose     faultKind = "store-lose"
 	faultGateCutOff    faultKind = "gate-cut-off" // one gate is without the store
+	faultGateReads     faultKind = "gate-reads"   // reads of one gate are rejected
 	faultGateSlow      faultKind = "gate-slow"    // writes of one gate take effect late
 	faultRelayCutOff   faultKind = "relay-cut-off"
 	faultCompact       faultKind = "compact"
@@ -66,6 +69,7 @@
 	{faultLateHeartbeat, true, 1 * time.Second, 10 * time.Second},
 	{faultTasks, false, 0, 0},
 	{faultGangs, false, 0, 0},
+	{faultIdle, false, 0, 0},
 	{faultCancel, true, 1 * time.Second, 10 * time.Second},
 	{faultCut, true, 200 * time.Millisecond, 14 * time.Second},
 	{faultLateReport, true, 500 * time.Millisecond, 10 * time.Second},
@@ -75,9 +79,11 @@
 	{faultGateFreeze, true, 200 * time.Millisecond, 10 * time.Second},
 	{faultGateYield, true, time.Millisecond, 100 * time.Millisecond},
 	{faultStoreDown, true, 300 * time.Millisecond, 12 * time.Second},
+	{faultStorePause, true, 300 * time.Millisecond, 14 * time.Second},
 	{faultStoreSlow, true, 500 * time.Millisecond, 8 * time.Second},
 	{faultStoreLose, true, 500 * time.Millisecond, 8 * time.Second},
 	{faultGateCutOff, true, 300 * time.Millisecond, 12 * time.Second},
+	{faultGateReads, true, 300 * time.Millisecond, 12 * time.Second},
 	{faultGateSlow, true, 500 * time.Millisecond, 10 * time.Second},
 	{faultRelayCutOff, true, 500 * time.Millisecond, 12 * time.Second},
 	{faultCompact, true, time.Millisecond, 100 * time.Millisecond},
@@ -100,16 +106,19 @@
 }
 
 const (
-	// firstFault and faultSpan limit the times at which faults begin.
-	firstFault = 4 * time.Second
-	faultSpan  = 26 * time.Second
-	// faultSpread is the time within which the faults of one cluster begin.
+	// firstFault and faultSpan limit the times at which clusters of faults begin, idleSpan
+	// after an idle time: what is special then passes soon.
+	firstFault = time.Second
+	faultSpan  = 29 * time.Second
+	idleSpan   = 6 * time.Second
+	// faultSpread is the longest time within which the faults of one cluster begin.
 	faultSpread = 9 * time.Second
 )
 
-// drawFaults draws a sequence of faults of one to three of the kinds, which begin close
-// to each other and mostly concern the same machine and gate.
-func drawFaults(seed uint64, kinds []faultKind) []fault {
+// drawFaults draws a sequence of faults of one to three of the kinds. They come in
+// clusters that begin within span; those of a cluster begin close to each other and mostly
+// concern the same machine and gate.
+func drawFaults(seed uint64, kinds []faultKind, span time.Duration) []fault {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var faults []fault
 	var drawn []int
@@ -125,15 +134,19 @@
 		}
 	}
 	for range 1 + rng.IntN(3) {
-		start := firstFault + time.Duration(rng.Int64N(int64(faultSpan)))
+		start := firstFault + time.Duration(rng.Int64N(int64(span)))
+		spread := time.Second + time.Duration(rng.Int64N(int64(faultSpread-time.Second)))
 		machine, gate := rng.IntN(machineCount), -1
 		for _, i := range drawn {
 			for range 1 + rng.IntN(2) {
 				k := faultKinds[i]
 				f := fault{
-					kind: k.kind, at: start + time.Duration(rng.Int64N(int64(faultSpread))), machine: machine, gate: gate, seed: rng.Int(),
+					kind: k.kind, at: start + time.Duration(rng.Int64N(int64(spread))), machine: machine, gate: gate, seed: rng.Int(),
 					length: k.low + time.Duration(rng.Int64N(int64(k.high-k.low))), all: rng.IntN(4) == 0,
 				}
+				if k.kind == faultCut && rng.IntN(3) == 0 {
+					f.length = taskLease + time.Duration(rng.Int64N(int64(5*time.Second))) // task leases expire
+				}
 				if rng.IntN(4) == 0 {
 					f.machine = rng.IntN(machineCount)
 				}
@@ -148,6 +161,18 @@
 	return faults
 }
 
+// maxIdle is the longest time before the first job.
+const maxIdle = 8 * time.Minute
+
+// drawIdle draws the time before the first job, which is 0 for most seeds.
+func drawIdle(seed uint64, kinds []faultKind) time.Duration {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	if !slices.Contains(kinds, faultIdle) || rng.IntN(4) > 0 {
+		return 0
+	}
+	return time.Duration(rng.Int64N(int64(maxIdle)))
+}
+
 // inject waits for the time of a fault, injects it and ends it.
 func (w *world) inject(ctx context.Context, f fault) {
 	if !sleep(ctx, f.at) {
@@ -218,6 +243,11 @@
 				_ = proc.gate.RPCHandlers().Yield(&flow.YieldRequest{Epoch: claim.GetEpoch()}, &flow.YieldResponse{}) // it may refuse
 			}
 		}
+	case faultGateReads:
+		g.rejectReads(1)
+		return func() { g.rejectReads(-1) }
+	case faultStorePause:
+		return w.pauseStore(ctx)
 	case faultCompact:
 		w.kv.Compact()
 	case faultLapse:
@@ -350,3 +380,36 @@
 	}[f.kind])
 	return func() { set(fakekv.Faults{}) }
 }
+
+// pauseStore takes the store down. Until the returned function is called, the lease of the
+// claim does not run.
+func (w *world) pauseStore(ctx context.Context) func() {
+	set := func(faults fakekv.Faults) {
+		for _, g := range w.gates {
+			g.setStoreFaults(faults)
+		}
+		for _, h := range w.relays {
+			w.kv.SetFaults(fmt.Sprintf("r%d", h.index), faults)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	set(fakekv.Faults{Down: true})
+	go func() {
+		check := w.kv.WithCaller("check")
+		for {
+			if item, err := check.Get(ctx, duty.KeyPrefix+"duty"); err == nil {
+				_ = check.KeepAlive(ctx, item.Lease) // it may have ended
+			}
+			if !sleep(ctx, pauseRenewal) {
+				return
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		set(fakekv.Faults{})
+	}
+}
+
+// pauseRenewal is the time between two renewals of a lease that does not run.
+const pauseRenewal = 100 * time.Millisecond
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -19,7 +19,7 @@
 
 const (
 	// calmAfter is when all faults have ended.
-	calmAfter = 54 * time.Second
+	calmAfter = 56 * time.Second
 	// finishTime is the time after calmAfter in which all jobs have to end.
 	finishTime = 90 * time.Second
 	// drainTime is longer than any message of the model is under way.
@@ -80,12 +80,14 @@
 			log := &logBuffer{}
 			klog.SetOutput(log)
 			var report bytes.Buffer
+			defer func() { // synctest.Test does not return if the run fails
+				klog.Flush()
+				if t.Failed() {
+					fmt.Println(report.String())
+					keepLog(t, seed, report.Bytes(), log)
+				}
+			}()
 			synctest.Test(t, func(t *testing.T) { runModel(t, uint64(seed), kinds, &report) })
-			klog.Flush()
-			if t.Failed() {
-				fmt.Println(report.String())
-				keepLog(t, seed, report.Bytes(), log)
-			}
 		})
 	}
 }
@@ -111,12 +113,17 @@
 		enabled[k] = true
 	}
 	w := newWorld(ctx, t, seed, enabled)
-	faults := drawFaults(seed, kinds)
-	for _, f := range faults {
-		go w.inject(ctx, f)
+	idle, span := drawIdle(seed, kinds), faultSpan
+	if idle > 0 {
+		span = idleSpan
+	}
+	faults := drawFaults(seed, kinds, span)
+	for i := range faults {
+		faults[i].at += idle
+		go w.inject(ctx, faults[i])
 	}
-	go w.submitJobs(ctx, firstFault+faultSpan+faultSpread)
-	sleep(ctx, calmAfter)
+	go w.submitJobs(ctx, idle, firstFault+faultSpan+faultSpread)
+	sleep(ctx, idle+calmAfter)
 	open := w.openJobs(ctx)
 	for until := time.Now().Add(finishTime); len(open) > 0 && time.Now().Before(until); open = w.openJobs(ctx) {
 		sleep(ctx, time.Second)
@@ -135,6 +142,11 @@
 	if len(open) > 0 {
 		t.Errorf("seed %d: %d of %d jobs have not ended %v after the faults, such as %s", seed, len(open), len(w.jobs), finishTime, open[0])
 	}
+	for task := range w.rec.events {
+		if id, _, _ := strings.Cut(task, "."); slices.Contains(open, id) {
+			w.rec.suspects[task] = true
+		}
+	}
 	fmt.Fprintf(report, "seed %d: %d jobs, %d runs\n", seed, len(w.jobs), begun)
 	for _, f := range faults {
 		fmt.Fprintln(report, f)
--- a/model/process_test.go
+++ b/model/process_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +30,7 @@
 	boots int
 	// storeFaults apply to the present and later processes.
 	storeFaults fakekv.Faults
+	rejecting   int // number of faults for which the store rejects reads
 	freezes     int
 	thawed      chan struct{} // closed at the end of a freeze; nil if it is not frozen
 }
@@ -138,6 +139,18 @@
 	}
 }
 
+// rejectReads changes the number of faults for which the store rejects reads.
+func (h *gateHost) rejectReads(change int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rejecting += change
+}
+
+var errRejected = errors.New("too many reads")
+
+// readOps are the operations of the store that count as reads.
+var readOps = []string{store.OpGet, store.OpList, store.OpWatch, "events"}
+
 var errKilled = errors.New("the process was killed")
 
 // interceptStore holds up the calls of frozen gates and fails those of killed ones.
@@ -155,6 +168,9 @@
 	if h.proc == nil || h.proc.caller != call.Caller {
 		return errKilled
 	}
+	if h.rejecting > 0 && slices.Contains(readOps, call.Op) {
+		return errRejected
+	}
 	return nil
 }
 
@@ -180,7 +196,6 @@
 	mu      sync.Mutex
 	proc    *relay.Relay // nil while it is down
 	cancel  context.CancelFunc
-	down    bool // the store does not answer this relay
 	conn    *conn
 }
 
@@ -266,13 +281,3 @@
 	}
 	return nil
 }
-
-// isStarted reports whether text begins with one of the prefixes.
-func isStarted(text string, prefixes ...string) bool {
-	for _, p := range prefixes {
-		if strings.HasPrefix(text, p) {
-			return true
-		}
-	}
-	return false
-}
--- a/model/worker_test.go
+++ b/model/worker_test.go
@@ -73,7 +73,6 @@
 	ids   int // number of ids that its processes have had
 	// The fields below count the faults in force.
 	lateStarts, lateStops, lateHolds, hangs, muted, unhealthy, lateHeartbeats int
-	hungUntil                                                                 time.Time
 }
 
 var _ relay.Worker = (*machine)(nil)
@@ -86,7 +85,7 @@
 	m.boots++
 	id := fmt.Sprintf("w%d-%d", m.index, m.ids)
 	m.proc = &process{
-		id: id, name: fmt.Sprintf("%s/%d", id, m.boots), born: time.Now().UnixMilli(), started: time.Now(), rate: 1 - 0.02*m.w.rng.Float64(),
+		id: id, name: fmt.Sprintf("%s/%d", id, m.boots), born: time.Now().UnixMilli(), started: time.Now(), rate: 1 - 0.01*float64(m.w.rng.IntN(3)),
 		running: map[string]*taskRun{}, rejected: map[string]int64{}, changed: make(chan struct{}),
 	}
 	m.w.rec.fault("worker %s starts, clock rate %.3f", m.proc.name, m.proc.rate)
--- a/model/world_test.go
+++ b/model/world_test.go
@@ -26,8 +26,9 @@
 	machineRoom = 4
 	// heartbeatPeriod is the time between two heartbeats of a worker.
 	heartbeatPeriod = 500 * time.Millisecond
-	// submitPeriod is the time between two jobs.
-	submitPeriod = 900 * time.Millisecond
+	// minSubmitPeriod and maxSubmitPeriod limit the time between two jobs, which a seed draws.
+	minSubmitPeriod = 500 * time.Millisecond
+	maxSubmitPeriod = 2500 * time.Millisecond
 )
 
 // world is all of one run of the model. mu guards the state of the workers, the random
@@ -134,10 +135,13 @@
 	return info
 }
 
-// submitJobs submits jobs for a time.
-func (w *world) submitJobs(ctx context.Context, length time.Duration) {
-	for number := 1; length > 0 && sleep(ctx, submitPeriod); number++ {
-		length -= submitPeriod
+// submitJobs submits jobs for a time. The first one is due after a time in which all
+// workers are idle.
+func (w *world) submitJobs(ctx context.Context, idle, length time.Duration) {
+	sleep(ctx, idle)
+	period := w.drawTime(minSubmitPeriod, maxSubmitPeriod)
+	for number := 1; length > 0 && sleep(ctx, period); number++ {
+		length -= period
 		job := w.newJob(fmt.Sprintf("%016x", number))
 		w.storeRecord(ctx, duty.JobKey(job.GetId()), job)
 	}
@@ -178,6 +182,9 @@
 			step.After = []int32{int32(i - 1)}
 		}
 		step.EstimateMs = int64(500 + w.rng.IntN(5000))
+		if w.rng.IntN(3) == 0 { // longer than a task lease
+			step.EstimateMs = int64(6000 + w.rng.IntN(14000))
+		}
 		job.Steps = append(job.Steps, step)
 	}
 	w.jobs[id] = job
@@ -223,11 +230,11 @@
 // the task and the run.
 func (w *world) lengthOf(task string, run int64) (time.Duration, bool) {
 	step, _, _ := w.stepOf(task)
-	h := fnv.New32a()
+	h := fnv.New64a()
 	fmt.Fprintf(h, "%s/%d", task, run)
-	hash := h.Sum32()
-	length := time.Duration(float64(step.GetEstimateMs())*(0.5+float64(hash%100)/100)) * time.Millisecond
-	return length, w.enabled[faultTasks] && hash/100%8 == 0
+	rng := rand.New(rand.NewPCG(h.Sum64(), 3))
+	length := time.Duration(float64(step.GetEstimateMs())*(0.5+rng.Float64())) * time.Millisecond
+	return length, w.enabled[faultTasks] && rng.IntN(8) == 0
 }
 
 // openJobs returns the jobs that are not stored as ended.
