--- a/model/fault_test.go
+++ b/model/fault_test.go
@@ -48,48 +48,53 @@
 	faultGateSlow      faultKind = "gate-slow"    // writes of one gate take effect late
 	faultRelayCutOff   faultKind = "relay-cut-off"
 	faultCompact       faultKind = "compact"
-	faultLapse         faultKind = "lapse" // leases in the store end early
+	faultLapse         faultKind = "lapse"  // leases in the store end early
+	faultSticky        faultKind = "sticky" // a worker also forgets later ends up to the highest observed
 )
 
-// faultKinds are all kinds. drawn says whether times and places are drawn.
+// faultKinds are all kinds. The times and places of those with a length are drawn.
 var faultKinds = []struct {
 	kind      faultKind
-	drawn     bool
 	low, high time.Duration // shortest and longest length
 }{
-	{faultLateStart, true, 500 * time.Millisecond, 12 * time.Second},
-	{faultLateStop, true, 500 * time.Millisecond, 12 * time.Second},
-	{faultLateHold, true, 500 * time.Millisecond, 8 * time.Second},
-	{faultAcross, false, 0, 0},
-	{faultHang, true, 300 * time.Millisecond, 13 * time.Second},
-	{faultUnhealthy, true, 500 * time.Millisecond, 5 * time.Second},
-	{faultCrashSame, true, 100 * time.Millisecond, 6 * time.Second},
-	{faultCrashNew, true, 100 * time.Millisecond, 6 * time.Second},
-	{faultDrain, true, 2 * time.Second, 12 * time.Second},
-	{faultLateHeartbeat, true, 1 * time.Second, 10 * time.Second},
-	{faultTasks, false, 0, 0},
-	{faultGangs, false, 0, 0},
-	{faultIdle, false, 0, 0},
-	{faultCancel, true, 1 * time.Second, 10 * time.Second},
-	{faultCut, true, 200 * time.Millisecond, 14 * time.Second},
-	{faultLateReport, true, 500 * time.Millisecond, 10 * time.Second},
-	{faultLoseAnswer, true, 500 * time.Millisecond, 12 * time.Second},
-	{faultRelayKill, true, 100 * time.Millisecond, 4 * time.Second},
-	{faultGateKill, true, 200 * time.Millisecond, 6 * time.Second},
-	{faultGateFreeze, true, 200 * time.Millisecond, 10 * time.Second},
-	{faultGateYield, true, time.Millisecond, 100 * time.Millisecond},
-	{faultStoreDown, true, 300 * time.Millisecond, 12 * time.Second},
-	{faultStorePause, true, 300 * time.Millisecond, 14 * time.Second},
-	{faultStoreSlow, true, 500 * time.Millisecond, 8 * time.Second},
-	{faultStoreLose, true, 500 * time.Millisecond, 8 * time.Second},
-	{faultGateCutOff, true, 300 * time.Millisecond, 12 * time.Second},
-	{faultGateReads, true, 300 * time.Millisecond, 12 * time.Second},
-	{faultGateSlow, true, 500 * time.Millisecond, 10 * time.Second},
-	{faultRelayCutOff, true, 500 * time.Millisecond, 12 * time.Second},
-	{faultCompact, true, time.Millisecond, 100 * time.Millisecond},
-	{faultLapse, true, time.Millisecond, 100 * time.Millisecond},
+	{faultLateStart, 500 * time.Millisecond, 12 * time.Second},
+	{faultLateStop, 500 * time.Millisecond, 12 * time.Second},
+	{faultLateHold, 500 * time.Millisecond, 8 * time.Second},
+	{faultAcross, 0, 0},
+	{faultHang, 300 * time.Millisecond, 13 * time.Second},
+	{faultUnhealthy, 500 * time.Millisecond, 5 * time.Second},
+	{faultCrashSame, 100 * time.Millisecond, 6 * time.Second},
+	{faultCrashNew, 100 * time.Millisecond, 6 * time.Second},
+	{faultDrain, 2 * time.Second, 12 * time.Second},
+	{faultLateHeartbeat, 1 * time.Second, 10 * time.Second},
+	{faultTasks, 0, 0},
+	{faultGangs, 0, 0},
+	{faultIdle, 0, 0},
+	{faultCancel, 1 * time.Second, 10 * time.Second},
+	{faultCut, 200 * time.Millisecond, 14 * time.Second},
+	{faultLateReport, 500 * time.Millisecond, 10 * time.Second},
+	{faultLoseAnswer, 500 * time.Millisecond, 12 * time.Second},
+	{faultRelayKill, 100 * time.Millisecond, 4 * time.Second},
+	{faultGateKill, 200 * time.Millisecond, 6 * time.Second},
+	{faultGateFreeze, 200 * time.Millisecond, 10 * time.Second},
+	{faultGateYield, time.Millisecond, 100 * time.Millisecond},
+	{faultStoreDown, 300 * time.Millisecond, 12 * time.Second},
+	{faultStorePause, 300 * time.Millisecond, 14 * time.Second},
+	{faultStoreSlow, 500 * time.Millisecond, 8 * time.Second},
+	{faultStoreLose, 500 * time.Millisecond, 8 * time.Second},
+	{faultGateCutOff, 300 * time.Millisecond, 12 * time.Second},
+	{faultGateReads, 300 * time.Millisecond, 12 * time.Second},
+	{faultGateSlow, 500 * time.Millisecond, 10 * time.Second},
+	{faultRelayCutOff, 500 * time.Millisecond, 12 * time.Second},
+	{faultCompact, time.Millisecond, 100 * time.Millisecond},
+	{faultLapse, time.Millisecond, 100 * time.Millisecond},
+	{faultSticky, 0, 0},
 }
 
+// extraKinds are the kinds that are enabled only if they are named. The protocol leaves
+// open whether the platform shows them, or excludes it (faultLapse).
+var extraKinds = []faultKind{faultAcross, faultLapse, faultSticky}
+
 // fault is one fault of a sequence.
 type fault struct {
 	kind       faultKind
@@ -125,7 +130,7 @@
 	for range 1 + rng.IntN(3) {
 		var possible []int
 		for i, k := range faultKinds {
-			if k.drawn && slices.Contains(kinds, k.kind) {
+			if k.high > 0 && slices.Contains(kinds, k.kind) {
 				possible = append(possible, i)
 			}
 		}
@@ -297,10 +302,19 @@
 	w.mu.Unlock()
 	go func() {
 		sleep(ctx, f.length+time.Duration(f.seed%4000)*time.Millisecond)
-		if r := h.present(); r != nil && !p.dead {
+		w.mu.Lock()
+		dead := p.dead
+		w.mu.Unlock()
+		if r := h.present(); r != nil && !dead {
 			_ = r.HandleLeave(ctx, p.id) // the worker ends, whatever the answer
 		}
-		sleep(ctx, time.Duration(f.seed%300)*time.Millisecond)
+		untilEnd := time.Duration(f.seed%300) * time.Millisecond
+		w.mu.Lock()
+		if m.hangs > 0 { // it gets no answer and ends some seconds later
+			untilEnd = time.Duration(f.seed%4000) * time.Millisecond
+		}
+		w.mu.Unlock()
+		sleep(ctx, untilEnd)
 		w.mu.Lock()
 		if m.proc == p {
 			m.crash("left")
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -52,46 +52,56 @@
 	return n
 }
 
-// enabledKinds returns the kinds of faults that MODEL_FAULTS names, or all without those
-// that MODEL_WITHOUT names. Both are lists with commas.
-func enabledKinds(t *testing.T) []faultKind {
-	t.Helper()
+// enabledKinds returns the kinds of faults that MODEL_FAULTS names, or else all but the
+// extra ones and those that MODEL_WITHOUT names. Both are lists with commas.
+func enabledKinds() []faultKind {
+	with, without := os.Getenv("MODEL_FAULTS"), os.Getenv("MODEL_WITHOUT")
 	var kinds []faultKind
-	with, without := os.Getenv("MODEL_FAULTS"), strings.Split(os.Getenv("MODEL_WITHOUT"), ",")
 	for _, k := range faultKinds {
-		wanted := with == "" || slices.Contains(strings.Split(with, ","), string(k.kind))
-		if wanted && !slices.Contains(without, string(k.kind)) {
+		switch {
+		case with != "" && !contains(with, k.kind), contains(without, k.kind):
+		case with == "" && slices.Contains(extraKinds, k.kind):
+		default:
 			kinds = append(kinds, k.kind)
 		}
 	}
 	return kinds
 }
 
+// contains reports whether a list with commas has a kind of faults.
+func contains(list string, kind faultKind) bool {
+	return slices.Contains(strings.Split(list, ","), string(kind))
+}
+
 // Guards against two runs of a task at the same time, and against a start after its end
 // was taken note of, under faults of all parts at once. MODEL_SEED is the first seed and
 // MODEL_RUNS the number of seeds; MODEL_FAULTS and MODEL_WITHOUT choose kinds of faults;
 // MODEL_DIR is a directory for the logs of failed runs.
 func TestNoTaskRunsTwice(t *testing.T) {
 	first, runs := setting(t, "MODEL_SEED", 1), setting(t, "MODEL_RUNS", 20)
-	kinds := enabledKinds(t)
-	klog.LogToStderr(false)
+	kinds := enabledKinds()
 	for seed := first; seed < first+runs; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			log := &logBuffer{}
-			klog.SetOutput(log)
-			var report bytes.Buffer
-			defer func() { // synctest.Test does not return if the run fails
-				klog.Flush()
-				if t.Failed() {
-					fmt.Println(report.String())
-					keepLog(t, seed, report.Bytes(), log)
-				}
-			}()
-			synctest.Test(t, func(t *testing.T) { runModel(t, uint64(seed), kinds, &report) })
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSeed(t, seed, kinds) })
 	}
 }
 
+// checkSeed runs the model in a bubble of its own. If the run fails, it prints the faults
+// and the trace of the tasks concerned.
+func checkSeed(t *testing.T, seed int, kinds []faultKind) {
+	log := &logBuffer{}
+	klog.LogToStderr(false)
+	klog.SetOutput(log)
+	var report bytes.Buffer
+	defer func() { // synctest.Test does not return if the run fails
+		klog.Flush()
+		if t.Failed() {
+			fmt.Println(report.String())
+			keepLog(t, seed, report.Bytes(), log)
+		}
+	}()
+	synctest.Test(t, func(t *testing.T) { runModel(t, uint64(seed), kinds, &report) })
+}
+
 // keepLog writes the report and the log of a failed run to MODEL_DIR, if that is set.
 func keepLog(t *testing.T, seed int, report []byte, log *logBuffer) {
 	dir := os.Getenv("MODEL_DIR")
--- a/model/worker_test.go
+++ b/model/worker_test.go
@@ -40,6 +40,7 @@
 	rejected map[string]int64 // by task, the highest run that was stopped or has ended
 	ends     []listedEnd
 	lastEnd  int64
+	observed int64 // the highest value that a hold carried
 	dead     bool
 	draining bool
 	leavesAt time.Time
@@ -210,6 +211,7 @@
 	if p.dead || p.clock()+time.Millisecond < p.deadline {
 		return
 	}
+	w.rec.fault("lease of worker %s expires with %d runs and %d listed ends", p.name, len(p.running), len(p.ends))
 	for _, e := range p.ends {
 		e.run.lapsed = true
 	}
@@ -234,6 +236,7 @@
 		checkpoint = fmt.Sprintf("%x", p.lastEnd)
 	}
 	p.ends = append(p.ends, listedEnd{p.lastEnd, r, checkpoint})
+	w.machines[r.machine].forget(p, 0, "(at its end)")
 	if how != graph.EndDone {
 		w.leave(r)
 	}
@@ -347,6 +350,10 @@
 
 // forget removes the ends that were observed. The caller holds the lock.
 func (m *machine) forget(p *process, observed int64, how string) {
+	p.observed = max(p.observed, observed)
+	if m.w.enabled[faultSticky] {
+		observed = p.observed
+	}
 	p.ends = slices.DeleteFunc(p.ends, func(e listedEnd) bool {
 		if e.number > observed {
 			return false
