--- a/model/process_test.go
+++ b/model/process_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -163,6 +164,10 @@
 	if !h.waitThawed(ctx) {
 		return ctx.Err()
 	}
+	if !slices.Contains(readOps, call.Op) && w.losesCall(call) {
+		<-ctx.Done() // nothing further comes on the channel
+		return ctx.Err()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.proc == nil || h.proc.caller != call.Caller {
@@ -174,6 +179,16 @@
 	return nil
 }
 
+// losesCall draws whether the store loses a write or its answer.
+func (w *world) losesCall(call fakekv.Call) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !call.Applied {
+		return w.losingWrites > 0 && strings.HasPrefix(call.Key, duty.ProgressKey(""))
+	}
+	return w.losingAnswers > 0 && w.rng.IntN(2) == 0
+}
+
 // holder returns the gate that holds the claim, or nil.
 func (w *world) holder(ctx context.Context) *gateHost {
 	claim, err := duty.ReadClaim(ctx, w.kv.WithCaller("check"))
