--- a/model/model_test.go
+++ b/model/model_test.go
@@ -73,9 +73,7 @@
 }
 
 // Guards against two runs of a task at the same time, and against a start after its end
-// was taken note of, under faults of all parts at once. MODEL_SEED is the first seed and
-// MODEL_RUNS the number of seeds; MODEL_FAULTS and MODEL_WITHOUT choose kinds of faults;
-// MODEL_DIR is a directory for the logs of failed runs.
+// was taken note of, under faults of all parts at once.
 func TestNoTaskRunsTwice(t *testing.T) {
 	first, runs := setting(t, "MODEL_SEED", 1), setting(t, "MODEL_RUNS", 20)
 	kinds := enabledKinds()
--- a/model/world_test.go
+++ b/model/world_test.go
@@ -63,20 +63,20 @@
 		t.Fatalf("writing the configuration: %v", err)
 	}
 	for i := range gateCount {
-		g := &gateHost{w: w, index: i}
-		w.gates = append(w.gates, g)
-		g.start(ctx)
+		w.gates = append(w.gates, &gateHost{w: w, index: i})
 	}
 	for i := range machineCount {
 		m := &machine{w: w, index: i}
-		w.machines = append(w.machines, m)
-		w.mu.Lock()
 		m.boot(true)
-		w.mu.Unlock()
-		h := &relayHost{w: w, index: i, machine: m}
-		w.relays = append(w.relays, h)
+		w.machines = append(w.machines, m)
+		w.relays = append(w.relays, &relayHost{w: w, index: i, machine: m})
+	}
+	for _, g := range w.gates {
+		g.start(ctx)
+	}
+	for _, h := range w.relays {
 		h.start(ctx)
-		go m.sendHeartbeats(ctx, h)
+		go h.machine.sendHeartbeats(ctx, h)
 	}
 	return w
 }
