--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,14 @@
 # ./local and ./procs test whole systems in real time and run alone: under the
 # load of other tests their processes may not be scheduled for 2 s, and a gang
 # then fails, as designed. ./matrix runs without the race detector, whose runtime
-# aborts under the many fake clocks of synctest ("CHECK failed: tsan_rtl.cpp:282").
+# aborts under the many fake clocks of synctest ("CHECK failed: tsan_rtl.cpp:282");
+# ./model makes only some of its runs with it.
 test:
 	@[ ! -f KNOWN-RED.txt ] || { echo "Skipped as known to fail:"; cat KNOWN-RED.txt; }
 	go test -race -timeout 5m $(SKIP) $$(go list ./... | grep -v '/procs$$\|/matrix$$\|/local$$')
 	go test -race -timeout 3m $(SKIP) ./local
 	go test -timeout 4m $(SKIP) ./matrix
+	go test -timeout 4m $(SKIP) ./model
 	go test -timeout 4m $(SKIP) ./procs
 
 format:
