--- a/relay/relay.go
+++ b/relay/relay.go
@@ -479,6 +479,7 @@
 // task lease of runs, to complete the lists of runs, to make the worker forget stored
 // ends, or to check whether a stopped run still exists.
 func (r *Relay) sendHold(s *state) {
+	now := clock.Monotonic()
 	wait := maxHoldWait
 	checkStops := false
 	for _, st := range s.stops {
@@ -496,7 +497,7 @@
 	case len(s.running) > 0:
 	case s.observed > s.observedSent:
 		wait = 0
-	case clock.Monotonic()-s.workerClockReadAt > maxClockAge:
+	case now-s.workerClockReadAt > maxClockAge && now >= s.nextUnaskedHoldAt:
 		wait = 0 // a lease that starts from an old reading would be short
 	default:
 		return
@@ -507,7 +508,7 @@
 	}
 	s.holdPending = true
 	s.lastHoldSent++
-	holdNumber, observed, call, worker := s.lastHoldSent, s.unsentObserved(), s.newCall(clock.Monotonic()), s.worker
+	holdNumber, observed, call, worker := s.lastHoldSent, s.unsentObserved(), s.newCall(now), s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, timeout)
 		defer cancel()
