--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the second review start.
+set -euo pipefail
+cd "$(dirname "$0")/stand2"
+GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-2 .
--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitUnable = 2
+)
+
+// cases plays each case and reports what of the rule was broken, or "".
+var cases = map[string]func(s *system, trouble bool) (broken string, err error){
+	"oversize": playOversize,
+	"deadly":   playDeadly,
+	"gang":     playGang,
+	"cancel":   playCancel,
+	"avail":    playAvail,
+}
+
+func main() {
+	program := flag.String("program", "", "the program of the project")
+	recordPath := flag.String("record", "record.txt", "file to write the record to")
+	flag.Parse()
+	os.Exit(play(flag.Arg(0), *program, *recordPath))
+}
+
+func play(name, program, recordPath string) int {
+	playCase := cases[name]
+	if playCase == nil || program == "" {
+		fmt.Fprintln(os.Stderr, "usage: stand2 -program PROGRAM [-record FILE] CASE")
+		return exitUnable
+	}
+	log, err := newRecord(recordPath)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUnable
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	log.add("case %s, with the disruption: %v", name, trouble)
+	s, err := newSystem(program, log, resources{CPU: 64000, Mem: 256000, GPU: 8})
+	if s != nil {
+		defer s.stop()
+		interrupted := make(chan os.Signal, 1)
+		signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+		go func() {
+			<-interrupted
+			s.stop()
+			os.Exit(exitUnable)
+		}()
+	}
+	broken := ""
+	if err == nil {
+		broken, err = playCase(s, trouble)
+	}
+	switch {
+	case err != nil:
+		log.add("the case could not be played: %v", err)
+		fmt.Println("unable:", err)
+		return exitUnable
+	case broken != "":
+		log.add("BROKEN %s", broken)
+		fmt.Println("broken:", broken)
+		return exitBroken
+	}
+	log.add("the rule held")
+	fmt.Println("held")
+	return exitHeld
+}
