--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -46,19 +46,22 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.add("case %s, with the disruption: %v", name, trouble)
-	s, err := newSystem(program, log, resources{CPU: 64000, Mem: 256000, GPU: 8})
-	if s != nil {
-		defer s.stop()
-		interrupted := make(chan os.Signal, 1)
-		signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
-		go func() {
-			<-interrupted
-			s.stop()
-			os.Exit(exitUnable)
-		}()
+	s, err := createSystem(program, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUnable
 	}
+	defer s.stop()
+	// From before the first process starts, a signal ends all of them.
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-interrupted
+		s.stop()
+		os.Exit(exitUnable)
+	}()
 	broken := ""
-	if err == nil {
+	if err = s.run(resources{CPU: 64000, Mem: 256000, GPU: 8}); err == nil {
 		broken, err = playCase(s, trouble)
 	}
 	switch {
--- a/review/stand2/system.go
+++ b/review/stand2/system.go
@@ -125,15 +125,19 @@
 
 // system is a small deployment: gates and relays as processes, and stand-ins for all else.
 type system struct {
-	program   string
-	dir       string
-	log       *record
-	store     *kvStore
-	gangs     *gangs
-	gates     []string // addresses for callers
-	ready     []string
-	workers   []*worker
+	program string
+	dir     string
+	log     *record
+	store   *kvStore
+	gangs   *gangs
+	gates   []string // addresses for callers
+	ready   []string
+	workers []*worker
+
+	mu        sync.Mutex // guards the fields below
 	processes []*exec.Cmd
+	stopping  bool // no further process is started
+	stopped   sync.Once
 }
 
 const (
@@ -178,13 +182,17 @@
 
 func port(addr string) string { return addr[strings.LastIndex(addr, ":")+1:] }
 
-// newSystem starts a system and waits until a gate takes callers.
-func newSystem(program string, log *record, capacity resources) (*system, error) {
+// createSystem returns a system without processes.
+func createSystem(program string, log *record) (*system, error) {
 	dir, err := os.MkdirTemp("", "stand2")
 	if err != nil {
 		return nil, err
 	}
-	s := &system{program: program, dir: dir, log: log, store: newStore(), gangs: &gangs{runs: map[string]*gangRun{}}}
+	return &system{program: program, dir: dir, log: log, store: newStore(), gangs: &gangs{runs: map[string]*gangRun{}}}, nil
+}
+
+// run starts the system and waits until all gates take callers.
+func (s *system) run(capacity resources) error {
 	s.store.put("op/config", map[string]any{
 		"version":  1,
 		"routes":   []map[string]any{route("care", prefix, 1), route("urgent", urgentPrefix, 0)},
@@ -197,13 +205,13 @@
 	})
 	storeListener, err := net.Listen("tcp", host+":0")
 	if err != nil {
-		return s, err
+		return err
 	}
 	go func() { _ = http.Serve(storeListener, s.store) }()
 	storeAddr := storeListener.Addr().String()
 	addrs, err := freeAddrs(4*gateCount + 4*workerCount)
 	if err != nil {
-		return s, err
+		return err
 	}
 	next := func() string {
 		addr := addrs[0]
@@ -217,7 +225,7 @@
 			"task_lease = 10000ms\ndrain_time = 6s\nremote_factor = 3\n"+
 			"[platform]\nstore_address = %s\nmemory_mb = 284\nmetrics_port = %s\nprocessor_share = 0.4\nprocessor_speed = 1\n", name, next(), jobs, ready, storeAddr, port(next()))
 		if err := s.start(name, "gate", text); err != nil {
-			return s, err
+			return err
 		}
 	}
 	for n := range workerCount {
@@ -225,23 +233,23 @@
 		text := fmt.Sprintf("[node]\nid = %s\ndata_centre = keila\nregion = harju\nrpc_address = %s\n[relay]\nworker_address = %s\nheartbeat_address = %s\n"+
 			"[platform]\nstore_address = %s\nmemory_mb = 152\nmetrics_port = %s\n", name, next(), app, relay, storeAddr, port(next()))
 		if err := s.start(name, "relay", text); err != nil {
-			return s, err
+			return err
 		}
-		w := &worker{name: fmt.Sprintf("%04x", 0x7f31+n), addr: app, relay: relay, capacity: capacity, gangs: s.gangs, log: log}
+		w := &worker{name: fmt.Sprintf("%04x", 0x7f31+n), addr: app, relay: relay, capacity: capacity, gangs: s.gangs, log: s.log}
 		s.workers = append(s.workers, w)
 		if err := w.boot(); err != nil {
-			return s, err
+			return err
 		}
 	}
 	for range 100 {
 		time.Sleep(100 * time.Millisecond)
 		if s.readyGates() == gateCount {
-			log.add("all gates are ready")
+			s.log.add("all gates are ready")
 			time.Sleep(2 * time.Second) // the workers have sent heartbeats by then
-			return s, nil
+			return nil
 		}
 	}
-	return s, fmt.Errorf("the gates do not become ready")
+	return fmt.Errorf("the gates do not become ready")
 }
 
 func (s *system) readyGates() int {
@@ -270,6 +278,11 @@
 	defer out.Close()
 	command := exec.Command(s.program, role, path)
 	command.Stdout, command.Stderr = out, out
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return fmt.Errorf("the system is being stopped")
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -279,16 +292,22 @@
 
 // stop ends all processes and removes the folder with their logs, unless KEEP names a
 // folder to which it is moved.
-func (s *system) stop() {
-	for _, p := range s.processes {
+func (s *system) stop() { s.stopped.Do(s.stopOnce) }
+
+func (s *system) stopOnce() {
+	s.mu.Lock()
+	s.stopping = true
+	processes := s.processes
+	s.mu.Unlock()
+	for _, p := range processes {
 		_ = p.Process.Signal(syscall.SIGTERM)
 	}
 	time.AfterFunc(time.Second, func() {
-		for _, p := range s.processes {
+		for _, p := range processes {
 			_ = p.Process.Kill()
 		}
 	})
-	for _, p := range s.processes {
+	for _, p := range processes {
 		_ = p.Wait()
 	}
 	if keep := os.Getenv("KEEP"); keep != "" {
