relay, platform: a call reaches the process of the worker that it is meant for

Cause: a call named its process by the worker's id, which the next process may have too. Only the answer to a hold told which process had carried it out. The relay called the next process until its first heartbeat, a second and a half later: starts ran there, and a hold with the number of ends of the process before made it forget an end that nobody had read.

Without the check, TestCallDoesNotReachNextProcess fails for start, stop and hold, and TestEndOfNextProcessIsNotForgottenUnread shows a start on the next process and an end that is not reported.

The answer of a next process shows that the one before has ended.

Its first two cases ended a task that the relay had started on the next process, which can no longer happen. They now fail if any start reaches that process before its heartbeat, list the end of a run that the relay did not start there, want that end reported, and want a start after the heartbeat carried out.

--- a/model/worker_test.go
+++ b/model/worker_test.go
@@ -113,16 +113,20 @@
 
 // call makes a call to the worker. It is carried out at once, later or never, and may
 // lack an answer.
-func (m *machine) call(ctx context.Context, kind string, expected string, carryOut func(p *process, how string) relay.Answer) relay.Answer {
+func (m *machine) call(ctx context.Context, kind string, call relay.Call, carryOut func(p *process, how string) relay.Answer) relay.Answer {
 	m.w.mu.Lock()
 	p := m.proc
 	if p == nil {
 		m.w.mu.Unlock()
 		return relay.NotReached(relay.ErrNoWorker)
 	}
+	if call.BornMS != 0 && call.BornMS != p.born {
+		m.w.mu.Unlock()
+		return relay.NotReached(relay.ErrReplaced)
+	}
 	fate, delay := m.fate(kind)
 	execute := func(p *process, how string) relay.Answer {
-		if p.id != expected {
+		if p.id != call.Worker {
 			return relay.NotReached(relay.ErrOtherWorker)
 		}
 		return carryOut(p, how)
@@ -255,7 +259,7 @@
 
 // Start implements relay.Worker.
 func (m *machine) Start(ctx context.Context, call relay.Call, start *flow.Start) relay.Answer {
-	return m.call(ctx, "start", call.Worker, func(p *process, how string) relay.Answer {
+	return m.call(ctx, "start", call, func(p *process, how string) relay.Answer {
 		answer := m.startRun(p, call, start, how)
 		m.w.rec.trace(start.GetTask(), "run %d start at %s: %v %s", start.GetRun(), p.name, answer, how)
 		return answer
@@ -300,7 +304,7 @@
 
 // Stop implements relay.Worker.
 func (m *machine) Stop(ctx context.Context, call relay.Call, stop *flow.Stop) relay.Answer {
-	return m.call(ctx, "stop", call.Worker, func(p *process, how string) relay.Answer {
+	return m.call(ctx, "stop", call, func(p *process, how string) relay.Answer {
 		answer := m.w.accept(p, relay.Call{Epoch: call.Epoch})
 		m.w.rec.trace(stop.GetTask(), "run %d stop at %s: %v %s", stop.GetRun(), p.name, answer, how)
 		if answer.Effect() != relay.EffectDone {
@@ -318,7 +322,7 @@
 // Hold implements relay.Worker.
 func (m *machine) Hold(ctx context.Context, call relay.Call, observed int64, wait time.Duration) (relay.RunLists, relay.Answer) {
 	var held *process
-	answer := m.call(ctx, "hold", call.Worker, func(p *process, how string) relay.Answer {
+	answer := m.call(ctx, "hold", call, func(p *process, how string) relay.Answer {
 		answer := m.w.accept(p, call)
 		if answer.Effect() == relay.EffectDone {
 			m.forget(p, observed, how)
--- a/relay/evidence_test.go
+++ b/relay/evidence_test.go
@@ -314,6 +314,29 @@
 // the process before, with the number that it had stored, made the next one forget ends
 // that nobody had stored.
 func TestEndOfNextProcessIsNotForgottenUnread(t *testing.T) {
+	// endEarly ends task c on the next process before its first heartbeat, and expects
+	// that no start reaches it by then and that the end is reported in the end.
+	endEarly := func(t *testing.T, f *pathFixture) {
+		time.Sleep(300 * time.Millisecond)
+		f.worker.withLock(func() {
+			if len(f.worker.running) > 0 {
+				t.Errorf("started on the next process before its first heartbeat: %v", f.worker.running)
+			}
+			f.worker.running["c.0.0.0"] = &flow.Run{Task: "c.0.0.0", Run: 1} // by a call that was late
+			f.worker.endRun("c.0.0.0", graph.EndDone)
+		})
+		time.Sleep(700 * time.Millisecond)
+		f.send(t, f.liveHeartbeat(1), nil)
+		time.Sleep(time.Second)
+		f.expectEndReported(t, "c.0.0.0")
+		f.scheduler.order(startOrder("d.0.0.0"))
+		time.Sleep(time.Second)
+		f.worker.withLock(func() {
+			if f.worker.running["d.0.0.0"] == nil {
+				t.Errorf("not started on the next process after its first heartbeat; it runs %v", f.worker.running)
+			}
+		})
+	}
 	t.Run("hold before the first heartbeat", func(t *testing.T) {
 		withPath(t, 1, func(t *testing.T, f *pathFixture) {
 			f.scheduler.order(startOrder("a.0.0.0", "b.0.0.0"))
@@ -321,12 +344,7 @@
 			observed := f.endRunOf("a.0.0.0", "b.0.0.0")
 			f.restartWorker("w1", 200)
 			f.scheduler.order(func(o *flow.Orders) { startOrder("b.0.0.0", "c.0.0.0")(o); o.Observed = observed })
-			time.Sleep(300 * time.Millisecond)
-			f.worker.withLock(func() { f.worker.endRun("c.0.0.0", graph.EndDone) })
-			time.Sleep(700 * time.Millisecond)
-			f.send(t, f.liveHeartbeat(1), nil)
-			time.Sleep(time.Second)
-			f.expectEndReported(t, "c.0.0.0")
+			endEarly(t, f)
 		})
 	})
 	t.Run("hold with a number that the former process has not received", func(t *testing.T) {
@@ -337,20 +355,7 @@
 			time.Sleep(time.Second)
 			f.restartWorker("w1", 200)
 			f.scheduler.order(func(o *flow.Orders) { startOrder("b.0.0.0", "c.0.0.0")(o); o.Observed = 1 })
-			time.Sleep(200 * time.Millisecond)
-			f.worker.withLock(func() {
-				if f.worker.running["c.0.0.0"] != nil { // a relay that has noticed the next process may not start it there
-					f.worker.endRun("c.0.0.0", graph.EndDone)
-				}
-			})
-			time.Sleep(800 * time.Millisecond)
-			f.send(t, f.liveHeartbeat(1), nil)
-			time.Sleep(time.Second)
-			var ends int64
-			f.worker.withLock(func() { ends = f.worker.lastEnd })
-			if ends > 0 {
-				f.expectEndReported(t, "c.0.0.0")
-			}
+			endEarly(t, f)
 		})
 	})
 	t.Run("hold that is carried out late", func(t *testing.T) {
@@ -363,7 +368,7 @@
 					f.worker.onHold = nil
 					time.AfterFunc(5*time.Second, func() {
 						f.worker.withLock(func() {
-							if f.worker.checkCall(call) == Done() {
+							if f.worker.checkCall(late(call)) == Done() {
 								f.worker.ends = slices.DeleteFunc(f.worker.ends, func(e *flow.End) bool { return e.GetNumber() <= observed })
 							}
 						})
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -74,7 +74,7 @@
 // startLate carries out a start after a time, in the process that there is then. The
 // caller holds w.mu.
 func (w *pathWorker) startLate(delay time.Duration, call Call, s *flow.Start) {
-	time.AfterFunc(delay, func() { w.withLock(func() { w.startRun(call, s) }) })
+	time.AfterFunc(delay, func() { w.withLock(func() { w.startRun(late(call), s) }) })
 }
 
 func (w *pathWorker) Hold(ctx context.Context, call Call, observed int64, wait time.Duration) (RunLists, Answer) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -293,7 +293,14 @@
 // newCall returns the common fields of a call at the relay's time now that renews the task
 // lease of the present worker.
 func (s *state) newCall(now time.Duration) Call {
-	return Call{Worker: s.worker.GetId(), Epoch: s.epoch, Deadline: s.leaseDeadline(now)}
+	call := s.newStopCall()
+	call.Deadline = s.leaseDeadline(now)
+	return call
+}
+
+// newStopCall returns the common fields of a call that leaves the task lease as it is.
+func (s *state) newStopCall() Call {
+	return Call{Worker: s.worker.GetId(), BornMS: s.worker.GetBornMs(), Epoch: s.epoch}
 }
 
 // leaseDeadline returns the end of the task lease to request from the worker, or 0 while
@@ -335,7 +342,7 @@
 		s.connRefusedSince = 0
 		switch {
 		case ok:
-		case s.leaveAnnounced && errors.Is(err, ErrOtherWorker):
+		case errors.Is(err, ErrReplaced), s.leaveAnnounced && errors.Is(err, ErrOtherWorker):
 			s.setGone(now, err)
 		case s.leaveAnnounced:
 			s.nextCallAt = now + connRefusedDelay // it may end at any moment
@@ -395,7 +402,10 @@
 // epoch. A start stays open, and is sent again or revoked by a stop, until it is certain
 // that the run has started or never will.
 func (s *state) handleStartAnswer(key runKey, st *start, epoch int64, answer Answer) {
-	if st.reachedWorker = st.reachedWorker || !errors.Is(answer.Err(), ErrNoWorker); !st.reachedWorker {
+	if answer.Effect() != EffectNone || answer.Err() == nil {
+		st.reachedWorker = true
+	}
+	if !st.reachedWorker {
 		s.forgetStart(key)
 	}
 	s.recordCallResult(clock.Monotonic(), epoch, answer)
@@ -440,7 +450,7 @@
 // deadline of the lease.
 func (r *Relay) sendStop(s *state, key runKey, st *stop) {
 	st.sending = true
-	call, worker := Call{Worker: s.worker.GetId(), Epoch: s.epoch}, s.worker
+	call, worker := s.newStopCall(), s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
@@ -553,7 +563,7 @@
 		s.unansweredHolds++
 	}
 	if answer.Effect() == EffectDone && lists.Born != 0 && s.worker.GetBornMs() != 0 && lists.Born != s.worker.GetBornMs() {
-		answer = NotReached(ErrOtherWorker)
+		answer = NotReached(ErrReplaced)
 	}
 	fenced := answer.Fenced()
 	if answer.Effect() == EffectNone && answer.Err() == nil && !fenced {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,6 +60,9 @@
 	if call.Worker != w.id {
 		return NotReached(ErrOtherWorker)
 	}
+	if call.BornMS != 0 && call.BornMS != w.born {
+		return NotReached(ErrReplaced)
+	}
 	if call.Epoch < w.epoch {
 		return NothingDone(graph.RefusedStaleEpoch)
 	}
@@ -68,6 +71,12 @@
 	return Done()
 }
 
+// late returns a call that is carried out late, by any process with the id that it names.
+func late(call Call) Call {
+	call.BornMS = 0
+	return call
+}
+
 func (w *fakeWorker) Start(_ context.Context, call Call, s *flow.Start) Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,7 +84,7 @@
 		time.AfterFunc(w.startDelay, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.startRun(call, s) // nobody waits for the answer
+			w.startRun(late(call), s) // nobody waits for the answer
 		})
 		return Unknown(errSilent)
 	}
--- a/relay/state.go
+++ b/relay/state.go
@@ -36,8 +36,7 @@
 	// leaseLeft is the lease that the last call asked for, and clockAge the age of the
 	// reading of the worker's clock by which it was computed; both are for the log.
 	leaseLeft, clockAge time.Duration
-	// reachedWorker is false while nothing has listened at the worker's address for
-	// any of the calls.
+	// reachedWorker is false while none of the calls has reached the worker's process.
 	reachedWorker bool
 	// reason is reported with the refusal once a stop is answered.
 	reason string
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -15,14 +16,20 @@
 // ErrOtherWorker means that another process answered at the worker's address.
 var ErrOtherWorker = Error.New("another worker answered")
 
+// ErrReplaced wraps ErrOtherWorker and means that the next process of the worker, which
+// may have the same id, answered at its address: the one before has ended.
+var ErrReplaced = fmt.Errorf("%w: the next process of the worker", ErrOtherWorker)
+
 // ErrNoWorker means that nothing listens at the worker's address. The worker is
 // on this machine, so its process has ended or does not listen yet.
 var ErrNoWorker = Error.New("nothing listens at the worker's address")
 
 // Call holds the fields that all calls to a worker have.
 type Call struct {
-	// Worker is the id of the process that must answer.
+	// Worker is the id of the process that must answer, and BornMS its start in Unix
+	// milliseconds, or 0 if any process with that id may answer.
 	Worker string
+	BornMS int64
 	// Epoch is the fencing token of the scheduler: a worker rejects calls with a lower
 	// epoch than it has received.
 	Epoch int64
@@ -44,7 +51,9 @@
 	Ends []*flow.End
 }
 
-// Worker calls the worker.
+// Worker calls the worker. A call reaches the process that it names or none, in which case
+// the answer is NotReached with ErrReplaced or ErrOtherWorker: the next process may have the
+// same id, but knows no runs, stops and numbers of ends of the one before.
 type Worker interface {
 	// Start renews the task lease and starts a run.
 	Start(ctx context.Context, call Call, start *flow.Start) Answer
