relay: at most eight starts are called at a time

Cause: the relay called the worker for each ordered start at once, each call on a connection of its own. Thousands of them used up the worker's descriptors, so that it answered nobody.

Fix: eight calls for starts and eight for stops are pending at a time; the others follow as answers arrive.

--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -520,3 +521,29 @@
 		}
 	})
 }
+
+// Guards against a connection for each of many starts that are ordered at once: the worker
+// ran out of descriptors and answered nobody.
+func TestManyStartsTakeFewCalls(t *testing.T) {
+	withPath(t, 1, func(t *testing.T, f *pathFixture) {
+		var tasks []string
+		for i := range 50 {
+			tasks = append(tasks, fmt.Sprintf("a.0.0.%d", i))
+		}
+		f.worker.withLock(func() { f.worker.onStart = func(Call, *flow.Start) {} })
+		f.scheduler.order(startOrder(tasks...))
+		time.Sleep(callTimeout - 100*time.Millisecond)
+		f.worker.withLock(func() {
+			if f.worker.startCalls != maxStartCalls {
+				t.Errorf("%d calls are pending; want %d", f.worker.startCalls, maxStartCalls)
+			}
+			f.worker.onStart = nil
+		})
+		time.Sleep(3 * time.Second)
+		f.worker.withLock(func() {
+			if started := len(f.worker.starts); started < len(tasks)-maxStartCalls {
+				t.Errorf("%d of %d runs have started", started, len(tasks))
+			}
+		})
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,10 @@
 	// several holds for leaveSilence, it has ended.
 	leaveCallTimeout = 300 * time.Millisecond
 	leaveSilence     = 1050 * time.Millisecond
+	// maxStartCalls and maxStopCalls bound the calls of each kind that are pending at a time:
+	// each takes a connection.
+	maxStartCalls = 8
+	maxStopCalls  = 8
 	// tickPeriod is the time between two checks for calls that have become due.
 	tickPeriod = 100 * time.Millisecond
 )
@@ -250,6 +254,9 @@
 		r.dispatchStart(s, key, st, now)
 	}
 	for key, st := range s.stops {
+		if s.stopCalls == maxStopCalls {
+			break
+		}
 		if !st.sending && st.answeredAtHold == 0 && now >= max(s.nextCallAt, st.nextTryAt) {
 			r.sendStop(s, key, st)
 		}
@@ -285,7 +292,7 @@
 		s.revokeStart(key, st, graph.RefusedDraining)
 	case st.tries >= maxStartTries:
 		s.revokeStart(key, st, graph.RefusedUnanswered)
-	case now < min(s.startsAllowedUntil, s.leaseUntil) && s.clockConfirmed:
+	case s.startCalls < maxStartCalls && now < min(s.startsAllowedUntil, s.leaseUntil) && s.clockConfirmed:
 		r.sendStart(s, key, st)
 	}
 }
@@ -379,6 +386,7 @@
 // sendStart sends a start to the worker in the background.
 func (r *Relay) sendStart(s *state, key runKey, st *start) {
 	st.phase, st.tries = startSending, st.tries+1
+	s.startCalls++
 	if _, ok := s.startedSince[key]; !ok {
 		s.startedSince[key] = clock.Monotonic()
 	}
@@ -391,6 +399,7 @@
 		defer cancel()
 		answer := guardedCall("start", func() Answer { return r.opts.Worker.Start(ctx, call, order) })
 		r.stateOwner.Post(func(s *state) {
+			s.startCalls--
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
 				s.handleStartAnswer(key, st, call.Epoch, answer)
 			}
@@ -450,12 +459,14 @@
 // deadline of the lease.
 func (r *Relay) sendStop(s *state, key runKey, st *stop) {
 	st.sending = true
+	s.stopCalls++
 	call, worker := s.newStopCall(), s.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
 		answer := guardedCall("stop", func() Answer { return r.opts.Worker.Stop(ctx, call, st.order) })
 		r.stateOwner.Post(func(s *state) {
+			s.stopCalls--
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
 				s.handleStopAnswer(key, st, call.Epoch, answer)
 			}
--- a/relay/state.go
+++ b/relay/state.go
@@ -75,6 +75,8 @@
 	refusals     map[runKey]string   // reasons, of runs that will never start
 	starts       map[runKey]*start
 	stops        map[runKey]*stop
+	// startCalls and stopCalls are the numbers of pending calls to the worker.
+	startCalls, stopCalls int
 
 	// openStarts has when the last call was sent of each start of which a call has no answer.
 	// Such a call may still be carried out, also by the worker's next process under the same
