duty, graph: progress of large jobs is stored in pages; a refused write stops no other job

Cause: the progress of a job was one record, which only grows, by assigned tasks and by those that have ended; with some 24,000 assigned or 75,000 ended tasks it is longer than the store takes. The scheduler took the store's refusal for a lost answer and repeated the transaction for ever, and it makes one at a time.

Fix: a job with more than 512 tasks has its progress in pages of 256 tasks, each written when it has changed. Pages whose tasks are done are removed, and the head has them as ranges, so that what is stored grows with the tasks that are neither done nor new. Records of earlier builds go to pages once every listed gate reads them; until then no more tasks of such a job are started than one record holds. Earlier builds cannot decode the head, so that they do not start the tasks again. Crashes under such tasks are in the pages too. A write that the store refuses for good (400, 403, 413, 422) is repeated job by job; the job that is at fault waits, and neither the writes nor the acknowledged ends of others wait for it. Jobs with the oldest changes are written first. No more is placed on a worker on which 256 runs are starting, and a decision takes 1,000 units of a step.

--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -158,7 +158,8 @@
 		f.state.placeUnits(f.scheduler, now)
 		f.state.advanceJobs()
 		for _, j := range f.state.jobs {
-			j.dirty, j.crashesDirty = false, false
+			j.crashesDirty = false
+			clear(j.changes)
 			for _, r := range j.runs {
 				r.stored = true
 			}
--- a/duty/job.go
+++ b/duty/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"catkinpoint/flow"
@@ -11,16 +13,26 @@
 
 // job is a job with the state that its stored records do not hold.
 type job struct {
-	graph          *graph.Job
-	recordRevision int64 // of the stored progress record
+	graph *graph.Job
 	// submitted is when the job was accepted, on this process's clock.
-	submitted     time.Duration
-	dirty         bool  // the progress has changes that are not stored
-	crashesDirty  bool  // the crashes have too; then dirty is set as well
-	lastChangeSeq int64 // number of the last change, from state.lastSeq
-	// firstUnstoredSeq is the number of the first change that is not stored.
-	firstUnstoredSeq int64
-	runs             map[graph.Ref]*run // by task
+	submitted time.Duration
+	// revisions has the revision of each stored record of the progress: of the pages and,
+	// as graph.HeadPage, of the head or the record of the whole.
+	revisions map[int64]int64
+	// changes has the records with changes that are not stored, whose numbers are from
+	// state.lastSeq.
+	changes      map[int64]changeRange
+	crashesDirty bool // the crash record has such changes too
+	// split is set once the stored head says that the progress is in pages, and unsplit has
+	// the pages that are to be stored before.
+	split   bool
+	unsplit []int64
+	// writeAlone is set after the store has refused a transaction with this job, and refused
+	// if that had nothing but a record of it, which is not tried again until refusedUntil.
+	writeAlone, refused bool
+	refusedUntil        time.Duration
+
+	runs map[graph.Ref]*run // by task
 	// readySince is when a unit became ready, by the first task of the unit.
 	readySince map[graph.Ref]time.Duration
 	// moves counts how often runs were stopped because of slow or stalled workers.
@@ -70,7 +82,42 @@
 
 // settled reports whether nothing of the job can change any more: it has ended, its
 // progress is stored and none of its runs is active.
-func (j *job) settled() bool { return j.graph.Ended() && !j.dirty && len(j.graph.Active()) == 0 }
+func (j *job) settled() bool { return j.graph.Ended() && !j.dirty() && len(j.graph.Active()) == 0 }
+
+// dirty reports whether the progress has changes that are not stored.
+func (j *job) dirty() bool { return len(j.changes) > 0 }
+
+// firstUnstored returns the number of the first change that is not stored. There must be
+// one.
+func (j *job) firstUnstored() int64 {
+	first := int64(math.MaxInt64)
+	for _, c := range j.changes {
+		first = min(first, c.first)
+	}
+	return first
+}
+
+// dirtyPages returns the pages with changes that are not stored, the oldest change first.
+func (j *job) dirtyPages() []int64 {
+	pages := make([]int64, 0, len(j.changes))
+	for page := range j.changes {
+		if page != graph.HeadPage {
+			pages = append(pages, page)
+		}
+	}
+	slices.SortFunc(pages, func(a, b int64) int {
+		return cmp.Or(cmp.Compare(j.changes[a].first, j.changes[b].first), cmp.Compare(a, b))
+	})
+	return pages
+}
+
+// recordKey returns the key of a page or, for graph.HeadPage, of the progress record.
+func (j *job) recordKey(page int64) string {
+	if page == graph.HeadPage {
+		return ProgressKey(j.graph.Spec.GetId())
+	}
+	return PageKey(j.graph.Spec.GetId(), page)
+}
 
 func compareJobs(a, b *job) int {
 	if a == b {
@@ -95,6 +142,17 @@
 	return refs
 }
 
+// unstoredRunsOf is like unstoredRuns, for the tasks of a page.
+func (j *job) unstoredRunsOf(page int64) []runRef {
+	var refs []runRef
+	for _, t := range j.graph.PageTasks(page) {
+		if r := j.runs[t.Ref]; r != nil && !r.stored && t.Active() && t.Run == r.run {
+			refs = append(refs, runRef{t.Ref, r.run})
+		}
+	}
+	return refs
+}
+
 // needOf returns the resources that one task of a step holds. A task that uses idle
 // processors (Step.fills) holds no processor.
 func needOf(step *flow.Step) plan.Resources {
--- a/duty/place.go
+++ b/duty/place.go
@@ -20,6 +20,14 @@
 // them had to wait for some. Bursts of urgent units last for some seconds.
 const urgentWaitMemory = 4 * time.Second
 
+// maxStepUnits bounds the units of one step of a job in a decision. The others, which need
+// the same, come next.
+const maxStepUnits = 1000
+
+// maxStarting is the number of runs that are starting on a worker from which no more are
+// placed there. All of them are in each order to its relay.
+const maxStarting = 256
+
 // placeUnits decides which units start and which runs are stopped for others, and
 // records the decision in the state. Starts are ordered once they are stored.
 func (st *state) placeUnits(s *Scheduler, now time.Duration) {
@@ -138,14 +146,20 @@
 	guaranteed := st.guaranteed(table)
 	unixMS := time.Now().UnixMilli()
 	testing, testedJobs := st.probation(now)
-	runsOn := map[graph.Place]int{}
+	runsOn, starting := map[graph.Place]int{}, map[graph.Place]int{}
 	for _, j := range st.openJobs() {
 		for _, t := range j.graph.Active() {
 			need := needOf(j.graph.Step(t.Ref))
 			runsOn[t.Place]++
+			if !t.Started {
+				starting[t.Place]++
+			}
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
 		}
-		for _, unit := range j.graph.Ready(unixMS) {
+		if j.full() {
+			continue
+		}
+		for _, unit := range j.graph.ReadyUpTo(unixMS, maxStepUnits) {
 			request := st.planRequest(j, unit, guaranteed[j], now)
 			if request.Isolated = j.graph.Suspect(unit.Tasks[0]); request.Isolated {
 				// Suspects of a job start one at a time, and only once it is known
@@ -162,7 +176,7 @@
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
 			Capacity: capacity(w.info), Free: free[p], Runs: runsOn[p],
-			Usable: st.acceptsStarts(s, w, now) && !testing[w.relay], Slowness: w.health.slowness(now),
+			Usable: st.acceptsStarts(s, w, now) && !testing[w.relay] && starting[p] < maxStarting, Slowness: w.health.slowness(now),
 			Unreliable: w.health.unreliable(now), OnTrial: w.health.onTrial(now),
 		})
 	}
--- a/duty/records.go
+++ b/duty/records.go
@@ -25,11 +25,13 @@
 
 func (st *state) applyOne(e store.Event) {
 	kind, id := KindOf(e.Key)
-	if kind == KindOther || kind == KindClaim || kind == KindGate || e.Revision <= st.revisions[e.Key] {
+	if kind == KindOther || kind == KindClaim || e.Revision <= st.revisions[e.Key] {
 		return
 	}
 	st.revisions[e.Key] = e.Revision
 	switch {
+	case kind == KindGate:
+		st.applyGate(id, e)
 	case e.Deleted && kind == KindJob:
 		st.removeJob(id)
 		delete(st.revisions, JobKey(id))
@@ -38,6 +40,8 @@
 		st.addJob(id, e.Item)
 	case kind == KindProgress && !st.loaded:
 		st.loadedProgress[id] = e.Item
+	case kind == KindPage && !st.loaded:
+		st.loadPage(id, e.Item)
 	case kind == KindCrash && !st.loaded:
 		st.loadedCrashes[id] = e.Item
 	case kind == KindCancel:
@@ -60,7 +64,7 @@
 	age := max(0, time.Duration(time.Now().UnixMilli()-spec.GetAcceptedUnixMs())*time.Millisecond)
 	st.openCache = nil
 	st.jobs[id] = &job{
-		graph: graph.New(spec, nil), submitted: clock.Monotonic() - min(age, time.Hour),
+		graph: graph.New(spec, nil), revisions: map[int64]int64{}, changes: map[int64]changeRange{}, submitted: clock.Monotonic() - min(age, time.Hour),
 		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedOn: map[graph.Ref][]*worker{},
 		concluded: map[graph.Ref]conclusion{},
 	}
@@ -77,17 +81,15 @@
 		if j == nil {
 			continue
 		}
-		record := &flow.Work{}
-		if err := proto.Unmarshal(item.Value, record); err != nil {
+		loaded, err := st.loadGraph(j, item)
+		if err != nil {
 			// Its tasks may run or be done, so that none may be started.
-			klog.ErrorS(err, "duty: cannot decode progress record, job is passed over", "job", id)
+			klog.ErrorS(err, "duty: cannot decode progress, job is passed over", "job", id)
 			st.removeJob(id)
 			continue
 		}
-		cancelled := j.graph.Cancelled
-		j.graph = graph.New(j.graph.Spec, record)
-		j.graph.Cancelled = cancelled
-		j.recordRevision = item.Revision
+		loaded.Cancelled = j.graph.Cancelled
+		j.graph = loaded
 		for _, t := range j.graph.Active() {
 			st.addActive(j, t)
 			j.runs[t.Ref] = &run{run: t.Run, stored: true, knownSince: st.startedAt, expectedTime: declaredTime(j, t.Ref)}
@@ -98,10 +100,11 @@
 			j.loadCrashes(item)
 		} else {
 			// A build that does not know crash records has removed the job.
-			st.orphanedCrashes = append(st.orphanedCrashes, id)
+			st.orphanedKeys = append(st.orphanedKeys, CrashKey(id))
 		}
 	}
-	st.loadedProgress, st.loadedCrashes, st.openCache = nil, nil, nil
+	st.orphanPages()
+	st.loadedProgress, st.loadedCrashes, st.loadedPages, st.openCache = nil, nil, nil, nil
 	for _, j := range st.openJobs() {
 		st.resumeStops(j)
 	}
--- a/duty/round_test.go
+++ b/duty/round_test.go
@@ -41,7 +41,7 @@
 	}
 	st.placeUnits(s, clock.Monotonic())
 	for _, j := range st.jobs {
-		j.dirty = false
+		clear(j.changes)
 		for _, r := range j.runs {
 			r.stored = true
 		}
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -129,7 +129,7 @@
 	now := time.Now().UnixMilli()
 	for _, j := range st.openJobs() {
 		// Crashes settle without a further change of the job.
-		if (j.dirty || j.graph.HasCrashes()) && j.graph.Advance(now) {
+		if (j.dirty() || j.graph.HasCrashes()) && j.graph.Advance(now) {
 			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase, "priority", j.graph.Spec.GetPriority(),
 				"took_ms", (clock.Monotonic() - j.submitted).Milliseconds(), "objective_ms", graph.ObjectiveMS(j.graph.Spec), "reason", j.graph.EndReason())
 			st.markDirty(j)
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/clock"
@@ -120,9 +119,7 @@
 // load reads all records of jobs. It retries until it succeeds or ctx ends.
 func (s *Scheduler) load(ctx context.Context) ([]store.Item, error) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-		items, _, err := s.kv.Range(callCtx, KeyPrefix)
-		cancel()
+		items, err := s.readRecords(ctx)
 		if err == nil {
 			return items, nil
 		}
@@ -133,6 +130,21 @@
 	}
 }
 
+// readRecords reads all records of jobs once.
+func (s *Scheduler) readRecords(ctx context.Context) ([]store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	items, _, err := s.kv.Range(ctx, KeyPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("reading records: %w", err)
+	}
+	pages, _, err := s.kv.Range(ctx, pagePrefix)
+	if err != nil {
+		return nil, fmt.Errorf("reading pages: %w", err)
+	}
+	return append(items, pages...), nil
+}
+
 // Yield gives up the claim of an epoch so that a gate with much more processor
 // capacity can take the duty. It fails with ErrNotHolder if the claim of that epoch
 // is not held here, and with ErrGuaranteedWorkWaiting if guaranteed work is waiting.
@@ -209,6 +221,9 @@
 	}
 	st.expireLeases(s, now)
 	st.updateWorkerGroups(s, now)
+	if !st.writing {
+		st.choosePages()
+	}
 	if st.planNeeded && s.claim.Valid() {
 		st.planNeeded = false
 		st.moveSlowRuns(now)
@@ -216,7 +231,7 @@
 	}
 	st.advanceJobs()
 	if !st.writing && !st.superseded {
-		s.flush(st)
+		s.flush(st, now)
 	}
 	if !st.sweeping && now >= st.nextSweep && s.claim.Valid() {
 		s.sweep(st, now)
@@ -227,198 +242,3 @@
 		}
 	}
 }
-
-// flush starts a transaction that stores changed progress. There is only one at a
-// time.
-func (s *Scheduler) flush(st *state) {
-	batch := st.collectBatch(s.claim)
-	if len(batch.jobs) == 0 {
-		return
-	}
-	st.writing = true
-	go func() {
-		result := s.commit(batch)
-		s.stateOwner.Post(func(st *state) {
-			st.writing = false
-			st.applyWrite(batch, result)
-		})
-	}()
-}
-
-// writeResult is the outcome of a batch's transaction.
-type writeResult struct {
-	revision int64 // of the written records, if the batch was committed
-	// conflict holds the present values of the keys if a condition failed.
-	conflict  *store.ConflictError
-	cancelled bool // the scheduler ended before the outcome was known
-}
-
-// commit repeats the transaction until its outcome is known.
-func (s *Scheduler) commit(b *batch) writeResult {
-	uncertain := false
-	start := clock.Monotonic()
-	for {
-		callCtx, cancel := context.WithTimeout(s.ctx, storeCallTimeout)
-		revision, err := s.kv.Commit(callCtx, b.txn)
-		cancel()
-		if err == nil {
-			observe(writeHistogram, clock.Monotonic()-start)
-			return writeResult{revision: revision}
-		}
-		if conflict := asConflict(err); conflict != nil {
-			if uncertain {
-				if revision, ok := b.tookEffect(conflict); ok {
-					return writeResult{revision: revision}
-				}
-			}
-			return writeResult{conflict: conflict}
-		}
-		if s.ctx.Err() != nil {
-			return writeResult{cancelled: true}
-		}
-		if !uncertain {
-			unconfirmedCounter.Add(s.ctx, 1)
-			klog.InfoS("duty: outcome of write unknown, will retry", "rows", b.txn.Rows(), "err", err)
-		}
-		uncertain = true
-		clock.Sleep(s.ctx, planPeriod/2)
-	}
-}
-
-// batch is one transaction that stores the progress of jobs.
-type batch struct {
-	claim *Claim
-	txn   store.Txn
-	jobs  []*job
-	// These slices are parallel to jobs: the encoded progress records, the last
-	// change that each contains, and the runs that it stores for the first time.
-	records    [][]byte
-	changeSeqs []int64
-	starts     [][]runRef
-}
-
-// tookEffect reports whether an earlier attempt of the transaction was committed,
-// with its revision: then the conflict shows that the store has all its records.
-func (b *batch) tookEffect(conflict *store.ConflictError) (int64, bool) {
-	for i, j := range b.jobs {
-		item, ok := conflict.Current(ProgressKey(j.graph.Spec.GetId()))
-		if !ok || string(item.Value) != string(b.records[i]) {
-			return 0, false
-		}
-		if i == len(b.jobs)-1 {
-			return item.Revision, true
-		}
-	}
-	return 0, false
-}
-
-// collectBatch returns a transaction with the progress of as many changed jobs as
-// fit. It commits only while the claim is unchanged and, for jobs with new runs,
-// while no cancellation of them is stored.
-func (st *state) collectBatch(claim *Claim) *batch {
-	b := &batch{claim: claim, txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claim.Revision}}}}
-	for _, j := range st.openJobs() {
-		rows := 3
-		if j.crashesDirty {
-			rows++
-		}
-		if !j.dirty || b.txn.Rows()+rows > store.MaxTxnRows {
-			continue
-		}
-		value, err := proto.MarshalOptions{Deterministic: true}.Marshal(j.graph.Record())
-		if err != nil {
-			klog.ErrorS(err, "duty: cannot encode progress record", "job", j.graph.Spec.GetId())
-			continue
-		}
-		id := j.graph.Spec.GetId()
-		if j.crashesDirty {
-			crashes, err := proto.MarshalOptions{Deterministic: true}.Marshal(j.graph.CrashRecord())
-			if err != nil {
-				klog.ErrorS(err, "duty: cannot encode crash record", "job", id)
-				continue
-			}
-			b.txn.Writes = append(b.txn.Writes, store.Write{Key: CrashKey(id), Value: crashes})
-		}
-		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: ProgressKey(id), Revision: j.recordRevision})
-		starts := j.unstoredRuns()
-		if len(starts) > 0 && !j.graph.Cancelled && !j.graph.Ended() { // the stops of an ended job are ordered
-			b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: CancelKey(id)})
-		}
-		b.txn.Writes = append(b.txn.Writes, store.Write{Key: ProgressKey(id), Value: value})
-		b.jobs = append(b.jobs, j)
-		b.records = append(b.records, value)
-		b.changeSeqs = append(b.changeSeqs, j.lastChangeSeq)
-		b.starts = append(b.starts, starts)
-	}
-	return b
-}
-
-// applyWrite applies the outcome of a batch: runs that are now stored are ordered,
-// and ends that are now stored are acknowledged.
-func (st *state) applyWrite(b *batch, result writeResult) {
-	if result.cancelled {
-		return
-	}
-	if result.conflict != nil {
-		st.resolveConflict(b, result.conflict)
-		return
-	}
-	for i, j := range b.jobs {
-		j.recordRevision = result.revision
-		if j.lastChangeSeq == b.changeSeqs[i] {
-			j.dirty, j.crashesDirty = false, false
-		} else {
-			j.firstUnstoredSeq = b.changeSeqs[i] + 1
-		}
-		for _, ref := range b.starts[i] {
-			if r := j.runs[ref.ref]; r != nil && r.run == ref.run {
-				r.stored = true
-				if t := j.graph.Task(ref.ref); t != nil && t.Run == ref.run && t.Active() {
-					st.markOrdersChanged(t.Place)
-				}
-			}
-		}
-	}
-	st.acknowledgeEnds()
-}
-
-// resolveConflict finds out why a condition of a batch failed: a job was cancelled,
-// a record has another revision than expected, or the claim is lost.
-func (st *state) resolveConflict(b *batch, conflict *store.ConflictError) {
-	for _, j := range b.jobs {
-		id := j.graph.Spec.GetId()
-		if _, ok := conflict.Current(CancelKey(id)); ok && !j.graph.Cancelled {
-			st.cancel(j)
-		}
-		item, ok := conflict.Current(ProgressKey(id))
-		if ok && item.Revision != j.recordRevision {
-			// Only the holder writes progress, so an earlier write took effect late.
-			klog.InfoS("duty: revision of progress record corrected", "job", id, "revision", item.Revision, "known", j.recordRevision)
-			j.recordRevision = item.Revision
-		}
-	}
-	if item, ok := conflict.Current(claimKey); !ok || item.Revision != b.txn.Conditions[0].Revision {
-		klog.InfoS("duty: claim was deleted or replaced", "revision", item.Revision)
-		st.superseded = true
-		b.claim.Abort()
-	}
-}
-
-// acknowledgeEnds acknowledges the ends and crashes that are stored by now, so that
-// workers and relays can forget them.
-func (st *state) acknowledgeEnds() {
-	storedSeq := st.lastSeq
-	for _, j := range st.openJobs() {
-		if j.dirty {
-			storedSeq = min(storedSeq, j.firstUnstoredSeq-1)
-		}
-	}
-	for _, w := range st.workers {
-		if end := takeStored(&w.unstoredEnds, storedSeq); end > 0 {
-			w.lastStoredEnd, w.ordersChanged = end, true
-		}
-		if crash := takeStored(&w.unstoredCrashes, storedSeq); crash > 0 {
-			w.lastStoredCrash, w.ordersChanged = crash, true
-		}
-	}
-}
--- a/duty/state.go
+++ b/duty/state.go
@@ -20,11 +20,13 @@
 	activeByRelay map[string]map[*graph.Task]*job
 	// revisions holds the revision of each key that was applied last.
 	revisions        map[string]int64
-	cancelled        map[string]bool       // ids of cancelled jobs; a cancellation may come before its job
-	loadedProgress   map[string]store.Item // progress records read while loading, by job
-	loadedCrashes    map[string]store.Item // crash records read while loading, by job
-	orphanedCrashes  []string              // ids of removed jobs that have a crash record
-	recentCrashes    []*crash              // in the last crashMemory
+	cancelled        map[string]bool                 // ids of cancelled jobs; a cancellation may come before its job
+	loadedProgress   map[string]store.Item           // progress records read while loading, by job
+	loadedCrashes    map[string]store.Item           // crash records read while loading, by job
+	loadedPages      map[string]map[int64]store.Item // pages read while loading, by job and number
+	orphanedKeys     []string                        // keys of crash records and pages of removed jobs
+	gates            map[string]bool                 // listed gates, and whether they read progress in pages
+	recentCrashes    []*crash                        // in the last crashMemory
 	startedAt        time.Duration
 	loaded           bool // all jobs were read from the store
 	planNeeded       bool // placement has to be decided again
@@ -56,6 +58,7 @@
 	return &state{
 		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{}, activeByRelay: map[string]map[*graph.Task]*job{},
 		revisions: map[string]int64{}, cancelled: map[string]bool{}, loadedProgress: map[string]store.Item{}, loadedCrashes: map[string]store.Item{}, startedAt: now,
+		loadedPages: map[string]map[int64]store.Item{}, gates: map[string]bool{},
 	}
 }
 
@@ -110,10 +113,18 @@
 // markDirty records that the progress of a job has changed and must be stored.
 func (st *state) markDirty(j *job) {
 	st.lastSeq++
-	if !j.dirty {
-		j.dirty, j.firstUnstoredSeq = true, st.lastSeq
+	records := j.graph.TakeChanged()
+	if !j.graph.Paged() || len(records) == 0 {
+		records = []int64{graph.HeadPage}
+	}
+	for _, page := range records {
+		c, ok := j.changes[page]
+		if !ok {
+			c.first = st.lastSeq
+		}
+		c.last = st.lastSeq
+		j.changes[page] = c
 	}
-	j.lastChangeSeq = st.lastSeq
 	st.planNeeded = true
 }
 
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -19,6 +19,7 @@
 	preemptionsCounter    = newCounter("catkinpoint_duty_preemptions", "Runs ordered to stop for more urgent units of work.")
 	claimsCounter         = newCounter("catkinpoint_duty_claims", "Times that this process claimed the scheduler role.")
 	unconfirmedCounter    = newCounter("catkinpoint_duty_unconfirmed_writes", "Writes of progress whose outcome was at first unknown.")
+	refusedCounter        = newCounter("catkinpoint_duty_refused_writes", "Writes of a job's progress that the store refuses.")
 	waitHistogram         = newHistogram("catkinpoint_duty_wait_seconds", "Time from the acceptance of a job to the placement of one of its units of work.")
 	crashesCounter        = newCounter("catkinpoint_duty_crashed_runs", "Runs that were on a worker when it crashed, by how far they are suspected.")
 	contradictionsCounter = newCounter("catkinpoint_duty_contradictions", "Runs that a worker listed after they had been taken as over, by how.")
--- a/duty/sweep.go
+++ b/duty/sweep.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"catkinpoint/graph"
 	"catkinpoint/store"
 )
 
@@ -14,6 +15,9 @@
 	sweepPeriod = 10 * time.Second
 	// maxSweepJobs bounds the jobs that one transaction removes.
 	maxSweepJobs = 7
+	// maxSweepKeys bounds the records that one transaction removes if they are of removed
+	// jobs, or pages.
+	maxSweepKeys = 28
 )
 
 // sweep starts a transaction that removes the records of jobs that ended longer
@@ -23,15 +27,12 @@
 	limit := time.Now().Add(-s.settings.Retention).UnixMilli()
 	txn := store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: s.claim.Revision}}}
 	var ids []string
-	orphans := st.orphanedCrashes[:min(len(st.orphanedCrashes), maxSweepJobs)]
-	if len(orphans) > 0 {
-		for _, id := range orphans {
-			txn.Deletes = append(txn.Deletes, CrashKey(id))
-		}
+	if orphans := st.orphanedKeys[:min(len(st.orphanedKeys), maxSweepKeys)]; len(orphans) > 0 {
+		txn.Deletes = orphans
 		st.nextSweep = now
 		s.commitSweep(st, txn, func(st *state) {
-			klog.InfoS("duty: crash records of removed jobs removed", "jobs", len(orphans))
-			st.orphanedCrashes = st.orphanedCrashes[len(orphans):]
+			klog.InfoS("duty: records of removed jobs removed", "records", len(orphans))
+			st.orphanedKeys = st.orphanedKeys[len(orphans):]
 		})
 		return
 	}
@@ -43,6 +44,14 @@
 		if !j.settled() || j.graph.EndedUnixMS > limit {
 			continue
 		}
+		if pages := j.storedPages(); len(pages) > 0 {
+			if len(ids) == 0 {
+				s.sweepPages(st, txn, j, pages[:min(len(pages), maxSweepKeys)], now)
+				return
+			}
+			st.nextSweep = now
+			continue
+		}
 		ids = append(ids, id)
 		txn.Deletes = append(txn.Deletes, JobKey(id), ProgressKey(id), CancelKey(id))
 		if j.graph.HasCrashes() {
@@ -60,6 +69,31 @@
 	})
 }
 
+// storedPages returns the pages of a job's progress that are stored.
+func (j *job) storedPages() []int64 {
+	var pages []int64
+	for page := range j.revisions {
+		if page != graph.HeadPage {
+			pages = append(pages, page)
+		}
+	}
+	return pages
+}
+
+// sweepPages starts a transaction that removes pages of a job whose other records are
+// removed after them.
+func (s *Scheduler) sweepPages(st *state, txn store.Txn, j *job, pages []int64, now time.Duration) {
+	for _, page := range pages {
+		txn.Deletes = append(txn.Deletes, j.recordKey(page))
+	}
+	st.nextSweep = now
+	s.commitSweep(st, txn, func(*state) {
+		for _, page := range pages {
+			delete(j.revisions, page)
+		}
+	})
+}
+
 // commitSweep commits a transaction that removes records, and then calls removed.
 func (s *Scheduler) commitSweep(st *state, txn store.Txn, removed func(*state)) {
 	st.sweeping = true
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -194,7 +194,7 @@
 // succeeds. The scheduler sends the addresses to relays, which need them when they
 // cannot read the claim from the store.
 func (g *Gate) announce(ctx context.Context) {
-	value, err := proto.Marshal(&flow.Claim{Holder: g.opts.Name, Address: g.opts.Address.String(), Processor: g.opts.Processor})
+	value, err := proto.Marshal(&flow.Claim{Holder: g.opts.Name, Address: g.opts.Address.String(), Processor: g.opts.Processor, ReadsPages: true})
 	if err != nil {
 		klog.ErrorS(err, "gate: own address not encoded")
 		return
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -303,7 +303,7 @@
 		decode func([]byte) error
 	}{
 		{duty.JobKey(id), func(b []byte) error { state.job = &flow.Job{}; return proto.Unmarshal(b, state.job) }},
-		{duty.ProgressKey(id), func(b []byte) error { state.work = &flow.Work{}; return proto.Unmarshal(b, state.work) }},
+		{duty.ProgressKey(id), func(b []byte) (err error) { state.work, err = graph.DecodeWork(b); return err }},
 		{duty.CancelKey(id), func([]byte) error { state.cancelled = true; return nil }},
 	} {
 		item, err := g.opts.KV.Get(ctx, read.key)
--- a/gate/view.go
+++ b/gate/view.go
@@ -12,6 +12,7 @@
 
 	"catkinpoint/duty"
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 	"catkinpoint/guard"
 	"catkinpoint/route"
 	"catkinpoint/store"
@@ -106,8 +107,10 @@
 		v.ensureJob(id).job = job
 	case e.Deleted:
 	case kind == duty.KindProgress:
-		work := &flow.Work{}
-		decode(work)
+		work, err := graph.DecodeWork(e.Value)
+		if err != nil {
+			klog.ErrorS(err, "gate: record not decoded", "key", e.Key, "revision", e.Revision)
+		}
 		v.ensureJob(id).work = work
 	case kind == duty.KindCancel:
 		v.ensureJob(id).cancelled = true
--- a/graph/crash.go
+++ b/graph/crash.go
@@ -21,6 +21,9 @@
 	// isolatedAfterCrashes is the number of crashes, other than outages, after which
 	// a unit gets workers of its own whatever it is suspected of.
 	isolatedAfterCrashes = 2
+	// maxKeptCrashes bounds the crashes that are kept for a task. Of more, those that
+	// weigh least are forgotten.
+	maxKeptCrashes = 12
 	// CrashSettleTime is the time after a crash in which others may become known
 	// that have the same outside cause.
 	CrashSettleTime = 600 * time.Millisecond
@@ -41,7 +44,7 @@
 func (j *Job) LoadCrashes(record *flow.JobCrashes) {
 	for _, c := range record.GetCrashes() {
 		ref := Ref{c.GetOccurrence(), c.GetStep(), c.GetIndex()}
-		if j.Step(ref) == nil {
+		if j.Step(ref) == nil || ref.Occurrence < 0 {
 			continue
 		}
 		age := time.Duration(c.GetAgeMs()) * time.Millisecond
@@ -56,16 +59,7 @@
 func (j *Job) CrashRecord() *flow.JobCrashes {
 	record := &flow.JobCrashes{}
 	for ref, crashes := range j.crashes {
-		for _, c := range crashes {
-			ageMS := c.Age.Milliseconds()
-			if c.Age < 0 {
-				ageMS = -1
-			}
-			record.Crashes = append(record.Crashes, &flow.TaskCrash{
-				Occurrence: ref.Occurrence, Step: ref.Step, Index: ref.Index, Run: c.Run, Worker: c.Worker,
-				WorkerBornMs: c.WorkerStartMS, AgeMs: ageMS, UnixMs: c.UnixMS, Suspicion: c.Suspicion,
-			})
-		}
+		record.Crashes = appendCrashes(record.Crashes, ref, crashes)
 	}
 	slices.SortFunc(record.Crashes, func(a, b *flow.TaskCrash) int {
 		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run))
@@ -73,6 +67,21 @@
 	return record
 }
 
+// appendCrashes appends the crashes under a task as they are stored.
+func appendCrashes(records []*flow.TaskCrash, ref Ref, crashes []Crash) []*flow.TaskCrash {
+	for _, c := range crashes {
+		ageMS := c.Age.Milliseconds()
+		if c.Age < 0 {
+			ageMS = -1
+		}
+		records = append(records, &flow.TaskCrash{
+			Occurrence: ref.Occurrence, Step: ref.Step, Index: ref.Index, Run: c.Run, Worker: c.Worker,
+			WorkerBornMs: c.WorkerStartMS, AgeMs: ageMS, UnixMs: c.UnixMS, Suspicion: c.Suspicion,
+		})
+	}
+	return records
+}
+
 // HasCrashes reports whether a worker has crashed under a task of the job.
 func (j *Job) HasCrashes() bool { return len(j.crashes) > 0 }
 
@@ -82,19 +91,40 @@
 	if slices.ContainsFunc(j.crashes[ref], func(known Crash) bool { return known.Run == c.Run }) {
 		return false
 	}
+	if j.donePages.contains(j.layout.page(ref)) {
+		return false
+	}
 	if j.crashes == nil {
 		j.crashes = map[Ref][]Crash{}
 	}
-	j.crashes[ref] = append(j.crashes[ref], c)
+	crashes := append(j.crashes[ref], c)
+	if len(crashes) > maxKeptCrashes {
+		weight := func(c Crash) int { return suspicionRank(c.Suspicion) }
+		lightest := slices.IndexFunc(crashes, func(c Crash) bool {
+			return !slices.ContainsFunc(crashes, func(other Crash) bool { return weight(other) < weight(c) })
+		})
+		crashes = slices.Delete(crashes, lightest, lightest+1)
+	}
+	j.crashes[ref] = crashes
+	j.markCrashesChanged(ref)
 	return true
 }
 
+// markCrashesChanged records that the crashes of a task have changed. Progress that is one
+// record does not have them.
+func (j *Job) markCrashesChanged(ref Ref) {
+	if j.Paged() {
+		j.changed[j.layout.page(ref)] = true
+	}
+}
+
 // MarkOutage changes the suspicion of a run's crash to an outage, and reports whether
 // it was another before.
 func (j *Job) MarkOutage(ref Ref, run int64) bool {
 	for i, c := range j.crashes[ref] {
 		if c.Run == run && c.Suspicion != flow.Suspicion_OUTAGE {
 			j.crashes[ref][i].Suspicion = flow.Suspicion_OUTAGE
+			j.markCrashesChanged(ref)
 			return true
 		}
 	}
--- a/graph/job.go
+++ b/graph/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"catkinpoint/flow"
@@ -84,36 +85,116 @@
 	Cancelled bool
 	// EndedUnixMS is when the job reached a final phase, in Unix milliseconds, or 0.
 	EndedUnixMS int64
-	// tasks has the tasks that were started at least once.
-	tasks map[Ref]*Task
+	// tasks has the tasks that were started at least once, without those of donePages.
+	tasks     map[Ref]*Task
+	layout    layout
+	donePages pageSet
+	// changed has the pages that have changed since TakeChanged.
+	changed map[int64]bool
+	// steps counts the tasks of each step of an occurrence that has any.
+	steps map[stepKey]stepCount
+	// openFrom is the first occurrence of which a step is not done.
+	openFrom int32
+	// failing has the tasks that have failed and are not done.
+	failing map[Ref]*Task
 	// crashes has the crashes of workers under each task.
 	crashes map[Ref][]Crash
 	// activeTasks caches the result of Active; it is nil after a change.
 	activeTasks []*Task
 }
 
+// stepKey identifies a step of an occurrence.
+type stepKey struct{ occurrence, step int32 }
+
+// stepCount is the number of tasks of a step that are done, and of those that are done or
+// active.
+type stepCount struct{ done, busy int32 }
+
 // New returns a job with the progress in its stored record, which may be nil.
 func New(spec *flow.Job, work *flow.Work) *Job {
-	j := &Job{Spec: spec, Phase: work.GetPhase(), EndedUnixMS: work.GetEndedUnixMs(), tasks: map[Ref]*Task{}}
-	for _, t := range work.GetTasks() {
-		ref := Ref{t.GetOccurrence(), t.GetStep(), t.GetIndex()}
-		j.tasks[ref] = &Task{
-			Ref: ref, Run: t.GetRun(), Place: Place{t.GetWorker(), t.GetWorkerBornMs(), t.GetRelay()},
-			Started: t.GetStarted(), Done: t.GetDone(), Failures: t.GetFailures(), Checkpoint: t.GetCheckpoint(),
-		}
+	j := &Job{
+		Spec: spec, Phase: work.GetPhase(), EndedUnixMS: work.GetEndedUnixMs(), tasks: map[Ref]*Task{}, layout: newLayout(spec),
+		changed: map[int64]bool{}, steps: map[stepKey]stepCount{}, failing: map[Ref]*Task{},
 	}
+	j.addTasks(work.GetTasks())
 	return j
 }
 
-// Record returns the progress of the job as it is stored, with tasks sorted.
+// Load returns a job with the progress in its stored record and pages. It fails if the
+// record is not one of such a job.
+func Load(spec *flow.Job, work *flow.Work, pages []*flow.Page) (*Job, error) {
+	j := New(spec, work)
+	if work.GetPageTasks() > 0 {
+		if err := j.loadPages(work, pages); err != nil {
+			return nil, err
+		}
+	}
+	return j, nil
+}
+
+// addTasks adds the stored progress of tasks. It leaves out tasks that the job does not have
+// or whose page is done.
+func (j *Job) addTasks(records []*flow.Task) {
+	for _, r := range records {
+		ref := Ref{r.GetOccurrence(), r.GetStep(), r.GetIndex()}
+		if j.Step(ref) == nil || ref.Occurrence < 0 || ref.Occurrence >= j.Occurrences() || j.donePages.contains(j.layout.page(ref)) {
+			continue
+		}
+		t := &Task{Ref: ref}
+		j.tasks[ref] = t
+		j.change(t, func() {
+			t.Run, t.Place = r.GetRun(), Place{r.GetWorker(), r.GetWorkerBornMs(), r.GetRelay()}
+			t.Started, t.Done, t.Failures, t.Checkpoint = r.GetStarted(), r.GetDone(), r.GetFailures(), r.GetCheckpoint()
+		})
+	}
+	clear(j.changed)
+}
+
+// change changes a task by f, and with it the counts of its step.
+func (j *Job) change(t *Task, f func()) {
+	before := *t
+	f()
+	j.changed[j.layout.page(t.Ref)] = true
+	j.countStep(stepKey{t.Ref.Occurrence, t.Ref.Step}, one(t.Done)-one(before.Done), one(t.busy())-one(before.busy()))
+	if t.Failures > 0 && !t.Done {
+		j.failing[t.Ref] = t
+	} else {
+		delete(j.failing, t.Ref)
+	}
+}
+
+// countStep adds to the numbers of tasks of a step.
+func (j *Job) countStep(key stepKey, done, busy int32) {
+	if done != 0 || busy != 0 {
+		c := j.steps[key]
+		j.steps[key] = stepCount{c.done + done, c.busy + busy}
+	}
+}
+
+func one(x bool) int32 {
+	if x {
+		return 1
+	}
+	return 0
+}
+
+// busy reports whether the task is done or active, so that it does not wait to be started.
+func (t *Task) busy() bool { return t.Done || t.Active() }
+
+// record returns the progress of the task as it is stored.
+func (t *Task) record() *flow.Task {
+	return &flow.Task{
+		Occurrence: t.Ref.Occurrence, Step: t.Ref.Step, Index: t.Ref.Index,
+		Run: t.Run, Worker: t.Place.Worker, WorkerBornMs: t.Place.StartUnixMS, Relay: t.Place.Relay,
+		Started: t.Started, Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint,
+	}
+}
+
+// Record returns the progress of the job as one record, with tasks sorted.
 func (j *Job) Record() *flow.Work {
 	work := &flow.Work{Phase: j.Phase, EndedUnixMs: j.EndedUnixMS}
 	for _, t := range j.tasks {
-		work.Tasks = append(work.Tasks, &flow.Task{
-			Occurrence: t.Ref.Occurrence, Step: t.Ref.Step, Index: t.Ref.Index,
-			Run: t.Run, Worker: t.Place.Worker, WorkerBornMs: t.Place.StartUnixMS, Relay: t.Place.Relay,
-			Started: t.Started, Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint,
-		})
+		work.Tasks = append(work.Tasks, t.record())
 	}
 	slices.SortFunc(work.Tasks, func(a, b *flow.Task) int {
 		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
@@ -138,8 +219,15 @@
 	return j.Spec.GetStartUnixMs() + int64(occurrence)*j.Spec.GetPeriodMs()
 }
 
-// Task returns the progress of a task, or nil if it was never started.
-func (j *Job) Task(ref Ref) *Task { return j.tasks[ref] }
+// Task returns the progress of a task, or nil if it was never started. Of a task of a done
+// page it is only known that it is done.
+func (j *Job) Task(ref Ref) *Task {
+	t := j.tasks[ref]
+	if t == nil && len(j.donePages) > 0 && j.Step(ref) != nil && j.donePages.contains(j.layout.page(ref)) {
+		return &Task{Ref: ref, Done: true}
+	}
+	return t
+}
 
 // Step returns the declaration of the step of a task, or nil if the job has no such
 // task.
@@ -188,13 +276,7 @@
 
 // stepDone reports whether all tasks of a step of an occurrence are done.
 func (j *Job) stepDone(occurrence, step int32) bool {
-	for i := range j.Spec.GetSteps()[step].GetCount() {
-		t := j.tasks[Ref{occurrence, step, i}]
-		if t == nil || !t.Done {
-			return false
-		}
-	}
-	return true
+	return j.steps[stepKey{occurrence, step}].done == j.Spec.GetSteps()[step].GetCount()
 }
 
 // Unit is a gang or a single task, which is placed as a whole.
@@ -217,25 +299,49 @@
 // Ready returns the units that may start at the given time: their occurrence is due,
 // all steps that theirs depends on are done, and none of their tasks is done or
 // active. It returns none if the job has ended or is cancelled.
-func (j *Job) Ready(nowUnixMS int64) []Unit {
+func (j *Job) Ready(nowUnixMS int64) []Unit { return j.ReadyUpTo(nowUnixMS, math.MaxInt) }
+
+// ReadyUpTo is like Ready, with the first units of each step only: at most limit, from all
+// occurrences together.
+func (j *Job) ReadyUpTo(nowUnixMS int64, limit int) []Unit {
 	if j.Ended() || j.Cancelled {
 		return nil
 	}
 	var units []Unit
-	for occurrence := range j.Occurrences() {
-		if j.DueUnixMS(occurrence) > nowUnixMS {
-			break
-		}
+	left := make([]int, len(j.Spec.GetSteps()))
+	for i := range left {
+		left[i] = limit
+	}
+	for occurrence := j.firstOpen(); occurrence < j.Occurrences() && j.DueUnixMS(occurrence) <= nowUnixMS; occurrence++ {
+		full := true
 		for index, step := range j.Spec.GetSteps() {
-			if j.blocked(occurrence, step) {
-				continue
+			if left[index] > 0 && !j.blocked(occurrence, step) {
+				found := j.readyUnits(occurrence, int32(index), step, left[index])
+				left[index] -= len(found)
+				units = append(units, found...)
 			}
-			units = append(units, j.readyUnits(occurrence, int32(index), step)...)
+			full = full && left[index] == 0
+		}
+		if full {
+			break
 		}
 	}
 	return units
 }
 
+// firstOpen returns the first occurrence of which a step is not done, or the number of
+// occurrences.
+func (j *Job) firstOpen() int32 {
+	for ; j.openFrom < j.Occurrences(); j.openFrom++ {
+		for index := range j.Spec.GetSteps() {
+			if !j.stepDone(j.openFrom, int32(index)) {
+				return j.openFrom
+			}
+		}
+	}
+	return j.openFrom
+}
+
 // blocked reports whether a step of an occurrence waits for a step that it depends
 // on.
 func (j *Job) blocked(occurrence int32, step *flow.Step) bool {
@@ -247,13 +353,16 @@
 	return false
 }
 
-// readyUnits returns the units of a step of an occurrence that are neither done nor
-// active.
-func (j *Job) readyUnits(occurrence, stepIndex int32, step *flow.Step) []Unit {
+// readyUnits returns the first units, at most limit, of a step of an occurrence that are
+// neither done nor active.
+func (j *Job) readyUnits(occurrence, stepIndex int32, step *flow.Step, limit int) []Unit {
 	var units []Unit
 	idle := func(ref Ref) bool {
-		t := j.tasks[ref]
-		return t == nil || !t.Done && !t.Active()
+		t := j.Task(ref)
+		return t == nil || !t.busy()
+	}
+	if j.steps[stepKey{occurrence, stepIndex}].busy == step.GetCount() {
+		return nil
 	}
 	if step.GetGang() {
 		members := j.Members(Ref{occurrence, stepIndex, 0})
@@ -265,6 +374,9 @@
 		return []Unit{{Job: j, Step: step, Tasks: members}}
 	}
 	for i := range step.GetCount() {
+		if len(units) == limit {
+			break
+		}
 		if ref := (Ref{occurrence, stepIndex, i}); idle(ref) {
 			units = append(units, Unit{Job: j, Step: step, Tasks: []Ref{ref}})
 		}
@@ -290,15 +402,21 @@
 			t = &Task{Ref: ref}
 			j.tasks[ref] = t
 		}
-		t.Run, t.Place, t.Started, t.Checkpoint = run, places[i], false, checkpoint
+		j.change(t, func() { t.Run, t.Place, t.Started, t.Checkpoint = run, places[i], false, checkpoint })
 	}
 	return run
 }
 
+// setPhase changes the phase, which is in the head of the progress.
+func (j *Job) setPhase(phase flow.Phase) {
+	j.Phase = phase
+	j.changed[HeadPage] = true
+}
+
 // markBegun moves a job that is queued to RUNNING, as a task has started.
 func (j *Job) markBegun() {
 	if j.Phase == flow.Phase_QUEUED {
-		j.Phase = flow.Phase_RUNNING
+		j.setPhase(flow.Phase_RUNNING)
 	}
 }
 
@@ -310,7 +428,7 @@
 	if t == nil || t.Run != run || !t.Active() || t.Started {
 		return false
 	}
-	t.Started = true
+	j.change(t, func() { t.Started = true })
 	j.markBegun()
 	return true
 }
@@ -345,7 +463,7 @@
 		return false
 	}
 	j.activeTasks = nil
-	t.Place, t.Started = Place{}, false
+	j.change(t, func() { t.Place, t.Started = Place{}, false })
 	if slices.Contains(workerEnds, outcome) {
 		j.markBegun() // the worker may list the end before the run
 	}
@@ -357,7 +475,7 @@
 		// The success of one member counts for the whole gang.
 		for _, member := range j.Members(ref) {
 			if m := j.tasks[member]; m != nil && m.Run == run {
-				m.Done = true
+				j.change(m, func() { m.Done = true })
 			}
 		}
 	case EndFailed:
@@ -379,7 +497,7 @@
 	}
 	for _, member := range j.Members(ref) {
 		if m := j.tasks[member]; m != nil {
-			m.Done = true
+			j.change(m, func() { m.Done = true })
 		}
 	}
 	j.markBegun()
@@ -393,7 +511,7 @@
 	}
 	for _, member := range j.Members(ref) {
 		if m := j.tasks[member]; m != nil {
-			m.Failures++
+			j.change(m, func() { m.Failures++ })
 		}
 	}
 }
@@ -402,7 +520,7 @@
 func (j *Job) countFailure(ref Ref, run int64) {
 	for _, member := range j.Members(ref) {
 		if m := j.tasks[member]; m != nil && m.Run == run {
-			m.Failures++
+			j.change(m, func() { m.Failures++ })
 		}
 	}
 }
@@ -416,7 +534,7 @@
 	}
 	for _, member := range j.Members(ref) {
 		if m := j.tasks[member]; m != nil && m.Run == run {
-			m.Checkpoint = checkpoint
+			j.change(m, func() { m.Checkpoint = checkpoint })
 		}
 	}
 }
@@ -439,7 +557,8 @@
 	if next == j.Phase {
 		return false
 	}
-	j.Phase, j.EndedUnixMS = next, nowUnixMS
+	j.setPhase(next)
+	j.EndedUnixMS = nowUnixMS
 	return true
 }
 
@@ -457,8 +576,8 @@
 // attemptsExhausted reports whether a task that is not done has failed as often as
 // the job allows.
 func (j *Job) attemptsExhausted() bool {
-	for _, t := range j.tasks {
-		if !t.Done && t.Failures >= max(1, j.Spec.GetMaxAttempts()) {
+	for _, t := range j.failing {
+		if t.Failures >= max(1, j.Spec.GetMaxAttempts()) {
 			return true
 		}
 	}
@@ -468,15 +587,8 @@
 // allStepsDone reports whether all steps of all occurrences are done. Long-running
 // steps run until the job is cancelled and are never done.
 func (j *Job) allStepsDone() bool {
-	for occurrence := range j.Occurrences() {
-		for index, step := range j.Spec.GetSteps() {
-			if step.GetLongRunning() || !j.stepDone(occurrence, int32(index)) {
-				return false
-			}
-		}
-	}
-	return true
+	return j.firstOpen() == j.Occurrences() && !slices.ContainsFunc(j.Spec.GetSteps(), (*flow.Step).GetLongRunning)
 }
 
 // EverStarted reports whether any task of the job was ever started.
-func (j *Job) EverStarted() bool { return len(j.tasks) > 0 }
+func (j *Job) EverStarted() bool { return len(j.tasks) > 0 || len(j.donePages) > 0 }
--- a/stand/fakekv/state.go
+++ b/stand/fakekv/state.go
@@ -20,6 +20,7 @@
 	compactedRevision int64      // deletions up to this revision have been forgotten
 	leases            map[store.LeaseID]*lease
 	lastLease         store.LeaseID
+	maxValueBytes     int // of a transaction's values
 	// changed is closed and replaced when a key or the faults change.
 	changed chan struct{}
 }
@@ -42,6 +43,8 @@
 		items:   map[string]store.Item{},
 		leases:  map[store.LeaseID]*lease{},
 		changed: make(chan struct{}),
+
+		maxValueBytes: store.MaxValueBytes,
 	}
 }
 
--- a/stand/fakekv/txn.go
+++ b/stand/fakekv/txn.go
@@ -82,9 +82,26 @@
 	return ""
 }
 
+// SetMaxValueBytes sets the length of the longest value that a transaction may write. A
+// transaction with a longer one is refused.
+func (s *Server) SetMaxValueBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.maxValueBytes = n
+}
+
 // commit applies all writes and deletions of txn at one revision, or returns a
-// ConflictError with the existing items of its conditions if one does not hold.
+// ConflictError with the existing items of its conditions if one does not hold. It refuses
+// a transaction with too many rows or too long a value.
 func (s *state) commit(txn store.Txn) (int64, error) {
+	if txn.Rows() > store.MaxTxnRows {
+		return 0, store.ErrRefused
+	}
+	for _, w := range txn.Writes {
+		if len(w.Value) > s.maxValueBytes {
+			return 0, store.ErrTooLarge
+		}
+	}
 	var present []store.Item
 	matched := true
 	for _, c := range txn.Conditions {
--- a/store/store.go
+++ b/store/store.go
@@ -22,6 +22,9 @@
 	ErrUnknown = Error.New("outcome unknown")
 	// ErrLeaseExpired means that the lease no longer exists.
 	ErrLeaseExpired = Error.New("lease expired")
+	// ErrRefused means that the service rejects the call as it is, for good, and has not
+	// carried it out.
+	ErrRefused = Error.New("call refused")
 	// ErrTooLarge means that the value is larger than MaxValueBytes.
 	ErrTooLarge = Error.New("value too large")
 )
