duty, graph: tasks that crash their workers at the same time are given up

Cause: workers that crash together without an explanation were an outage, which counted against nobody, explained no later crash and set nothing apart. The tasks were started together again, so that each round looked like the first.

On the code before TestTasksThatCrashWorkersTogetherAreGivenUp fails: up to 71 workers crash under one task, and innocent jobs beside them do not end.

Fix: such a crash is an outage only if one of the workers had no run of a unit that had been in a crash before; otherwise it is doubtful. Doubtful units start apart in time and on workers of their own, so that a unit that is the cause crashes its next worker alone, at a similar age, and an innocent one completes. After five crashes that came after the same time a job is given up in any case.

Real outages: TestOutagesAccuseNoTask is unchanged, and TestOutagesBesideCrashingTasksCostNoOtherJob has them beside such tasks.

--- a/duty/crash.go
+++ b/duty/crash.go
@@ -11,6 +11,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/plan"
 	"catkinpoint/store"
 )
 
@@ -36,6 +37,8 @@
 	at        time.Duration
 	runs      []crashedRun
 	explained bool // as in blame.Verdict
+	// clean is set if no run on the worker was of a unit that had been in a crash before.
+	clean bool
 }
 
 // applyCrashes records the crashes that a relay reports, each once.
@@ -57,8 +60,8 @@
 func (st *state) applyCrash(w *worker, c *flow.Crash) {
 	at := clock.Monotonic() - time.Duration(c.GetAgoMs())*time.Millisecond
 	atUnixMS := time.Now().UnixMilli() - c.GetAgoMs()
-	event := &crash{relay: w.relay, at: at}
-	var runs []blame.Run[*job]
+	event := &crash{relay: w.relay, at: at, clean: true}
+	var runs, doubted []blame.Run[*job] // without and with the ages at crashes together with others
 	for _, r := range c.GetRuns() {
 		id, ref, err := graph.ParseTask(r.GetTask())
 		j := st.jobs[id]
@@ -69,21 +72,28 @@
 		if r.GetAgeMs() < 0 {
 			age = blame.UnknownAge
 		}
+		earlier := slices.DeleteFunc(j.graph.UnitCrashes(ref), func(c graph.Crash) bool { return c.Run == r.GetRun() })
+		event.clean = event.clean && len(earlier) == 0
 		event.runs = append(event.runs, crashedRun{j, ref, r.GetRun()})
-		runs = append(runs, blame.Run[*job]{Job: j, Age: age, Earlier: suspectAges(j.graph.UnitCrashes(ref))})
+		runs = append(runs, blame.Run[*job]{Job: j, Age: age, Earlier: suspectAges(earlier, false)})
+		doubted = append(doubted, blame.Run[*job]{Job: j, Age: age, Earlier: suspectAges(earlier, true)})
 	}
 	verdict := blame.Judge(runs)
 	event.explained = verdict.Explained
-	outage := st.isOutage(event)
+	outage, cause := st.findOutage(event)
+	if !outage {
+		verdict = blame.Judge(doubted)
+	}
 	klog.InfoS("duty: worker crashed", "worker", c.GetWorker(), "born", c.GetWorkerBornMs(), "relay", w.relay, "ago_ms", c.GetAgoMs(),
-		"runs", len(c.GetRuns()), "youngest", graph.RunAges(c.GetRuns()), "explained", verdict.Explained, "outage", outage)
+		"runs", len(c.GetRuns()), "youngest", graph.RunAges(c.GetRuns()), "explained", verdict.Explained, "clean", event.clean, "outage", outage, "cause", cause)
 	for i, r := range event.runs {
 		suspicion := verdict.Suspicions[i]
 		if outage {
-			suspicion = flow.Suspicion_OUTAGE
+			suspicion = cause
 		}
 		if !r.job.graph.AddCrash(r.ref, graph.Crash{
 			Run: r.run, Worker: c.GetWorker(), WorkerStartMS: c.GetWorkerBornMs(), Age: runs[i].Age, UnixMS: atUnixMS, Suspicion: suspicion,
+			Alone: len(c.GetRuns()) == 1,
 		}) {
 			continue // an earlier holder has stored it
 		}
@@ -96,38 +106,51 @@
 	st.recentCrashes = append(st.recentCrashes, event)
 }
 
-// suspectAges returns the ages of a unit at the crashes that it may have caused.
-func suspectAges(crashes []graph.Crash) []time.Duration {
+// suspectAges returns the ages of a unit at the crashes that it may have caused, with those
+// at the same time as others if they count: doubtful ones, and outages in which it was alone
+// on its worker.
+func suspectAges(crashes []graph.Crash, together bool) []time.Duration {
 	var ages []time.Duration
 	for _, c := range crashes {
-		if c.Suspicion == flow.Suspicion_PROBABLE || c.Suspicion == flow.Suspicion_POSSIBLE {
+		accused := c.Suspicion == flow.Suspicion_PROBABLE || c.Suspicion == flow.Suspicion_POSSIBLE
+		if accused || together && (c.Suspicion == flow.Suspicion_DOUBTFUL || c.Suspicion == flow.Suspicion_OUTAGE && c.Alone) {
 			ages = append(ages, c.Age)
 		}
 	}
 	return ages
 }
 
-// isOutage reports whether a crash has an outside cause, as another worker without any
-// of its jobs crashed at the same time and nothing on one of the two explains why. The
-// other one is then marked as an outage too.
-func (st *state) isOutage(c *crash) bool {
+// findOutage reports whether a crash may have an outside cause, as another worker without
+// any of its jobs crashed at the same time and nothing on one of the two explains why. It
+// is an outage if one of these workers had only runs of units that had been in no crash
+// before. Otherwise it is doubtful: units that make their workers crash after the same time,
+// and were started at the same time, look like that each time. The others are then marked
+// too.
+func (st *state) findOutage(c *crash) (bool, flow.Suspicion) {
 	now := clock.Monotonic()
 	st.recentCrashes = slices.DeleteFunc(st.recentCrashes, func(old *crash) bool { return now-old.at > crashMemory })
-	outage := false
+	clean, together := c.clean, []*crash(nil)
 	for _, other := range st.recentCrashes {
 		if other.relay == c.relay || (c.at-other.at).Abs() > outageWindow || c.explained && other.explained || c.sharesJob(other) {
 			continue
 		}
-		outage = true
+		together = append(together, other)
+		clean = clean || other.clean
+	}
+	cause := flow.Suspicion_DOUBTFUL
+	if clean {
+		cause = flow.Suspicion_OUTAGE
+	}
+	for _, other := range together {
 		for _, r := range other.runs {
-			if r.job.graph.MarkOutage(r.ref, r.run) {
+			if r.job.graph.MarkOutage(r.ref, r.run, cause) {
 				r.job.crashesDirty = true
 				st.markDirty(r.job)
-				klog.InfoS("duty: task acquitted", "job", r.job.graph.Spec.GetId(), "step", r.ref.Step, "index", r.ref.Index, "run", r.run, "reason", "outage")
+				klog.InfoS("duty: crash of task judged again", "job", r.job.graph.Spec.GetId(), "step", r.ref.Step, "index", r.ref.Index, "run", r.run, "suspicion", cause)
 			}
 		}
 	}
-	return outage
+	return len(together) > 0, cause
 }
 
 func (c *crash) sharesJob(other *crash) bool {
@@ -173,16 +196,17 @@
 	j.graph.LoadCrashes(record)
 }
 
-// onProbation reports whether a run of a suspect may still make its worker crash.
+// onProbation reports whether a run of a suspect or doubtful unit may still make its worker
+// crash.
 func (j *job) onProbation(t *graph.Task, now time.Duration) bool {
-	if !j.graph.Suspect(t.Ref) {
+	if !j.graph.Suspect(t.Ref) && !j.graph.Doubtful(t.Ref) {
 		return false
 	}
 	r := j.runs[t.Ref]
 	if r == nil || r.begunAt == 0 {
 		return true
 	}
-	return now-r.begunAt < blame.Probation(suspectAges(j.graph.UnitCrashes(t.Ref)))
+	return now-r.begunAt < blame.Probation(suspectAges(j.graph.UnitCrashes(t.Ref), true))
 }
 
 // probation returns which workers, by relay, run a suspect on probation, and which
@@ -201,3 +225,42 @@
 	}
 	return relays, jobs
 }
+
+const (
+	// doubtfulGap is the time between two starts of doubtful units of different jobs: if they
+	// make their workers crash after the same time, these crashes are then no outage.
+	doubtfulGap = 2 * outageWindow
+	// maxDoubtfulWait is the time in which a unit of each job with a doubtful one may start.
+	maxDoubtfulWait = 5 * doubtfulGap
+)
+
+// doubtfulStart is the last start of a doubtful unit.
+type doubtfulStart struct {
+	at  time.Duration // 0 if there was none
+	job *graph.Job
+}
+
+// doubtfulJobs returns how many jobs have doubtful units among the requests.
+func doubtfulJobs(requests []plan.Request) int {
+	jobs := map[*graph.Job]bool{}
+	for _, r := range requests {
+		if r.Unit.Job.Doubtful(r.Unit.Tasks[0]) {
+			jobs[r.Unit.Job] = true
+		}
+	}
+	return len(jobs)
+}
+
+// startsApart reports whether a unit may start now, when units of that many jobs are
+// doubtful: the others wait for a time of their own.
+func (st *state) startsApart(unit graph.Unit, jobs int, now time.Duration) bool {
+	if !unit.Job.Doubtful(unit.Tasks[0]) {
+		return true
+	}
+	gap := min(doubtfulGap, maxDoubtfulWait/time.Duration(max(1, jobs)))
+	if last := st.lastDoubtful; last.at > 0 && now-last.at < gap && (now != last.at || unit.Job != last.job) {
+		return false
+	}
+	st.lastDoubtful = doubtfulStart{now, unit.Job}
+	return true
+}
--- a/duty/crash_test.go
+++ b/duty/crash_test.go
@@ -72,6 +72,123 @@
 	}
 }
 
+// wholeWorker makes each task of a job take all accelerators of a worker.
+func wholeWorker(spec *flow.Job) *flow.Job {
+	spec.Steps[0].Accelerators = 8
+	return spec
+}
+
+// Tasks of several jobs that make their workers crash at the same time looked like an outage
+// each time, which counts against nobody, and were started without end.
+func TestTasksThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
+	const maxCrashes = 5 // three, and two of the starts after them that are allowed
+	tests := []struct {
+		age     time.Duration // of a run when its worker crashes
+		jobs    int
+		tasks   int32
+		whole   bool // each task takes a whole worker
+		holders int  // changes of the holder, one every four seconds
+	}{
+		{age: 1500 * time.Millisecond, jobs: 3, tasks: 1, whole: true},
+		{age: 700 * time.Millisecond, jobs: 2, tasks: 1},
+		{age: 700 * time.Millisecond, jobs: 5, tasks: 1, whole: true, holders: 12},
+		{age: 700 * time.Millisecond, jobs: 5, tasks: 2},
+		{age: 1500 * time.Millisecond, jobs: 2, tasks: 2, holders: 12},
+		{age: 1500 * time.Millisecond, jobs: 5, tasks: 2, whole: true},
+		{age: 1500 * time.Millisecond, jobs: 5, tasks: 2, holders: 12},
+		{age: 4 * time.Second, jobs: 2, tasks: 1, whole: true, holders: 12},
+		{age: 4 * time.Second, jobs: 3, tasks: 2},
+		{age: 4 * time.Second, jobs: 5, tasks: 1},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 8)
+				var deadly, innocent []*fleetJob
+				for n := range test.jobs {
+					spec := simpleJob(jobNumber(n), test.tasks)
+					if test.whole {
+						spec = wholeWorker(spec)
+					}
+					j := f.submit(spec, 8*time.Second)
+					j.crashes, j.crashAge = everyTask, test.age
+					deadly = append(deadly, j)
+				}
+				for n := range 4 {
+					innocent = append(innocent, f.submit(simpleJob(jobNumber(40+n), 3), 4*time.Second))
+				}
+				for range test.holders {
+					f.run(4 * time.Second)
+					f.changeHolder()
+				}
+				f.run(60 * time.Second)
+				for _, j := range deadly {
+					g := f.state.jobs[j.spec.GetId()].graph
+					if g.Phase != flow.Phase_FAILED {
+						t.Errorf("job %s that makes workers crash: phase %v", j.spec.GetId(), g.Phase)
+					}
+					for index := range test.tasks {
+						if crashes := len(g.UnitCrashes(graph.Ref{Index: index})); crashes > maxCrashes {
+							t.Errorf("%d workers crashed under task %d of job %s: %v", crashes, index, j.spec.GetId(), g.CrashRecord())
+						}
+					}
+				}
+				for _, j := range innocent {
+					if g := f.state.jobs[j.spec.GetId()].graph; g.Phase != flow.Phase_COMPLETED {
+						t.Errorf("job %s beside them: phase %v, crashes %v", j.spec.GetId(), g.Phase, g.CrashRecord())
+					}
+				}
+			})
+		})
+	}
+}
+
+// Workers that go down together take tasks with them that have nothing to do with it, also
+// if tasks that make their workers crash do so at the same time.
+func TestOutagesBesideCrashingTasksCostNoOtherJob(t *testing.T) {
+	for _, outages := range []int{1, 2, 3} {
+		for _, age := range []time.Duration{700 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprintf("outages=%d/age=%v", outages, age), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, 12)
+					var innocent []*fleetJob
+					for n := range 8 {
+						spec := simpleJob(jobNumber(n), 6)
+						if n%4 == 0 {
+							spec = wholeWorker(simpleJob(jobNumber(n), 2))
+						}
+						innocent = append(innocent, f.submit(spec, 6*time.Second))
+					}
+					for n := range 2 {
+						j := f.submit(simpleJob(jobNumber(20+n), 1), 8*time.Second)
+						j.crashes, j.crashAge = everyTask, age
+					}
+					for outage := range outages {
+						f.run(age + time.Duration(outage)*300*time.Millisecond)
+						for _, w := range f.workers[outage%3*4 : outage%3*4+4] {
+							if len(w.running) > 0 {
+								f.crash(w, clock.Monotonic())
+							}
+						}
+					}
+					f.run(90 * time.Second)
+					for _, j := range innocent {
+						if g := f.state.jobs[j.spec.GetId()].graph; g.Phase != flow.Phase_COMPLETED {
+							t.Errorf("job %s: phase %v after outages, with crashes %v", j.spec.GetId(), g.Phase, g.CrashRecord())
+						}
+					}
+					for n := range 2 {
+						g := f.state.jobs[jobNumber(20+n)].graph
+						if g.Phase != flow.Phase_FAILED {
+							t.Errorf("job %s that makes workers crash: phase %v", g.Spec.GetId(), g.Phase)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // A job whose tasks run beside one that makes workers crash, or which starts on a
 // worker just before, must not be taken for the cause.
 func TestNeighboursOfCrashingTaskComplete(t *testing.T) {
--- a/duty/place.go
+++ b/duty/place.go
@@ -46,7 +46,11 @@
 	began := time.Now()
 	decision := plan.Decide(in)
 	observe(decisionHistogram, time.Since(began))
+	doubtful := doubtfulJobs(in.Requests)
 	for _, a := range decision.Starts {
+		if !st.startsApart(a.Unit, doubtful, now) {
+			continue
+		}
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
 		number := j.graph.Assign(a.Unit, a.Places)
 		for i, ref := range a.Unit.Tasks {
@@ -161,7 +165,9 @@
 		}
 		for _, unit := range j.graph.ReadyUpTo(unixMS, maxStepUnits) {
 			request := st.planRequest(j, unit, guaranteed[j], now)
-			if request.Isolated = j.graph.Suspect(unit.Tasks[0]); request.Isolated {
+			request.Isolated = j.graph.Doubtful(unit.Tasks[0])
+			if j.graph.Suspect(unit.Tasks[0]) {
+				request.Isolated = true
 				// Suspects of a job start one at a time, and only once it is known
 				// what else crashed when the last of them did.
 				if testedJobs[j] || j.graph.CrashesUnsettled(unixMS) {
--- a/duty/state.go
+++ b/duty/state.go
@@ -26,7 +26,8 @@
 	loadedPages      map[string]map[int64]store.Item // pages read while loading, by job and number
 	orphanedKeys     []string                        // keys of crash records and pages of removed jobs
 	gates            map[string]bool                 // listed gates, and whether they read progress in pages
-	recentCrashes    []*crash                        // in the last crashMemory
+	lastDoubtful     doubtfulStart
+	recentCrashes    []*crash // in the last crashMemory
 	startedAt        time.Duration
 	loaded           bool // all jobs were read from the store
 	planNeeded       bool // placement has to be decided again
--- a/graph/crash.go
+++ b/graph/crash.go
@@ -16,8 +16,11 @@
 	// maxPossibleCrashes is that of crashes that it possibly or probably caused.
 	maxPossibleCrashes = 4
 	// maxCrashes is that of these and of outages shortly after a start. After three
-	// crashes that it caused a task may be started twice more.
-	maxCrashes = 5
+	// crashes that it caused a task may be started twice more. It is also that of all
+	// crashes but those with another cause, if it was alone on its worker in
+	// minLoneCrashes of them.
+	maxCrashes     = 5
+	minLoneCrashes = 2
 	// isolatedAfterCrashes is the number of crashes, other than outages, after which
 	// a unit gets workers of its own whatever it is suspected of.
 	isolatedAfterCrashes = 2
@@ -38,6 +41,7 @@
 	Age       time.Duration
 	UnixMS    int64 // when the worker crashed, in Unix milliseconds
 	Suspicion flow.Suspicion
+	Alone     bool // no other run was on the worker
 }
 
 // LoadCrashes adds the crashes in a stored record.
@@ -50,7 +54,7 @@
 		age := time.Duration(c.GetAgeMs()) * time.Millisecond
 		j.AddCrash(ref, Crash{
 			Run: c.GetRun(), Worker: c.GetWorker(), WorkerStartMS: c.GetWorkerBornMs(), Age: max(age, -1),
-			UnixMS: c.GetUnixMs(), Suspicion: c.GetSuspicion(),
+			UnixMS: c.GetUnixMs(), Suspicion: c.GetSuspicion(), Alone: c.GetAlone(),
 		})
 	}
 }
@@ -76,7 +80,7 @@
 		}
 		records = append(records, &flow.TaskCrash{
 			Occurrence: ref.Occurrence, Step: ref.Step, Index: ref.Index, Run: c.Run, Worker: c.Worker,
-			WorkerBornMs: c.WorkerStartMS, AgeMs: ageMS, UnixMs: c.UnixMS, Suspicion: c.Suspicion,
+			WorkerBornMs: c.WorkerStartMS, AgeMs: ageMS, UnixMs: c.UnixMS, Suspicion: c.Suspicion, Alone: c.Alone,
 		})
 	}
 	return records
@@ -118,12 +122,12 @@
 	}
 }
 
-// MarkOutage changes the suspicion of a run's crash to an outage, and reports whether
-// it was another before.
-func (j *Job) MarkOutage(ref Ref, run int64) bool {
+// MarkOutage changes the suspicion of a run's crash to an outage or to a doubtful one, and
+// reports whether it was another before. An outage stays one.
+func (j *Job) MarkOutage(ref Ref, run int64, cause flow.Suspicion) bool {
 	for i, c := range j.crashes[ref] {
-		if c.Run == run && c.Suspicion != flow.Suspicion_OUTAGE {
-			j.crashes[ref][i].Suspicion = flow.Suspicion_OUTAGE
+		if c.Run == run && c.Suspicion != flow.Suspicion_OUTAGE && c.Suspicion != cause {
+			j.crashes[ref][i].Suspicion = cause
 			j.markCrashesChanged(ref)
 			return true
 		}
@@ -155,7 +159,7 @@
 
 // suspicionRank orders suspicions by how much they weigh against a task.
 func suspicionRank(s flow.Suspicion) int {
-	return slices.Index([]flow.Suspicion{flow.Suspicion_OUTAGE, flow.Suspicion_BYSTANDER, flow.Suspicion_POSSIBLE, flow.Suspicion_PROBABLE}, s)
+	return slices.Index([]flow.Suspicion{flow.Suspicion_OUTAGE, flow.Suspicion_BYSTANDER, flow.Suspicion_DOUBTFUL, flow.Suspicion_POSSIBLE, flow.Suspicion_PROBABLE}, s)
 }
 
 // countSuspicions returns how many crashes a unit probably caused at similar ages,
@@ -170,7 +174,7 @@
 		case flow.Suspicion_POSSIBLE:
 			possible++
 			inside++
-		case flow.Suspicion_BYSTANDER:
+		case flow.Suspicion_BYSTANDER, flow.Suspicion_DOUBTFUL:
 			inside++
 		}
 	}
@@ -199,6 +203,12 @@
 	})
 }
 
+// Doubtful reports whether the task, or its gang, was in a crash that it may have caused at
+// the same time as others caused theirs, so that it should not start when they do.
+func (j *Job) Doubtful(ref Ref) bool {
+	return slices.ContainsFunc(j.UnitCrashes(ref), func(c Crash) bool { return c.Suspicion == flow.Suspicion_DOUBTFUL })
+}
+
 // crashesExhausted reports whether a task or gang has made so many workers crash that
 // the job is given up. It waits until the last crash has settled.
 func (j *Job) crashesExhausted(nowUnixMS int64) bool {
@@ -208,7 +218,7 @@
 		}
 		crashes := j.UnitCrashes(ref)
 		probable, possible, _ := countSuspicions(crashes)
-		if probable >= maxProbableCrashes || possible >= maxPossibleCrashes || countRelevant(crashes) >= maxCrashes {
+		if probable >= maxProbableCrashes || possible >= maxPossibleCrashes || countRelevant(crashes) >= maxCrashes || causedAlone(crashes) {
 			return !j.CrashesUnsettled(nowUnixMS)
 		}
 	}
@@ -220,13 +230,31 @@
 func countRelevant(crashes []Crash) int {
 	_, n, _ := countSuspicions(crashes)
 	for _, c := range crashes {
-		if c.Suspicion == flow.Suspicion_OUTAGE && c.young() {
+		if (c.Suspicion == flow.Suspicion_OUTAGE || c.Suspicion == flow.Suspicion_DOUBTFUL) && c.young() {
 			n++
 		}
 	}
 	return n
 }
 
+// causedAlone reports whether a unit was in so many crashes, alone on its worker in enough
+// doubtful ones and always after the same time, that it has to be the cause. A run that has
+// lasted longer shows that the time was not the same.
+func causedAlone(crashes []Crash) bool {
+	longest := time.Duration(-1)
+	for _, c := range crashes {
+		longest = max(longest, c.Age)
+	}
+	lone := 0
+	for _, c := range crashes {
+		accused := c.Suspicion == flow.Suspicion_POSSIBLE || c.Suspicion == flow.Suspicion_PROBABLE
+		if (accused || c.Suspicion == flow.Suspicion_DOUBTFUL && c.Alone) && blame.SimilarAges(c.Age, longest) {
+			lone++
+		}
+	}
+	return len(crashes) >= maxCrashes && lone >= minLoneCrashes
+}
+
 // young reports whether the worker crashed shortly after the start of the run.
 func (c Crash) young() bool { return c.Age >= 0 && c.Age <= blame.YoungAge }
 
--- a/graph/crash_test.go
+++ b/graph/crash_test.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,12 +19,22 @@
 	return list
 }
 
+// aged returns n crashes like those of crashes, at one age.
+func aged(age time.Duration, suspicion flow.Suspicion, n int, alone bool) []Crash {
+	list := crashes(slices.Repeat([]flow.Suspicion{suspicion}, n)...)
+	for i := range list {
+		list[i].Age, list[i].Alone = age, alone
+	}
+	return list
+}
+
 func TestJobFailsAfterCrashes(t *testing.T) {
 	const (
 		outage    = flow.Suspicion_OUTAGE
 		bystander = flow.Suspicion_BYSTANDER
 		possible  = flow.Suspicion_POSSIBLE
 		probable  = flow.Suspicion_PROBABLE
+		doubtful  = flow.Suspicion_DOUBTFUL
 	)
 	tests := []struct {
 		name    string
@@ -49,6 +60,11 @@
 			{Run: 5, Age: time.Second, UnixMS: 5000, Suspicion: outage},
 			{Run: 6, Age: time.Second, UnixMS: 6000, Suspicion: outage},
 		}, false, flow.Phase_QUEUED},
+		{"doubtful, beside others", aged(time.Second, doubtful, 6, false), true, flow.Phase_QUEUED},
+		{"doubtful four times, alone", aged(time.Second, doubtful, 4, true), true, flow.Phase_QUEUED},
+		{"doubtful five times, alone, after the same time", aged(time.Second, doubtful, 5, true), true, flow.Phase_FAILED},
+		{"doubtful, alone, and a run that lasted longer", append(aged(time.Second, doubtful, 5, true), Crash{Run: 6, Age: 5 * time.Second, UnixMS: 6000, Suspicion: outage}), true, flow.Phase_QUEUED},
+		{"doubtful once", aged(time.Second, doubtful, 1, true), false, flow.Phase_QUEUED},
 		{"five at the start, most of them outages", crashes(outage, outage, outage, probable, outage), true, flow.Phase_FAILED},
 	}
 	for _, test := range tests {
