--- a/graph/job.go
+++ b/graph/job.go
@@ -358,8 +358,10 @@
 func (j *Job) readyUnits(occurrence, stepIndex int32, step *flow.Step, limit int) []Unit {
 	var units []Unit
 	idle := func(ref Ref) bool {
-		t := j.Task(ref)
-		return t == nil || !t.busy()
+		if t := j.tasks[ref]; t != nil {
+			return !t.busy()
+		}
+		return !j.donePages.contains(j.layout.page(ref))
 	}
 	if j.steps[stepKey{occurrence, stepIndex}].busy == step.GetCount() {
 		return nil
