duty: a record that earlier builds read takes tasks up to half of the store's limit

While a gate of an earlier build is listed, progress stays one record. Its tasks were limited to 8,000, at which a job of short tasks would have waited for the end of an upgrade although most of its record was free: an ended task takes 14 bytes, an active one five times as much. The length of the record limits the starts now, with 128 bytes for each start that is not in it yet.

--- a/duty/job.go
+++ b/duty/job.go
@@ -23,6 +23,9 @@
 	// state.lastSeq.
 	changes      map[int64]changeRange
 	crashesDirty bool // the crash record has such changes too
+	// recordBytes is the length of the last record of the whole progress, and recordTasks the
+	// number of started tasks in it.
+	recordBytes, recordTasks int
 	// split is set once the stored head says that the progress is in pages, and unsplit has
 	// the pages that are to be stored before.
 	split   bool
--- a/duty/pages.go
+++ b/duty/pages.go
@@ -18,9 +18,12 @@
 	// maxUnpagedTasks is the number of tasks of a job up to which its progress is one
 	// record, which earlier builds read.
 	maxUnpagedTasks = 512
-	// maxUnpagedStarted bounds the started tasks of a job whose progress has to be one
-	// record although it has more tasks.
-	maxUnpagedStarted = 8000
+	// maxUnpagedBytes is the length of the progress record from which no more tasks of a job
+	// are started, if its progress has to be one record although it has more tasks. What is
+	// active by then may still grow by checkpoints.
+	maxUnpagedBytes = store.MaxValueBytes / 2
+	// startBytes is what the start of a task adds to the record at most.
+	startBytes = 128
 )
 
 // choosePages has the progress of jobs with many tasks stored in pages, once all gates read
@@ -61,8 +64,16 @@
 
 // full reports whether no more tasks of a job may be started, as its progress must remain
 // one record.
-func (j *job) full() bool {
-	return !j.graph.Paged() && j.graph.StartedTasks() >= maxUnpagedStarted
+func (st *state) full(j *job) bool {
+	if j.graph.Paged() {
+		return false
+	}
+	return j.recordBytes+startBytes*(j.graph.StartedTasks()-j.recordTasks) >= st.maxUnpagedBytes
+}
+
+// noteRecord remembers the length of the record of a job's whole progress.
+func (j *job) noteRecord(value []byte) {
+	j.recordBytes, j.recordTasks = len(value), j.graph.StartedTasks()
 }
 
 // applyGate notes whether a listed gate reads progress in pages.
--- a/duty/place.go
+++ b/duty/place.go
@@ -48,10 +48,10 @@
 	observe(decisionHistogram, time.Since(began))
 	doubtful := doubtfulJobs(in.Requests)
 	for _, a := range decision.Starts {
-		if !st.startsApart(a.Unit, doubtful, now) {
+		j := st.jobs[a.Unit.Job.Spec.GetId()]
+		if st.full(j) || !st.startsApart(a.Unit, doubtful, now) {
 			continue
 		}
-		j := st.jobs[a.Unit.Job.Spec.GetId()]
 		number := j.graph.Assign(a.Unit, a.Places)
 		for i, ref := range a.Unit.Tasks {
 			j.runs[ref] = &run{run: number, knownSince: now, expectedTime: st.expectedTimeAt(j, ref, a.Places, i, s)}
@@ -160,7 +160,7 @@
 			}
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
 		}
-		if j.full() {
+		if st.full(j) {
 			continue
 		}
 		for _, unit := range j.graph.ReadyUpTo(unixMS, maxStepUnits) {
--- a/duty/records.go
+++ b/duty/records.go
@@ -90,6 +90,7 @@
 		}
 		loaded.Cancelled = j.graph.Cancelled
 		j.graph = loaded
+		j.noteRecord(item.Value)
 		for _, t := range j.graph.Active() {
 			st.addActive(j, t)
 			j.runs[t.Ref] = &run{run: t.Run, stored: true, knownSince: st.startedAt, expectedTime: declaredTime(j, t.Ref)}
--- a/duty/state.go
+++ b/duty/state.go
@@ -25,7 +25,8 @@
 	loadedCrashes    map[string]store.Item           // crash records read while loading, by job
 	loadedPages      map[string]map[int64]store.Item // pages read while loading, by job and number
 	orphanedKeys     []string                        // keys of crash records and pages of removed jobs
-	gates            map[string]bool                 // listed gates, and whether they read progress in pages
+	maxUnpagedBytes  int
+	gates            map[string]bool // listed gates, and whether they read progress in pages
 	lastDoubtful     doubtfulStart
 	recentCrashes    []*crash // in the last crashMemory
 	startedAt        time.Duration
@@ -59,7 +60,7 @@
 	return &state{
 		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{}, activeByRelay: map[string]map[*graph.Task]*job{},
 		revisions: map[string]int64{}, cancelled: map[string]bool{}, loadedProgress: map[string]store.Item{}, loadedCrashes: map[string]store.Item{}, startedAt: now,
-		loadedPages: map[string]map[int64]store.Item{}, gates: map[string]bool{},
+		loadedPages: map[string]map[int64]store.Item{}, gates: map[string]bool{}, maxUnpagedBytes: maxUnpagedBytes,
 	}
 }
 
--- a/duty/write.go
+++ b/duty/write.go
@@ -180,6 +180,7 @@
 		klog.ErrorS(err, "duty: cannot encode progress record", "job", id)
 		return
 	}
+	j.noteRecord(value)
 	w := &jobWrite{job: j, starts: j.unstoredRuns(), crashes: j.crashesDirty}
 	if j.crashesDirty {
 		crashes, err := proto.MarshalOptions{Deterministic: true}.Marshal(j.graph.CrashRecord())
