--- a/graph/pages.go
+++ b/graph/pages.go
@@ -287,5 +287,6 @@
 		j.addTasks(page.GetTasks())
 		j.LoadCrashes(&flow.JobCrashes{Crashes: page.GetCrashes()})
 	}
+	clear(j.changed)
 	return nil
 }
