duty: log and count what a failed run counts for

'duty: run failed' has the run, the failures before and after it and the limit; 'duty: job ended' has the final count and the limit; the counter catkinpoint_duty_failed_runs tells counted ends from others. No logic is changed.

--- a/duty/report.go
+++ b/duty/report.go
@@ -254,10 +254,12 @@
 		return
 	}
 	// A run that lasted until its lease lapsed is over by that, not by a failure.
+	failures := j.failuresOf(ref)
 	if c := j.concluded[ref]; e.GetHow() == graph.EndFailed && c.run == e.GetRun() && c.how != "unreachable" && !j.graph.Ended() {
 		j.graph.RecordLateFailure(ref)
 		delete(j.concluded, ref) // it counts once
 		st.markDirty(j)
+		j.reportFailure(w, ref, e.GetRun(), failures, c.how)
 	}
 	t := j.graph.Task(ref)
 	if t == nil || !w.sameWorker(t.Place) {
@@ -266,7 +268,9 @@
 	if t.Run == e.GetRun() {
 		st.recordOutcome(w, j, ref, e.GetHow(), clock.Monotonic())
 	}
-	st.endRun(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint())
+	if st.endRun(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint()) && e.GetHow() == graph.EndFailed {
+		j.reportFailure(w, ref, e.GetRun(), failures, "")
+	}
 }
 
 // stopAfterLateSuccess stops the later runs of a task, or of its gang, whose earlier run has
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -131,7 +131,8 @@
 		// Crashes settle without a further change of the job.
 		if (j.dirty() || j.graph.HasCrashes()) && j.graph.Advance(now) {
 			klog.InfoS("duty: job ended", "job", j.graph.Spec.GetId(), "phase", j.graph.Phase, "priority", j.graph.Spec.GetPriority(),
-				"took_ms", (clock.Monotonic() - j.submitted).Milliseconds(), "objective_ms", graph.ObjectiveMS(j.graph.Spec), "reason", j.graph.EndReason())
+				"took_ms", (clock.Monotonic() - j.submitted).Milliseconds(), "objective_ms", graph.ObjectiveMS(j.graph.Spec), "reason", j.graph.EndReason(),
+				"failures", j.graph.MaxFailures(), "max_attempts", j.graph.Spec.GetMaxAttempts())
 			st.markDirty(j)
 			st.stopActive(j)
 		}
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -22,6 +22,7 @@
 	refusedCounter        = newCounter("catkinpoint_duty_refused_writes", "Writes of a job's progress that the store refuses.")
 	waitHistogram         = newHistogram("catkinpoint_duty_wait_seconds", "Time from the acceptance of a job to the placement of one of its units of work.")
 	crashesCounter        = newCounter("catkinpoint_duty_crashed_runs", "Runs that were on a worker when it crashed, by how far they are suspected.")
+	failuresCounter       = newCounter("catkinpoint_duty_failed_runs", "Runs that a worker listed as failed, by whether they count as an attempt.")
 	contradictionsCounter = newCounter("catkinpoint_duty_contradictions", "Runs that a worker listed after they had been taken as over, by how.")
 	decisionHistogram     = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
 	writeHistogram        = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
--- a/graph/job.go
+++ b/graph/job.go
@@ -586,6 +586,15 @@
 	return false
 }
 
+// MaxFailures returns the most failures of any task that is not done.
+func (j *Job) MaxFailures() int32 {
+	most := int32(0)
+	for _, t := range j.failing {
+		most = max(most, t.Failures)
+	}
+	return most
+}
+
 // allStepsDone reports whether all steps of all occurrences are done. Long-running
 // steps run until the job is cancelled and are never done.
 func (j *Job) allStepsDone() bool {
