graph, duty: a failed run of a gang is one attempt, however many members fail

Cause: End counted each end of a member as a failed run of the gang, and RecordLateFailure each late one, so that a run of which k members fail used k attempts. A holder that took over had nothing to tell that a run was counted, and did not count late failures at all, as it did not know which runs had been taken as over.

The failures of a task or gang now have the numbers of their runs, and a run is counted if it is not among them, whoever reports it and when. The numbers of the last 64 are stored with the progress, and so are the last 8 runs that were taken as over in a way after which the worker may still list a failure: late ends count once, under the next holder too. Both lists are bounded, as max_attempts is not. If only one of two pages with members of a gang was stored, the page that has the run decides.

--- a/duty/conclusion.go
+++ b/duty/conclusion.go
@@ -68,7 +68,7 @@
 		return
 	}
 	r := &overRun{task: task, run: number, place: place}
-	if how != "gone" && how != "unreachable" {
+	if how != "gone" && how != graph.EndUnreachable {
 		r.settled = place // refused, or never started under the worker's epoch
 	}
 	w.overRuns = append(w.overRuns, r)
--- a/duty/failures.go
+++ b/duty/failures.go
@@ -14,8 +14,20 @@
 	return 0
 }
 
+// overAs returns how a run was taken as over before its worker listed an end, or "" if the
+// run is active.
+func (j *job) overAs(ref graph.Ref, run int64) string {
+	if t := j.graph.Task(ref); t != nil && t.Run == run && t.Active() {
+		return ""
+	}
+	if c := j.concluded[ref]; c.run == run {
+		return c.how
+	}
+	return "unknown" // by an earlier holder, or before a later run was
+}
+
 // reportFailure logs what an end that a worker listed as failed counts for, given the
-// failures before it. late is how the run was taken as over before, or "".
+// failures before it. late is the result of overAs.
 func (j *job) reportFailure(w *worker, ref graph.Ref, run int64, before int32, late string) {
 	after := j.failuresOf(ref)
 	counted := "no"
--- a/duty/failures_test.go
+++ b/duty/failures_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"catkinpoint/flow"
 	"catkinpoint/graph"
 	"catkinpoint/stand/fakekv"
@@ -32,8 +34,8 @@
 // start waits until the next run of the gang is ordered, and lists it as running.
 func (b *gangHarness) start() {
 	b.t.Helper()
+	last := b.run
 	for range 40 {
-		started := 0
 		for i, orders := range b.collectOrders(b.reports[:]...) {
 			for _, s := range orders.GetStarts() {
 				_, ref, err := graph.ParseTask(s.GetTask())
@@ -42,16 +44,15 @@
 				}
 				b.member[i], b.run = ref.Index, s.GetRun()
 				b.reports[i].Running = []*flow.Run{{Task: s.GetTask(), Run: s.GetRun()}}
-				started++
 			}
 		}
-		if started == 2 {
+		if b.run > last && len(b.reports[0].GetRunning()) == 1 && len(b.reports[1].GetRunning()) == 1 {
 			b.collectOrders(b.reports[:]...)
 			return
 		}
 		time.Sleep(time.Second)
 	}
-	b.t.Fatalf("no run after run %d is ordered", b.run)
+	b.t.Fatalf("run %d of the gang is not ordered after run %d", last+1, last)
 }
 
 // end adds the end of the present run to the next report of a worker, and returns that.
@@ -64,6 +65,16 @@
 	return r
 }
 
+// loseWorker reports a worker as gone, so that its run is taken as over, and as back.
+func (b *gangHarness) loseWorker(worker int) {
+	r := b.reports[worker]
+	r.Running, r.Worker = nil, proto.CloneOf(r.GetWorker()) // the scheduler keeps the one before
+	r.Worker.Gone = true
+	b.collectOrders(r)
+	r.Worker = proto.CloneOf(r.GetWorker())
+	r.Worker.Gone = false
+}
+
 // changeHolder gives the duty to the next holder.
 func (b *gangHarness) changeHolder() {
 	b.t.Helper()
@@ -114,36 +125,24 @@
 		}},
 		{"the second end late, as its worker was taken as gone", func(b *gangHarness) {
 			b.collectOrders(b.end(0, graph.EndFailed))
-			r := b.reports[1]
-			r.Worker.Gone = true
-			b.collectOrders(r)
-			r.Worker.Gone = false
+			b.loseWorker(1)
 			b.collectOrders(b.end(1, graph.EndFailed))
 		}},
 		{"the first end late, as its worker was taken as gone", func(b *gangHarness) {
-			r := b.reports[0]
-			r.Worker.Gone = true
-			b.collectOrders(r)
-			r.Worker.Gone = false
+			b.loseWorker(0)
 			b.collectOrders(b.end(0, graph.EndFailed))
 			b.collectOrders(b.end(1, graph.EndFailed))
 		}},
 		{"both ends late, the workers taken as gone", func(b *gangHarness) {
-			for _, r := range b.reports {
-				r.Worker.Gone = true
-				b.collectOrders(r)
-				r.Worker.Gone = false
-			}
+			b.loseWorker(0)
+			b.loseWorker(1)
 			b.end(0, graph.EndFailed)
 			b.end(1, graph.EndFailed)
 			b.collectOrders(b.reports[:]...)
 		}},
 		{"both ends late and under the next holder", func(b *gangHarness) {
-			for _, r := range b.reports {
-				r.Worker.Gone = true
-				b.collectOrders(r)
-				r.Worker.Gone = false
-			}
+			b.loseWorker(0)
+			b.loseWorker(1)
 			b.changeHolder()
 			b.end(0, graph.EndFailed)
 			b.end(1, graph.EndFailed)
--- a/duty/report.go
+++ b/duty/report.go
@@ -253,23 +253,18 @@
 		st.stopAfterLateSuccess(j, ref, e.GetRun())
 		return
 	}
-	// A run that lasted until its lease lapsed is over by that, not by a failure.
-	failures := j.failuresOf(ref)
-	if c := j.concluded[ref]; e.GetHow() == graph.EndFailed && c.run == e.GetRun() && c.how != "unreachable" && !j.graph.Ended() {
-		j.graph.RecordLateFailure(ref)
-		delete(j.concluded, ref) // it counts once
+	t, failures, late := j.graph.Task(ref), j.failuresOf(ref), j.overAs(ref, e.GetRun())
+	if e.GetHow() == graph.EndFailed && j.graph.RecordLateFailure(ref, e.GetRun()) {
 		st.markDirty(j)
-		j.reportFailure(w, ref, e.GetRun(), failures, c.how)
 	}
-	t := j.graph.Task(ref)
-	if t == nil || !w.sameWorker(t.Place) {
-		return
-	}
-	if t.Run == e.GetRun() {
-		st.recordOutcome(w, j, ref, e.GetHow(), clock.Monotonic())
+	if t != nil && w.sameWorker(t.Place) {
+		if t.Run == e.GetRun() {
+			st.recordOutcome(w, j, ref, e.GetHow(), clock.Monotonic())
+		}
+		st.endRun(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint())
 	}
-	if st.endRun(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint()) && e.GetHow() == graph.EndFailed {
-		j.reportFailure(w, ref, e.GetRun(), failures, "")
+	if e.GetHow() == graph.EndFailed {
+		j.reportFailure(w, ref, e.GetRun(), failures, late)
 	}
 }
 
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -62,7 +62,7 @@
 }
 
 // endRun records the end of a run. how is an End constant of package graph or, if the
-// worker did not report an end, another reason, such as "unreachable" or that of a
+// worker did not report an end, another reason, such as "gone" or that of a
 // refusal. Unless the run succeeded, it orders a stop of the other members of its
 // gang, which cannot continue. It reports whether the run was the task's active run.
 func (st *state) endRun(j *job, ref graph.Ref, number int64, how, checkpoint string) bool {
@@ -160,7 +160,7 @@
 				last = max(last, w.lastReport)
 			}
 			if now-last > maxSilence {
-				st.endRun(t.job, t.Ref, t.Run, "unreachable", "")
+				st.endRun(t.job, t.Ref, t.Run, graph.EndUnreachable, "")
 			}
 		}
 	}
--- a/graph/failures_test.go
+++ b/graph/failures_test.go
@@ -92,3 +92,100 @@
 	}
 	return read
 }
+
+// Guards against a run that counts twice, or not at all, after the holder was lost while only
+// one of two pages with members of the gang was stored.
+func TestGangRunCountsOnceWithPagesOfDifferentAge(t *testing.T) {
+	j := New(&flow.Job{Id: "a", MaxAttempts: 3, Steps: []*flow.Step{{Count: 4, Gang: true}}}, nil)
+	j.SplitPages(2)
+	unit := j.Ready(0)[0]
+	run := j.Assign(unit, testPlaces(unit))
+	older := roundTrip(t, j.PageRecord(1))
+	for _, ref := range unit.Tasks {
+		j.End(ref, run, EndFailed, "")
+	}
+	loaded, err := Load(j.Spec, j.HeadRecord(nil), []*flow.Page{roundTrip(t, j.PageRecord(0)), older})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, ref := range unit.Tasks {
+		loaded.End(ref, run, EndFailed, "")
+	}
+	if loaded.MaxFailures() != 1 {
+		t.Errorf("%d failures after one run", loaded.MaxFailures())
+	}
+	unit = loaded.Ready(0)[0]
+	run = loaded.Assign(unit, testPlaces(unit))
+	for _, ref := range unit.Tasks {
+		loaded.End(ref, run, EndFailed, "")
+	}
+	for _, ref := range unit.Tasks {
+		if failures := loaded.Task(ref).Failures; failures != 2 {
+			t.Errorf("%d failures of member %d after two runs", failures, ref.Index)
+		}
+	}
+}
+
+// Guards against late ends that count although they must not, or more than once.
+func TestLateFailures(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []*flow.Step
+		ends  []string // of the members in run 1, as far as they were known
+		late  []int32  // members that are then listed as failed, in order
+		later bool     // in the meantime the next run has been started
+		want  int32
+	}{
+		{name: "of a task", steps: []*flow.Step{{Count: 1}}, ends: []string{"gone"}, late: []int32{0, 0}, want: 1},
+		{name: "of a task, during its next run", steps: []*flow.Step{{Count: 1}}, ends: []string{"refused_stale_run"}, late: []int32{0, 0}, later: true, want: 1},
+		{name: "after the lease has run out", steps: []*flow.Step{{Count: 1}}, ends: []string{EndUnreachable}, late: []int32{0}, want: 0},
+		{name: "of a run that the worker had listed", steps: []*flow.Step{{Count: 1}}, ends: []string{EndStopped}, late: []int32{0}, want: 0},
+		{name: "of all members", steps: []*flow.Step{{Count: 3, Gang: true}}, ends: []string{"gone", "gone", "gone"}, late: []int32{0, 1, 2}, want: 1},
+		{name: "of a member, after the failure of another", steps: []*flow.Step{{Count: 2, Gang: true}}, ends: []string{EndFailed, "gone"}, late: []int32{1}, later: true, want: 1},
+		{name: "of a member whose lease has run out", steps: []*flow.Step{{Count: 2, Gang: true}}, ends: []string{EndUnreachable, "gone"}, late: []int32{0}, want: 0},
+		{name: "of a task that lasts", steps: []*flow.Step{{Count: 1, LongRunning: true}}, ends: []string{"gone"}, late: []int32{0}, want: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := New(&flow.Job{Id: "a", MaxAttempts: 3, Steps: test.steps}, nil)
+			unit := j.Ready(0)[0]
+			run := j.Assign(unit, testPlaces(unit))
+			for i, ref := range unit.Tasks {
+				j.End(ref, run, test.ends[i], "")
+			}
+			if test.later {
+				j.Assign(j.Ready(0)[0], testPlaces(unit))
+			}
+			j = reload(t, j)
+			for _, index := range test.late {
+				j.RecordLateFailure(Ref{Index: index}, run)
+			}
+			if failures := j.Task(unit.Tasks[0]).Failures; failures != test.want {
+				t.Errorf("%d failures; want %d", failures, test.want)
+			}
+		})
+	}
+}
+
+// Guards against progress that grows with each failed run until the store refuses it, and
+// against an end that counts again because its run is no longer known by its number.
+func TestFailedRunsThatAreKeptAreBounded(t *testing.T) {
+	const runs = 3 * maxFailedRuns
+	j := New(&flow.Job{Id: "a", MaxAttempts: runs + 1, Steps: []*flow.Step{{Count: 2, Gang: true}}}, nil)
+	for range runs {
+		unit := j.Ready(0)[0]
+		run := j.Assign(unit, testPlaces(unit))
+		j.End(unit.Tasks[0], run, EndFailed, "")
+		j.End(unit.Tasks[1], run, "gone", "")
+	}
+	record := j.Record().GetTasks()[1]
+	if len(record.GetFailedRuns()) > maxFailedRuns || len(record.GetUnlistedRuns()) > maxUnlistedRuns {
+		t.Errorf("%d failed and %d unlisted runs are stored", len(record.GetFailedRuns()), len(record.GetUnlistedRuns()))
+	}
+	for run := range int64(runs) {
+		j.RecordLateFailure(Ref{Index: 1}, run+1)
+	}
+	if j.MaxFailures() != runs {
+		t.Errorf("%d failures; want %d", j.MaxFailures(), runs)
+	}
+}
--- a/graph/job.go
+++ b/graph/job.go
@@ -21,6 +21,9 @@
 	// EndGangIncomplete is the end of a member of a gang whose other members did not
 	// start in time.
 	EndGangIncomplete = "alone"
+	// EndUnreachable is the end of a run whose task lease has run out on a worker that is
+	// not heard of.
+	EndUnreachable = "unreachable"
 )
 
 // MaxListedEnds is the most ends that a worker lists at a time. A list of that length may
@@ -70,6 +73,9 @@
 	// The job fails when it reaches MaxAttempts. Runs of long-running steps are not
 	// counted.
 	Failures int32
+	// failedRuns are the last of these runs, and unlistedRuns the last that were taken as
+	// over in a way after which their worker may still list them as failed; both in order.
+	failedRuns, unlistedRuns []int64
 	// Checkpoint is the last checkpoint, from which the next run resumes, or "".
 	Checkpoint string
 }
@@ -145,6 +151,7 @@
 		j.change(t, func() {
 			t.Run, t.Place = r.GetRun(), Place{r.GetWorker(), r.GetWorkerBornMs(), r.GetRelay()}
 			t.Started, t.Done, t.Failures, t.Checkpoint = r.GetStarted(), r.GetDone(), r.GetFailures(), r.GetCheckpoint()
+			t.failedRuns, t.unlistedRuns = r.GetFailedRuns(), r.GetUnlistedRuns()
 		})
 	}
 	clear(j.changed)
@@ -187,6 +194,7 @@
 		Occurrence: t.Ref.Occurrence, Step: t.Ref.Step, Index: t.Ref.Index,
 		Run: t.Run, Worker: t.Place.Worker, WorkerBornMs: t.Place.StartUnixMS, Relay: t.Place.Relay,
 		Started: t.Started, Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint,
+		FailedRuns: t.failedRuns, UnlistedRuns: t.unlistedRuns,
 	}
 }
 
@@ -457,8 +465,9 @@
 
 // End records the end of a run with its last checkpoint, if any. The outcome is one
 // of the End constants or another reason, such as that of a refusal. Only EndDone
-// marks the task as done, and only EndFailed counts as a failure. End reports whether
-// the run was the task's last and had not ended before; other ends are ignored.
+// marks the task as done, and only EndFailed counts as a failure, once for a run of a
+// gang. End reports whether the run was the task's last and had not ended before; other
+// ends are ignored.
 func (j *Job) End(ref Ref, run int64, outcome, checkpoint string) bool {
 	t := j.tasks[ref]
 	if t == nil || t.Run != run || !t.Active() {
@@ -466,8 +475,11 @@
 	}
 	j.activeTasks = nil
 	j.change(t, func() { t.Place, t.Started = Place{}, false })
-	if slices.Contains(workerEnds, outcome) {
+	switch {
+	case slices.Contains(workerEnds, outcome):
 		j.markBegun() // the worker may list the end before the run
+	case outcome != EndUnreachable:
+		j.change(t, func() { t.unlistedRuns = insertRun(t.unlistedRuns, run, maxUnlistedRuns) })
 	}
 	if checkpoint != "" {
 		j.SaveCheckpoint(ref, run, checkpoint)
@@ -481,9 +493,7 @@
 			}
 		}
 	case EndFailed:
-		if !j.Step(ref).GetLongRunning() {
-			j.countFailure(ref, run)
-		}
+		j.countFailure(ref, run)
 	}
 	return true
 }
@@ -506,27 +516,6 @@
 	return true
 }
 
-// RecordLateFailure counts the failure of a run that counted as over for another reason.
-func (j *Job) RecordLateFailure(ref Ref) {
-	if j.Ended() || j.Step(ref).GetLongRunning() {
-		return
-	}
-	for _, member := range j.Members(ref) {
-		if m := j.tasks[member]; m != nil {
-			j.change(m, func() { m.Failures++ })
-		}
-	}
-}
-
-// countFailure counts a failure for the task, or for all members of its gang.
-func (j *Job) countFailure(ref Ref, run int64) {
-	for _, member := range j.Members(ref) {
-		if m := j.tasks[member]; m != nil && m.Run == run {
-			j.change(m, func() { m.Failures++ })
-		}
-	}
-}
-
 // SaveCheckpoint records a checkpoint of a run for the task, or for all members of
 // its gang. It leaves out tasks whose last run is another one, and does nothing if
 // the step is not declared to checkpoint.
@@ -575,26 +564,6 @@
 	return ""
 }
 
-// attemptsExhausted reports whether a task that is not done has failed as often as
-// the job allows.
-func (j *Job) attemptsExhausted() bool {
-	for _, t := range j.failing {
-		if t.Failures >= max(1, j.Spec.GetMaxAttempts()) {
-			return true
-		}
-	}
-	return false
-}
-
-// MaxFailures returns the most failures of any task that is not done.
-func (j *Job) MaxFailures() int32 {
-	most := int32(0)
-	for _, t := range j.failing {
-		most = max(most, t.Failures)
-	}
-	return most
-}
-
 // allStepsDone reports whether all steps of all occurrences are done. Long-running
 // steps run until the job is cancelled and are never done.
 func (j *Job) allStepsDone() bool {
