graph: crashes under different members of a gang do not give up its job

The evidence is still that of the gang, so that a suspect runs apart and the verdicts are as before, but a job is given up only once two workers have crashed under one of its tasks. For single tasks nothing changes, as all limits are two crashes or more.

Gangs of which one member or all make workers crash are given up after as many crashes as before (TestTaskThatCrashesWorkersIsGivenUp, unchanged).

TestCrashesOfGangCountTogether wanted the job to be given up after one crash under each member, which is this fault. It now wants the gang to be a suspect that runs again, one crash counted for each run, and the job given up at the second crash under one member.

--- a/duty/crash_test.go
+++ b/duty/crash_test.go
@@ -72,6 +72,36 @@
 	}
 }
 
+// Three workers that crash one after the other, each under another member of a gang, say
+// little about any of its tasks. The gang was given up.
+func TestGangOutlastsCrashesUnderDifferentMembers(t *testing.T) {
+	for _, holders := range []bool{false, true} {
+		t.Run(fmt.Sprint("changes of the holder: ", holders), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const members = 3
+				f := newFleet(t, 8)
+				f.submit(wholeWorker(gangJob(jobID, members)), 9*time.Second)
+				for n := range int32(members) {
+					f.run(6 * time.Second)
+					for _, w := range f.workers {
+						if w.running[graph.TaskName(jobID, graph.Ref{Index: n})] != nil {
+							f.crash(w, clock.Monotonic())
+						}
+					}
+					if holders {
+						f.run(time.Second)
+						f.changeHolder()
+					}
+				}
+				f.run(60 * time.Second)
+				if g := f.state.jobs[jobID].graph; f.crashes != members || g.Phase != flow.Phase_COMPLETED {
+					t.Errorf("%d crashes, phase %v, crashes %v; want the gang completed after %d", f.crashes, g.Phase, g.CrashRecord(), members)
+				}
+			})
+		})
+	}
+}
+
 // wholeWorker makes each task of a job take all accelerators of a worker.
 func wholeWorker(spec *flow.Job) *flow.Job {
 	spec.Steps[0].Accelerators = 8
--- a/graph/crash.go
+++ b/graph/crash.go
@@ -21,6 +21,8 @@
 	// minLoneCrashes of them.
 	maxCrashes     = 5
 	minLoneCrashes = 2
+	// minOwnCrashes is the number of crashes under one task before its job is given up.
+	minOwnCrashes = 2
 	// isolatedAfterCrashes is the number of crashes, other than outages, after which
 	// a unit gets workers of its own whatever it is suspected of.
 	isolatedAfterCrashes = 2
@@ -210,10 +212,12 @@
 }
 
 // crashesExhausted reports whether a task or gang has made so many workers crash that
-// the job is given up. It waits until the last crash has settled.
+// the job is given up. It waits until the last crash has settled. Crashes under other
+// members of a gang are evidence against a task, but do not suffice: several workers that
+// crash once each take a large gang with them each time.
 func (j *Job) crashesExhausted(nowUnixMS int64) bool {
-	for ref := range j.crashes {
-		if t := j.tasks[ref]; t != nil && t.Done {
+	for ref, own := range j.crashes {
+		if t := j.tasks[ref]; t != nil && t.Done || len(own) < minOwnCrashes {
 			continue
 		}
 		crashes := j.UnitCrashes(ref)
