place, sched: members of a gang that fail together are one failure of their job

Callers of the product's own interface saw a job as failed after its first attempt, of the ten that the limits allow, if three members failed together on three workers: each was recorded as a failure of the job on another worker, and three such make a job faulty, which gets no further attempt.

Health.RecordFailure takes all workers of one attempt, and a job is faulty after that many attempts that each failed on a worker on which no earlier one had. An attempt with one failing member counts as before.

--- a/place/health.go
+++ b/place/health.go
@@ -10,8 +10,8 @@
 	// MaxFailedJobs is the number of distinct jobs that fail on a worker without
 	// a success in between until the worker is set aside (default 3).
 	MaxFailedJobs int
-	// MaxFailedWorkers is the number of distinct workers on which a job fails
-	// until the job, and not the workers, is considered faulty (default 3).
+	// MaxFailedWorkers is the number of attempts of a job that fail, each on another
+	// worker, until the job, and not the workers, is considered faulty (default 3).
 	MaxFailedWorkers int
 	// ProbeAfter is the time from setting a worker aside to its first probe;
 	// it doubles with each failed probe (default 30 s).
@@ -41,8 +41,10 @@
 // jobHistory is the history of one job.
 type jobHistory struct {
 	failedWorkers []string // distinct workers
-	succeeded     bool     // on some worker, so that its failures count against the others
-	faulty        bool
+	// spread is the number of attempts that failed on a worker on which no earlier one had.
+	spread    int
+	succeeded bool // on some worker, so that its failures count against the others
+	faulty    bool
 }
 
 // NewHealth returns a Health without any history.
@@ -62,29 +64,37 @@
 	return &Health{options: o, workers: make(map[string]*workerHistory), jobs: make(map[string]*jobHistory)}
 }
 
-// RecordFailure records that the job failed on the worker. It reports whether the
-// job is now considered faulty; the caller then ends the job instead of retrying it.
-func (h *Health) RecordFailure(job, worker string, now time.Time) bool {
+// RecordFailure records that an attempt of the job failed on the given workers, one or
+// more: members of a gang that fail together are one failure. It reports whether the job is
+// now considered faulty; the caller then ends the job instead of retrying it.
+func (h *Health) RecordFailure(job string, workers []string, now time.Time) bool {
 	j := h.ensureJob(job)
 	if j.faulty {
 		return true
 	}
-	if !slices.Contains(j.failedWorkers, worker) {
-		j.failedWorkers = append(j.failedWorkers, worker)
+	known := len(j.failedWorkers)
+	for _, worker := range workers {
+		if !slices.Contains(j.failedWorkers, worker) {
+			j.failedWorkers = append(j.failedWorkers, worker)
+		}
+		w := h.ensureWorker(worker)
+		if !slices.Contains(w.failedJobs, job) {
+			w.failedJobs = append(w.failedJobs, job)
+		}
 	}
-	w := h.ensureWorker(worker)
-	if !slices.Contains(w.failedJobs, job) {
-		w.failedJobs = append(w.failedJobs, job)
+	if len(j.failedWorkers) > known {
+		j.spread++
 	}
-	if len(j.failedWorkers) >= h.options.MaxFailedWorkers && !j.succeeded {
+	if j.spread >= h.options.MaxFailedWorkers && !j.succeeded {
 		j.faulty = true
 		h.updateWorkers(job, j, now)
 		return true
 	}
-	if h.probing(w, now) {
-		w.setAsideAt, w.probeFailed = now, true
-		w.probeWait = min(2*w.probeWait, h.options.MaxProbeWait)
-		return false
+	for _, worker := range workers {
+		if w := h.workers[worker]; h.probing(w, now) {
+			w.setAsideAt, w.probeFailed = now, true
+			w.probeWait = min(2*w.probeWait, h.options.MaxProbeWait)
+		}
 	}
 	h.updateWorkers(job, j, now)
 	return false
--- a/place/health_learner_test.go
+++ b/place/health_learner_test.go
@@ -21,7 +21,7 @@
 			fields := strings.Fields(line)
 			switch fields[0] {
 			case "fail":
-				if h.RecordFailure(fields[1], fields[2], now) {
+				if h.RecordFailure(fields[1], fields[2:], now) {
 					fmt.Fprintf(&out, "%s is at fault\n", fields[1])
 				}
 			case "succeed":
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -149,9 +149,12 @@
 func (s *Scheduler) learnFromAttempt(c *control, a *attempt, v gang.Verdict) {
 	now := time.Now()
 	id := a.job.spec.GetId()
+	var workers []string
 	for _, rank := range v.FailedRanks {
-		atFault := c.health.RecordFailure(id, a.members[rank].GetWorker(), now)
-		a.job.faulty = a.job.faulty || atFault
+		workers = append(workers, a.members[rank].GetWorker())
+	}
+	if len(workers) > 0 {
+		a.job.faulty = c.health.RecordFailure(id, workers, now)
 	}
 	if !v.AllDone {
 		return
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -280,7 +280,7 @@
 		}
 	}
 	job.runVersion++
-	if r.health.RecordFailure(job.ID, failedWorker, epoch.Add(r.now)) {
+	if r.health.RecordFailure(job.ID, []string{failedWorker}, epoch.Add(r.now)) {
 		r.endJob(job, phaseFailed)
 		return
 	}
