duty: members of a gang that fail in one run are one failure of their workers

A worker is banned once two tasks have failed on it. Members of one run of a gang were tasks of their own: two that failed together on a sound worker banned it for 3 s and put it on trial for 10 s more, while accepted work waited, and two gangs that failed with a member on each worker banned all workers.

The failures on a worker are now those of units, a gang being one. If members fail on several workers in one run, the gang is at fault, as is a task that fails on several workers, and its failures count against none of them.

--- a/duty/failures.go
+++ b/duty/failures.go
@@ -1,6 +1,9 @@
 package duty
 
 import (
+	"slices"
+	"time"
+
 	"k8s.io/klog/v2"
 
 	"catkinpoint/graph"
@@ -39,3 +42,63 @@
 		"counted", counted, "failures_before", before, "failures", after, "max_attempts", j.graph.Spec.GetMaxAttempts(),
 		"gang", j.graph.Step(ref).GetGang(), "late", late, "worker", w.place.Worker)
 }
+
+// unitOf returns the key of a task or, if it is a member of a gang, of the gang.
+func (j *job) unitOf(ref graph.Ref) taskKey { return taskKey{j, j.graph.Members(ref)[0]} }
+
+// gangFailure has the workers on which members of the last failed run of a gang failed.
+type gangFailure struct {
+	run     int64
+	workers []*worker
+}
+
+// failedTogether records that a member of a gang has failed on a worker, and returns the
+// other workers on which members failed in the same run.
+func (j *job) failedTogether(w *worker, unit taskKey, run int64) []*worker {
+	f := j.gangFailures[unit.ref]
+	if f.run != run {
+		f = gangFailure{run: run}
+	}
+	if !slices.Contains(f.workers, w) {
+		f.workers = append(f.workers, w)
+	}
+	if j.gangFailures == nil {
+		j.gangFailures = map[graph.Ref]gangFailure{}
+	}
+	j.gangFailures[unit.ref] = f
+	return slices.DeleteFunc(slices.Clone(f.workers), func(other *worker) bool { return other == w })
+}
+
+// recordOutcome uses the end of a run as evidence on its worker's health. If a task
+// has also failed on another worker that is not on trial, the task is at fault, and
+// its failures do not count against its workers. So is a gang of which members fail on
+// several workers in one run. Several members that fail on one worker count once there.
+func (st *state) recordOutcome(w *worker, j *job, ref graph.Ref, run int64, how string, now time.Duration) {
+	switch how {
+	case graph.EndDone:
+		w.health.taskSucceeded()
+	case graph.EndFailed:
+		if j.graph.Step(ref).GetLongRunning() {
+			st.recordLastingFailure(w, j, ref, now)
+			return
+		}
+		unit := j.unitOf(ref)
+		others := slices.Clone(j.failedOn[ref])
+		if j.graph.Step(ref).GetGang() {
+			others = append(others, j.failedTogether(w, unit, run)...)
+		}
+		taskAtFault := false
+		for _, other := range others {
+			if other != w && !w.health.onTrial(now) {
+				other.health.withdrawFailure(unit, other.place.Worker, now)
+			}
+			taskAtFault = taskAtFault || other != w && !other.health.onTrial(now)
+		}
+		if !taskAtFault {
+			w.health.taskFailed(unit, w.place.Worker, now)
+		}
+		if !slices.Contains(j.failedOn[ref], w) {
+			j.failedOn[ref] = append(j.failedOn[ref], w)
+		}
+	}
+}
--- /dev/null
+++ b/duty/gang_health_test.go
@@ -0,0 +1,98 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"catkinpoint/clock"
+	"catkinpoint/graph"
+)
+
+// Guards against banning a worker for one failed run of a gang, of which two members were on
+// it: one unit has failed there, and one task that fails bans no worker.
+func TestOneFailedGangRunBansNoWorker(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprint("long-running: ", longRunning), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				spec := gangJob(jobID, 2)
+				spec.Steps[0].LongRunning = longRunning
+				f := newCountsFixture(t, spec, 1)
+				f.start(0, 0)
+				for index := range int32(2) {
+					f.list(0, index, 1, graph.EndFailed)
+				}
+				if h := &f.workers[0].health; clock.Monotonic() < h.bannedUntil || h.onTrial(clock.Monotonic()) {
+					t.Errorf("worker banned after one failed run of a gang, with %d failed tasks", len(h.failed))
+				}
+			})
+		})
+	}
+}
+
+// Guards against counting one failed run of a gang against several workers: members that fail
+// together on two of them have the cause in common, as a task that fails on two has.
+func TestMembersThatFailTogetherCountAgainstNoWorker(t *testing.T) {
+	tests := []struct {
+		name       string
+		ends       [][2]string // of the two members in each run
+		workers    [][2]int    // of the two members in each run
+		unreliable [2]bool
+	}{
+		{"one member", [][2]string{{graph.EndFailed, graph.EndGangBroken}}, [][2]int{{0, 1}}, [2]bool{true, false}},
+		{"one member, on each worker in turn", [][2]string{{graph.EndFailed, graph.EndGangBroken}, {graph.EndFailed, graph.EndGangBroken}}, [][2]int{{0, 1}, {1, 0}}, [2]bool{false, false}},
+		{"both members in one run", [][2]string{{graph.EndFailed, graph.EndFailed}}, [][2]int{{0, 1}}, [2]bool{false, false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCountsFixture(t, gangJob(jobID, 2), 2)
+				for i, workers := range test.workers {
+					f.start(workers[0], workers[1])
+					for index, how := range test.ends[i] {
+						f.list(workers[index], int32(index), int64(i+1), how)
+					}
+				}
+				for n, w := range f.workers {
+					if got := w.health.unreliable(clock.Monotonic()); got != test.unreliable[n] {
+						t.Errorf("worker %d unreliable: %v; want %v", n, got, test.unreliable[n])
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against banning sound workers because several gangs fail wherever they run, each
+// with members that fail together on several workers.
+func TestGangsThatFailOnSeveralWorkersBanNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		for n := range 2 {
+			spec := gangJob(jobNumber(n), 8)
+			spec.Steps[0].MaxPerWorker = 4
+			f.submit(spec, 2*time.Second)
+		}
+		f.run(500 * time.Millisecond)
+		// The first member on each worker fails, the others end with it.
+		for _, w := range f.workers {
+			for task, r := range w.running {
+				if r.ref.Index%4 == 0 {
+					f.endRun(w, task, graph.EndFailed)
+				}
+			}
+		}
+		for _, w := range f.workers {
+			for task := range w.running {
+				f.endRun(w, task, graph.EndGangBroken)
+			}
+		}
+		f.run(100 * time.Millisecond)
+		for _, w := range f.state.workers {
+			if clock.Monotonic() < w.health.bannedUntil {
+				t.Errorf("%s is banned, with %d failed tasks", w.place.Worker, len(w.health.failed))
+			}
+		}
+	})
+}
--- a/duty/health.go
+++ b/duty/health.go
@@ -10,7 +10,7 @@
 
 const (
 	// suspectFailures is how many tasks must fail on a worker, with none succeeding
-	// there in between, before it is suspect and banned. Tasks that also failed on
+	// there in between, before it is suspect and banned. A gang counts as one task. Tasks that also failed on
 	// a healthy worker, which is one that is not on trial, do not count.
 	suspectFailures = 2
 	// initialBan is how long a suspect worker gets no starts. The ban doubles, up
@@ -32,7 +32,7 @@
 	noRoomBan = 400 * time.Millisecond
 )
 
-// taskKey identifies a task of a known job.
+// taskKey identifies a task of a known job or, by its first task, a gang.
 type taskKey struct {
 	job *job
 	ref graph.Ref
@@ -41,7 +41,7 @@
 // health is the evidence, from the runs on a worker, on whether tasks fail there
 // through its fault and how fast it is.
 type health struct {
-	// failed holds the tasks that failed on the worker since the last success
+	// failed holds the tasks and gangs that failed on the worker since the last success
 	// there, and when each did. Tasks that also failed on a healthy worker are not
 	// in it.
 	failed      map[taskKey]time.Duration
--- a/duty/health_test.go
+++ b/duty/health_test.go
@@ -88,14 +88,14 @@
 			j := &job{graph: graph.New(simpleJob(jobID, 4), nil), failedOn: map[graph.Ref][]*worker{}}
 			now := time.Second
 			for index := range int32(2) {
-				st.recordOutcome(first, j, graph.Ref{Index: index}, graph.EndFailed, now)
+				st.recordOutcome(first, j, graph.Ref{Index: index}, 1, graph.EndFailed, now)
 			}
 			if now >= first.health.bannedUntil || !first.health.onTrial(now) {
 				t.Fatal("two tasks failed in a row, and the worker is not banned")
 			}
 			for index := range int32(2) {
 				if test.elsewhere {
-					st.recordOutcome(second, j, graph.Ref{Index: index}, graph.EndFailed, now)
+					st.recordOutcome(second, j, graph.Ref{Index: index}, 1, graph.EndFailed, now)
 				}
 			}
 			if banned := now < first.health.bannedUntil; banned != test.banned || first.health.unreliable(now) != test.banned {
--- a/duty/job.go
+++ b/duty/job.go
@@ -45,6 +45,8 @@
 	concluded map[graph.Ref]conclusion
 	// failedOn holds the workers on which a task has failed.
 	failedOn map[graph.Ref][]*worker
+	// gangFailures has the last failed run of each gang, by its first task.
+	gangFailures map[graph.Ref]gangFailure
 	// lastingFailures has when tasks of a step that lasts last failed on each worker.
 	lastingFailures map[stepKey]map[*worker]time.Duration
 }
--- a/duty/lasting.go
+++ b/duty/lasting.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if len(failedOn) < 2 || st.provedElsewhere(w, j, ref, now) {
-		w.health.taskFailed(taskKey{j, ref}, w.place.Worker, now)
+		w.health.taskFailed(j.unitOf(ref), w.place.Worker, now)
 		return
 	}
 	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "workers", len(failedOn))
--- a/duty/lasting_test.go
+++ b/duty/lasting_test.go
@@ -44,7 +44,7 @@
 	for _, n := range workers {
 		for _, index := range []int32{int32(2 * n), int32(2*n + 1)} {
 			ref := graph.Ref{Index: index}
-			f.state.recordOutcome(f.workers[n], f.job, ref, graph.EndFailed, clock.Monotonic())
+			f.state.recordOutcome(f.workers[n], f.job, ref, 1, graph.EndFailed, clock.Monotonic())
 			f.job.graph.End(ref, f.job.graph.Task(ref).Run, graph.EndFailed, "")
 			delete(f.job.runs, ref)
 		}
--- a/duty/report.go
+++ b/duty/report.go
@@ -259,7 +259,7 @@
 	}
 	if t != nil && w.sameWorker(t.Place) {
 		if t.Run == e.GetRun() {
-			st.recordOutcome(w, j, ref, e.GetHow(), clock.Monotonic())
+			st.recordOutcome(w, j, ref, e.GetRun(), e.GetHow(), clock.Monotonic())
 		}
 		st.endRun(j, ref, e.GetRun(), e.GetHow(), e.GetCheckpoint())
 	}
@@ -283,34 +283,6 @@
 	st.markDirty(j)
 }
 
-// recordOutcome uses the end of a run as evidence on its worker's health. If a task
-// has also failed on another worker that is not on trial, the task is at fault, and
-// its failures do not count against its workers.
-func (st *state) recordOutcome(w *worker, j *job, ref graph.Ref, how string, now time.Duration) {
-	switch how {
-	case graph.EndDone:
-		w.health.taskSucceeded()
-	case graph.EndFailed:
-		if j.graph.Step(ref).GetLongRunning() {
-			st.recordLastingFailure(w, j, ref, now)
-			return
-		}
-		taskAtFault := false
-		for _, other := range j.failedOn[ref] {
-			if other != w && !w.health.onTrial(now) {
-				other.health.withdrawFailure(taskKey{j, ref}, other.place.Worker, now)
-			}
-			taskAtFault = taskAtFault || other != w && !other.health.onTrial(now)
-		}
-		if !taskAtFault {
-			w.health.taskFailed(taskKey{j, ref}, w.place.Worker, now)
-		}
-		if !slices.Contains(j.failedOn[ref], w) {
-			j.failedOn[ref] = append(j.failedOn[ref], w)
-		}
-	}
-}
-
 // applyRefusal ends a run whose start the worker refused.
 func (st *state) applyRefusal(w *worker, refusal *flow.Refusal) {
 	id, ref, err := graph.ParseTask(refusal.GetTask())
