duty: a gang with several members on a worker is alone in its crash

A gang that makes its workers crash at the same time as others was started a third time after three workers had crashed under it, which is one start more than tasks that crash their workers get.

Alone now means that all runs on the worker are of one unit.

--- a/duty/crash.go
+++ b/duty/crash.go
@@ -93,7 +93,7 @@
 		}
 		if !r.job.graph.AddCrash(r.ref, graph.Crash{
 			Run: r.run, Worker: c.GetWorker(), WorkerStartMS: c.GetWorkerBornMs(), Age: runs[i].Age, UnixMS: atUnixMS, Suspicion: suspicion,
-			Alone: len(c.GetRuns()) == 1,
+			Alone: unitAlone(c.GetRuns(), r),
 		}) {
 			continue // an earlier holder has stored it
 		}
@@ -106,6 +106,16 @@
 	st.recentCrashes = append(st.recentCrashes, event)
 }
 
+// unitAlone reports whether all runs that were on a worker are of the task of r or, if it is
+// a member of a gang, of that gang.
+func unitAlone(runs []*flow.CrashedRun, r crashedRun) bool {
+	return !slices.ContainsFunc(runs, func(other *flow.CrashedRun) bool {
+		id, ref, err := graph.ParseTask(other.GetTask())
+		sameUnit := ref == r.ref || stepOf(ref) == stepOf(r.ref) && r.job.graph.Step(r.ref).GetGang()
+		return err != nil || id != r.job.graph.Spec.GetId() || !sameUnit
+	})
+}
+
 // suspectAges returns the ages of a unit at the crashes that it may have caused, with those
 // at the same time as others if they count: doubtful ones, and outages in which it was alone
 // on its worker.
--- a/graph/crash.go
+++ b/graph/crash.go
@@ -43,7 +43,7 @@
 	Age       time.Duration
 	UnixMS    int64 // when the worker crashed, in Unix milliseconds
 	Suspicion flow.Suspicion
-	Alone     bool // no other run was on the worker
+	Alone     bool // no other run was on the worker, except of the same gang
 }
 
 // LoadCrashes adds the crashes in a stored record.
