duty: all runs of a job on a stalled worker are one move

Tasks of an urgent job stayed on a worker that stood still, beside an idle one, for as long as it did: a job is moved off slow or stalled workers three times at most, and each task that was stopped because of one stall counted. The fourth and later ones then looked like a job that is stalled again after a move, which counts as its own fault.

--- a/duty/slow.go
+++ b/duty/slow.go
@@ -17,8 +17,8 @@
 	// minMoveGain is the least ratio, for a run to be moved, of its remaining time
 	// on the slow worker to the time of a stop and a new run on a healthy worker.
 	minMoveGain = 1.5
-	// maxMoves bounds how many times runs of one job are stopped because their
-	// workers are slow or stalled.
+	// maxMoves bounds how many times runs of one job are stopped because a worker of
+	// theirs is slow or stalled.
 	maxMoves = 3
 )
 
@@ -33,9 +33,10 @@
 		if workerStalled {
 			w.health.banStalled(w.place.Worker, now)
 		}
+		moved := map[*job]bool{} // all runs of a job on one worker are one move
 		for _, t := range list {
 			j, r := t.job, t.job.runs[t.Ref]
-			if r == nil || t.Place != w.place || t.Done || r.stopOrdered || j.graph.Ended() || j.graph.Spec.GetPriority() != 0 || j.moves >= maxMoves {
+			if r == nil || t.Place != w.place || t.Done || r.stopOrdered || j.graph.Ended() || j.graph.Spec.GetPriority() != 0 || j.moves >= maxMoves && !moved[j] {
 				continue
 			}
 			stalled := workerStalled && r.stalled()
@@ -44,7 +45,9 @@
 			}
 			klog.InfoS("duty: slow run stopped", "job", j.graph.Spec.GetId(), "step", t.Ref.Step, "index", t.Ref.Index,
 				"worker", t.Place.Worker, "percent", r.percent, "stalled", stalled, "slowness", r.slowness)
-			j.moves++
+			if !moved[j] {
+				j.moves, moved[j] = j.moves+1, true
+			}
 			st.stopUnit(j, t.Ref)
 		}
 	}
