duty: a contradicted conclusion counts once for each run

catkinpoint_duty_contradictions counts runs that a worker lists after they were taken as over. A run counted once as running and again with its end. Both log lines stay, as they tell different things.

--- a/duty/conclusion.go
+++ b/duty/conclusion.go
@@ -25,12 +25,14 @@
 	run int64
 	how string
 	at  time.Duration
+	// contradicted is set once the worker has listed the run, as running or with its end.
+	contradicted bool
 }
 
 // recordConclusion remembers that a run is taken as over, unless its worker listed the end.
 func (j *job) recordConclusion(ref graph.Ref, run int64, how string) {
 	if !slices.Contains(listedEnds, how) {
-		j.concluded[ref] = conclusion{run, how, clock.Monotonic()}
+		j.concluded[ref] = conclusion{run: run, how: how, at: clock.Monotonic()}
 	}
 }
 
@@ -41,7 +43,11 @@
 	if !ok || c.run != run {
 		return
 	}
-	count(contradictionsCounter, 1, "how", c.how)
+	if !c.contradicted {
+		count(contradictionsCounter, 1, "how", c.how)
+		c.contradicted = true
+		j.concluded[ref] = c
+	}
 	klog.InfoS("duty: worker lists a run that was over", "job", j.graph.Spec.GetId(), "step", ref.Step, "index", ref.Index, "occurrence", ref.Occurrence,
 		"run", run, "listed", listedAs, "over", c.how, "ago_ms", (clock.Monotonic() - c.at).Milliseconds(), "last_run", j.graph.Task(ref).Run,
 		"worker", w.place.Worker, "relay", w.relay)
