duty: work of a gang that is done is not lost

If one member of a gang had succeeded and the end of another was not heard of, as its worker was gone, the other's work was added to catkinpoint_duty_thrown_core_seconds and to the report of 'catkinpoint delays', though the success counts for the whole gang. Work of a run that is stopped because an earlier one had succeeded is still lost.

--- a/duty/runs.go
+++ b/duty/runs.go
@@ -75,7 +75,10 @@
 		checkpoint = r.checkpoint
 	}
 	lost := 0.0
-	if how != graph.EndDone {
+	// The success of another member counts for a gang. It orders no stop, unlike that of an
+	// earlier run, after which the work of this one is lost.
+	doneByOther := t.Done && (j.runs[ref] == nil || !j.runs[ref].stopOrdered)
+	if how != graph.EndDone && !doneByOther {
 		lost = st.unsavedWork(j, ref, clock.Monotonic()).Seconds() * needOf(j.graph.Step(ref)).CoreEquivalents()
 	}
 	if !j.graph.End(ref, number, how, checkpoint) {
