--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,6 @@
 # Tests that are known to fail, from the lines "test: NAME" of KNOWN-RED.txt.
 RED = $(shell [ ! -f KNOWN-RED.txt ] || sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|')
 SKIP = $(if $(RED),-skip '$(RED)')
-# Packages whose tests run with the race detector on x86-64 alone, as its runtime crashes
-# under them on arm64.
-RACE_X86 = $(if $(filter amd64,$(shell go env GOARCH)),./model)
 
 .PHONY: check test lint format build settings generate
 
@@ -19,12 +16,12 @@
 
 # ./local and ./procs test whole systems in real time and run alone: under the
 # load of other tests their processes may not be scheduled for 2 s, and a gang
-# then fails, as designed. ./matrix runs without the race detector, whose runtime
-# aborts under the many fake clocks of synctest ("CHECK failed: tsan_rtl.cpp:282").
-# ./model makes only some of its runs with it.
+# then fails, as designed. ./matrix and ./model run without the race detector, whose
+# runtime crashes under the many fake clocks of synctest ("CHECK failed: tsan_rtl.cpp:282"
+# or a SIGSEGV).
 test:
 	@[ ! -f KNOWN-RED.txt ] || { echo "Skipped as known to fail:"; cat KNOWN-RED.txt; }
-	go test -race -timeout 5m $(SKIP) $$(go list ./... | grep -v '/procs$$\|/matrix$$\|/model$$\|/local$$') $(RACE_X86)
+	go test -race -timeout 5m $(SKIP) $$(go list ./... | grep -v '/procs$$\|/matrix$$\|/model$$\|/local$$')
 	go test -race -timeout 3m $(SKIP) ./local
 	go test -timeout 4m $(SKIP) ./matrix
 	go test -timeout 4m $(SKIP) ./model
