model: gangs of which members fail are drawn, and a job is given up when due

TestGangRunCountsOnce draws this beside all other kinds of faults. What the workers have seen shows whether a run begins after the attempts are used up (BUDGET), and whether a job is stored as failed before that, or with another end than it had (LOST). The checks apply to the runs of TestNoTaskRunsTwice and TestSequences too; the jobs of a fixed sequence have to end now.

Two fixed sequences have the members' ends become known to two holders, and one late, after its worker was taken as gone.

The phases are recorded while the jobs end, as their records are removed 5 min later.

--- a/model/fault_test.go
+++ b/model/fault_test.go
@@ -29,10 +29,11 @@
 	faultCrashNew      faultKind = "crash-new"
 	faultDrain         faultKind = "drain"
 	faultLateHeartbeat faultKind = "late-heartbeat"
-	faultMute          faultKind = "mute"  // heartbeats are lost
-	faultTasks         faultKind = "tasks" // some runs fail
-	faultGangs         faultKind = "gangs" // some steps are gangs
-	faultIdle          faultKind = "idle"  // the first job comes late
+	faultMute          faultKind = "mute"          // heartbeats are lost
+	faultTasks         faultKind = "tasks"         // some runs fail
+	faultGangs         faultKind = "gangs"         // some steps are gangs
+	faultGangFailures  faultKind = "gang-failures" // runs of gangs in which members fail; few attempts
+	faultIdle          faultKind = "idle"          // the first job comes late
 	faultCancel        faultKind = "cancel"
 	faultCut           faultKind = "cut"
 	faultLateReport    faultKind = "late-report"
@@ -74,6 +75,7 @@
 	{faultLateHeartbeat, 1 * time.Second, 10 * time.Second},
 	{faultTasks, 0, 0},
 	{faultGangs, 0, 0},
+	{faultGangFailures, 0, 0},
 	{faultIdle, 0, 0},
 	{faultCancel, 1 * time.Second, 10 * time.Second},
 	{faultCut, 200 * time.Millisecond, 14 * time.Second},
@@ -294,7 +296,7 @@
 func (w *world) crash(m *machine, newID bool) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m.crash("crash")
+	m.crash(endCrash)
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -331,7 +333,7 @@
 		sleep(ctx, untilEnd)
 		w.mu.Lock()
 		if m.proc == p {
-			m.crash("left")
+			m.crash(endLeft)
 		}
 		w.mu.Unlock()
 		sleep(ctx, time.Duration(500+f.seed%3000)*time.Millisecond)
@@ -354,6 +356,9 @@
 	slices.Sort(ids)
 	for i, id := range ids[max(0, len(ids)-6):] {
 		if (f.seed>>i)%2 == 0 {
+			w.mu.Lock()
+			w.cancelled[id] = true
+			w.mu.Unlock()
 			w.storeRecord(ctx, duty.CancelKey(id), &flow.Work{})
 		}
 	}
--- a/model/gang_test.go
+++ b/model/gang_test.go
@@ -15,6 +15,7 @@
 	present  map[string]*taskRun
 	complete bool // all members have been present, so that they work
 	over     bool
+	failing  bool // a member has failed by the draw of failMembers; the others end soon
 	workTime time.Duration
 }
 
@@ -35,6 +36,10 @@
 		return
 	}
 	g.complete = true
+	if f, ok := w.nextFailure(r.unit); ok {
+		w.failMembers(g, f)
+		return
+	}
 	w.after(g.workTime, func() {
 		if g.over {
 			return
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -21,6 +22,9 @@
 	calmAfter = 56 * time.Second
 	// finishTime is the time after calmAfter in which all jobs have to end.
 	finishTime = 150 * time.Second
+	// failureFinishTime is the same with runs of gangs that fail: the scheduler tests a worker
+	// on which runs have failed with one run at a time, and less often after each failure.
+	failureFinishTime = 500 * time.Second
 	// drainTime is longer than any message of the model is under way.
 	drainTime = 4 * maxTransit
 )
@@ -73,14 +77,26 @@
 }
 
 // Guards against two runs of a task at the same time, and against a start after its end
-// was taken note of, under faults of all parts at once.
+// was taken note of, under faults of all parts at once. Jobs have many
+// attempts here, so that they last.
 func TestNoTaskRunsTwice(t *testing.T) {
+	runSeeds(t, slices.DeleteFunc(enabledKinds(), func(k faultKind) bool { return k == faultGangFailures }))
+}
+
+// Guards against a job that is given up before or after its attempts are used up: a run of
+// a gang counts once, however many of its members fail, under faults of all parts at once.
+func TestGangRunCountsOnce(t *testing.T) {
+	runSeeds(t, enabledKinds())
+}
+
+// runSeeds runs the model once for each seed.
+func runSeeds(t *testing.T, kinds []faultKind) {
+	t.Helper()
 	defaultRuns := 20
 	if sampled {
 		defaultRuns = 2
 	}
 	first, runs := setting(t, "MODEL_SEED", 1), setting(t, "MODEL_RUNS", defaultRuns)
-	kinds := enabledKinds()
 	for seed := first; seed < first+runs; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			checkBubble(t, seed, func(t *testing.T, report *bytes.Buffer) { runModel(t, uint64(seed), kinds, report) })
@@ -130,19 +146,28 @@
 	}
 	go w.submitJobs(ctx, idle, firstFault+faultSpan+faultSpread)
 	sleep(ctx, idle+calmAfter)
+	limit := finishTime
+	if enabled[faultGangFailures] {
+		limit = failureFinishTime
+	}
 	open := w.openJobs(ctx)
-	for until := time.Now().Add(finishTime); len(open) > 0 && time.Now().Before(until); open = w.openJobs(ctx) {
+	for until := time.Now().Add(limit); len(open) > 0 && time.Now().Before(until); open = w.openJobs(ctx) {
 		sleep(ctx, time.Second)
 	}
 	cancel()
 	time.Sleep(drainTime) // in which all goroutines end; the clock stops when this one does
-	w.report(t, faults, open, report)
+	w.report(t, faults, open, limit, report)
 }
 
 // report fails the test if a rule was broken or jobs have not ended, and writes a report.
-func (w *world) report(t *testing.T, faults []fault, open []string, report *bytes.Buffer) {
+// open are the jobs that have not ended within the time limit.
+func (w *world) report(t *testing.T, faults []fault, open []string, limit time.Duration, report *bytes.Buffer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.checkAttempts()
+	for _, id := range slices.Sorted(maps.Keys(w.outcomes)) {
+		w.checkOutcome(id, w.outcomes[id])
+	}
 	begun := 0
 	for _, list := range w.rec.byTask {
 		begun += len(list)
@@ -151,7 +176,7 @@
 		t.Errorf("%d rules broken, the first: %s", len(w.rec.broken), w.rec.broken[0])
 	}
 	if len(open) > 0 {
-		t.Errorf("%d of %d jobs have not ended %v after the faults, such as %s", len(open), len(w.jobs), finishTime, open[0])
+		t.Errorf("%d of %d jobs have not ended %v after the faults, such as %s", len(open), len(w.jobs), limit, open[0])
 	}
 	for task := range w.rec.events {
 		if id, _, _ := strings.Cut(task, "."); slices.Contains(open, id) {
--- a/model/record_test.go
+++ b/model/record_test.go
@@ -9,6 +9,19 @@
 	"catkinpoint/graph"
 )
 
+// Ends of runs that the worker does not list, as its process has ended.
+const (
+	endCrash = "crash"
+	endLeft  = "left" // the worker had announced its end
+)
+
+// Rules that a run of the model can break.
+const (
+	ruleTwice  = "TWICE"  // a task runs twice, or after it is done
+	ruleBudget = "BUDGET" // a task runs after its attempts are used up
+	ruleLost   = "LOST"   // a job is stored as ended without a cause
+)
+
 // taskRun is one run of a task on a worker of the model.
 type taskRun struct {
 	task    string
@@ -17,12 +30,13 @@
 	process string // id of the worker's process and number of its boot
 	began   time.Time
 	ended   time.Time // zero while it runs
-	how     string    // end that the worker lists, or "crash"
+	how     string    // end that the worker lists, endCrash or endLeft
 	note    string    // when the end was taken note of, for the trace
 	// startsAfter are starts of the task after this run has ended as done.
 	startsAfter []string
-	noted       bool // observed has reached the end before the worker's lease lapsed
-	lapsed      bool // the worker's lease has lapsed since the end
+	noted       bool   // observed has reached the end before the worker's lease lapsed
+	lapsed      bool   // the worker's lease has lapsed since the end
+	unit        string // of which this is a run: the task itself, or the gang
 	gang        *gang
 	timer       *time.Timer // ends the run
 	stopping    bool
@@ -32,15 +46,16 @@
 type record struct {
 	began    time.Time
 	byTask   map[string][]*taskRun
-	events   map[string][]string // by task, for the trace
-	faults   []string            // faults, as they began and ended
+	byUnit   map[string][]*taskRun // of a gang, the runs of all members
+	events   map[string][]string   // by task, for the trace
+	faults   []string              // faults, as they began and ended
 	broken   []string
 	suspects map[string]bool // tasks of broken rules
 }
 
 func newRecord() *record {
 	return &record{
-		began: time.Now(), byTask: map[string][]*taskRun{}, events: map[string][]string{}, suspects: map[string]bool{},
+		began: time.Now(), byTask: map[string][]*taskRun{}, byUnit: map[string][]*taskRun{}, events: map[string][]string{}, suspects: map[string]bool{},
 	}
 }
 
@@ -59,8 +74,8 @@
 	r.faults = append(r.faults, r.clock()+" "+fmt.Sprintf(format, args...))
 }
 
-func (r *record) violate(task, format string, args ...any) {
-	text := r.clock() + " TWICE " + task + " " + fmt.Sprintf(format, args...)
+func (r *record) violate(rule, task, format string, args ...any) {
+	text := r.clock() + " " + rule + " " + task + " " + fmt.Sprintf(format, args...)
 	r.broken = append(r.broken, text)
 	r.suspects[task] = true
 	r.events[task] = append(r.events[task], text)
@@ -72,7 +87,7 @@
 	r.trace(n.task, "run %d begins on %s %s", n.run, n.process, order)
 	for _, other := range r.byTask[n.task] {
 		if other.ended.IsZero() {
-			r.violate(n.task, "run %d begins on %s while run %d is on %s", n.run, n.process, other.run, other.process)
+			r.violate(ruleTwice, n.task, "run %d begins on %s while run %d is on %s", n.run, n.process, other.run, other.process)
 		}
 	}
 	tasks := []string{n.task}
@@ -87,12 +102,13 @@
 			start := fmt.Sprintf("run %d begins on %s at %s, run %d of %s was done on %s at %.3f", n.run, n.process, r.clock(),
 				other.run, task, other.process, other.ended.Sub(r.began).Seconds())
 			if other.noted {
-				r.violate(n.task, "%s, taken note of at %s", start, other.note)
+				r.violate(ruleTwice, n.task, "%s, taken note of at %s", start, other.note)
 			}
 			other.startsAfter = append(other.startsAfter, start)
 		}
 	}
 	r.byTask[n.task] = append(r.byTask[n.task], n)
+	r.byUnit[n.unit] = append(r.byUnit[n.unit], n)
 }
 
 // end records the end of a run.
@@ -104,12 +120,15 @@
 // observe records that a worker was told to forget the end of a run.
 func (r *record) observe(n *taskRun, call string) {
 	r.trace(n.task, "run %d (%s) observed on %s, lapsed before: %v %s", n.run, n.how, n.process, n.lapsed, call)
-	if n.how != graph.EndDone || n.lapsed {
+	if n.lapsed {
 		return
 	}
 	n.noted, n.note = true, r.clock()
+	if n.how != graph.EndDone {
+		return
+	}
 	for _, start := range n.startsAfter {
-		r.violate(n.task, "%s, and taken note of now", start)
+		r.violate(ruleTwice, n.task, "%s, and taken note of now", start)
 	}
 }
 
--- a/model/sequence_test.go
+++ b/model/sequence_test.go
@@ -10,13 +10,19 @@
 
 	"catkinpoint/duty"
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
-// sequenceJob is a job of single tasks in a fixed sequence.
+// sequenceJob is a job of single tasks, or of a gang with one member on a worker, in a fixed
+// sequence.
 type sequenceJob struct {
 	at, due time.Duration // due is 0 for a job that may start at once
 	tasks   int32
 	length  time.Duration // estimate of the tasks, which take between half and one and a half times as long
+	gang    bool
+	// attempts is 0 for a job with many. failures are those of the first runs of the gang.
+	attempts int32
+	failures []gangFailure
 }
 
 // sequences are fixed sequences of faults that have broken the rule. Worker 0 has the
@@ -80,6 +86,26 @@
 			{kind: faultCut, at: seconds(12.3), length: seconds(11.7), gate: -1, seed: bothWays},
 		},
 	},
+	{
+		// A run of a gang counts once for each member whose failure becomes known: of one to
+		// the holder, and of the other, whose relay is cut off, to the next holder.
+		name: "gang_failure_under_two_holders", tries: 3,
+		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(10), gang: true, attempts: 2, failures: []gangFailure{bothMembers(3)}}},
+		faults: []fault{
+			{kind: faultCut, at: seconds(3), length: seconds(1.7), gate: -1, seed: holderBothWays},
+			{kind: faultGateKill, at: seconds(4.5), length: seconds(6), gate: -1},
+		},
+	},
+	{
+		// A run of a gang that one member's failure has counted counts again when the failure
+		// of the other is heard of, whose worker was taken as gone.
+		name: "late_failure_of_counted_run", tries: 3,
+		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(30), gang: true, attempts: 2, failures: []gangFailure{bothMembers(7)}}},
+		faults: []fault{
+			{kind: faultDrain, at: seconds(2), length: seconds(2), gate: -1, seed: 3600},
+			{kind: faultHang, at: seconds(7.5), length: seconds(1.8), gate: -1, seed: 1000},
+		},
+	},
 	{
 		// A run of a worker that is gone counts as ended, though a call without an answer may
 		// start it in the next process under the same id.
@@ -96,6 +122,14 @@
 // both ways.
 const bothWays = 48
 
+// holderBothWays is the same with one gate.
+const holderBothWays = 16
+
+// bothMembers has both members of a gang fail at the same instant.
+func bothMembers(after float64) gangFailure {
+	return gangFailure{after: seconds(after), members: map[int32]time.Duration{0: 0, 1: 0}}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Guards against the return of the faults that random sequences have found.
@@ -136,9 +170,10 @@
 		go w.submitSequenceJob(ctx, fmt.Sprintf("%016x", 0xa0+i), j)
 	}
 	sleep(ctx, length+sequenceTime)
+	open := w.openJobs(ctx)
 	cancel()
 	time.Sleep(drainTime)
-	w.report(t, faults, nil, report)
+	w.report(t, faults, open, sequenceTime, report)
 }
 
 // slowClock makes the clock of the worker's process the slowest that is allowed.
@@ -154,6 +189,12 @@
 		Id: id, Queue: "q", Customer: "c", Service: "care", Priority: 1, MaxAttempts: 50, SlackFactor: 3, TargetMs: 1000,
 		Steps: []*flow.Step{{Count: j.tasks, Cpu: 1000, MemoryMb: 1000, Accelerators: 1, EstimateMs: j.length.Milliseconds()}},
 	}
+	if j.attempts > 0 {
+		job.MaxAttempts = j.attempts
+	}
+	if j.gang {
+		job.Steps[0].Gang, job.Steps[0].MaxPerWorker = true, 1
+	}
 	if j.due > 0 {
 		job.Repeats, job.PeriodMs, job.StartUnixMs = 1, 1000, time.Now().Add(j.due).UnixMilli()
 	}
@@ -161,6 +202,7 @@
 	job.AcceptedUnixMs = time.Now().UnixMilli()
 	w.mu.Lock()
 	w.jobs[id] = job
+	w.gangFailures[gangName(id, graph.Ref{})] = j.failures
 	w.mu.Unlock()
 	w.storeRecord(ctx, duty.JobKey(id), job)
 }
--- a/model/worker_test.go
+++ b/model/worker_test.go
@@ -92,7 +92,7 @@
 	m.w.rec.fault("worker %s starts, clock rate %.3f", m.proc.name, m.proc.rate)
 }
 
-// crash ends the process without notice. The caller holds the lock.
+// crash ends the process without notice, for the reason why. The caller holds the lock.
 func (m *machine) crash(why string) {
 	p := m.proc
 	if p == nil {
@@ -104,7 +104,7 @@
 		p.lease.Stop()
 	}
 	for _, r := range p.running {
-		m.w.rec.end(r, "crash")
+		m.w.rec.end(r, why)
 		m.w.leave(r)
 	}
 	p.running = nil
@@ -284,7 +284,7 @@
 	case len(p.running) >= machineRoom:
 		return relay.NothingDone(graph.RefusedNoRoom)
 	}
-	r := &taskRun{task: task, run: run, machine: m.index, process: p.name, began: time.Now(), gang: w.gangOf(task, run)}
+	r := &taskRun{task: task, run: run, machine: m.index, process: p.name, began: time.Now(), unit: w.unitOf(task), gang: w.gangOf(task, run)}
 	w.rec.begin(r, how)
 	p.running[task] = r
 	length, fails := w.lengthOf(task, run)
--- a/model/world_test.go
+++ b/model/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 type world struct {
 	mu       sync.Mutex
 	t        *testing.T
+	seed     uint64
 	rng      *rand.Rand
 	enabled  map[faultKind]bool
 	rec      *record
@@ -46,6 +48,10 @@
 	kv       *fakekv.Server
 	jobs     map[string]*flow.Job
 	gangs    map[string]*gang
+	// gangFailures are, by unit, the failures of its next runs of which all members begin.
+	gangFailures map[string][]gangFailure
+	cancelled    map[string]bool       // jobs that a caller has cancelled
+	outcomes     map[string]flow.Phase // of the jobs that have ended
 	// losingAnswers is the number of faults for which the store loses answers to writes.
 	losingAnswers int
 	// losingWrites is the same for writes of progress that are lost.
@@ -55,8 +61,9 @@
 // newWorld starts gates, relays and workers that run until ctx ends.
 func newWorld(ctx context.Context, t *testing.T, seed uint64, enabled map[faultKind]bool) *world {
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), enabled: enabled, rec: newRecord(), kv: fakekv.New(), net: newNetwork(),
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), enabled: enabled, rec: newRecord(), kv: fakekv.New(), net: newNetwork(),
 		jobs: map[string]*flow.Job{}, gangs: map[string]*gang{},
+		gangFailures: map[string][]gangFailure{}, cancelled: map[string]bool{}, outcomes: map[string]flow.Phase{},
 	}
 	w.kv.SetInterceptor(w.interceptStore)
 	if _, err := w.kv.WithCaller("operator").Commit(ctx, store.Txn{Writes: []store.Write{{Key: "op/config", Value: []byte("1")}}}); err != nil {
@@ -191,6 +198,9 @@
 		}
 		job.Steps = append(job.Steps, step)
 	}
+	if w.enabled[faultGangFailures] {
+		w.drawFailures(job)
+	}
 	w.jobs[id] = job
 	return job
 }
@@ -217,7 +227,7 @@
 	if !step.GetGang() {
 		return nil
 	}
-	key := fmt.Sprintf("%s.%d.%d/%d", id, ref.Occurrence, ref.Step, run)
+	key := fmt.Sprintf("%s/%d", w.unitOf(task), run)
 	if g := w.gangs[key]; g != nil {
 		return g
 	}
@@ -230,6 +240,19 @@
 	return g
 }
 
+// unitOf returns the name of what runs and fails as one: the task or its gang.
+func (w *world) unitOf(task string) string {
+	step, ref, id := w.stepOf(task)
+	if !step.GetGang() {
+		return task
+	}
+	return gangName(id, ref)
+}
+
+func gangName(id string, ref graph.Ref) string {
+	return fmt.Sprintf("%s.%d.%d", id, ref.Occurrence, ref.Step)
+}
+
 // lengthOf returns how long a run works, and whether it then fails. It depends only on
 // the task and the run.
 func (w *world) lengthOf(task string, run int64) (time.Duration, bool) {
@@ -238,27 +261,48 @@
 	fmt.Fprintf(h, "%s/%d", task, run)
 	rng := rand.New(rand.NewPCG(h.Sum64(), 3))
 	length := time.Duration(float64(step.GetEstimateMs())*(0.5+rng.Float64())) * time.Millisecond
-	return length, w.enabled[faultTasks] && rng.IntN(12) == 0
+	drawn := step.GetGang() && w.enabled[faultGangFailures] // its failures are those of gangFailures
+	return length, w.enabled[faultTasks] && !drawn && rng.IntN(12) == 0
 }
 
-// openJobs returns the jobs that are not stored as ended.
+// openJobs returns the jobs that are not stored as ended. It records the phase of the
+// others, as their progress is removed some time after their end.
 func (w *world) openJobs(ctx context.Context) []string {
-	var open []string
+	var open, ids []string
 	w.mu.Lock()
-	ids := make([]string, 0, len(w.jobs))
 	for id := range w.jobs {
 		ids = append(ids, id)
 	}
 	w.mu.Unlock()
 	for _, id := range ids {
-		work := &flow.Work{}
-		item, err := w.kv.WithCaller("check").Get(ctx, duty.ProgressKey(id))
-		if err == nil {
-			err = proto.Unmarshal(item.Value, work)
-		}
-		if err != nil || work.GetPhase() == flow.Phase_QUEUED || work.GetPhase() == flow.Phase_RUNNING {
+		phase := w.storedPhase(ctx, id)
+		ended := phase != flow.Phase_QUEUED && phase != flow.Phase_RUNNING
+		w.mu.Lock()
+		before, known := w.outcomes[id]
+		switch {
+		case known && phase != flow.Phase_QUEUED && phase != before:
+			w.rec.violate(ruleLost, id, "the job is stored as %v, after it was stored as %v", phase, before)
+		case ended:
+			w.outcomes[id] = phase
+		case !known:
 			open = append(open, id)
 		}
+		w.mu.Unlock()
 	}
+	slices.Sort(open)
 	return open
 }
+
+// storedPhase returns the phase of a job, as it is stored. A job of which nothing is stored
+// is queued.
+func (w *world) storedPhase(ctx context.Context, id string) flow.Phase {
+	work := &flow.Work{}
+	item, err := w.kv.WithCaller("check").Get(ctx, duty.ProgressKey(id))
+	if err == nil {
+		err = proto.Unmarshal(item.Value, work)
+	}
+	if err != nil {
+		return flow.Phase_QUEUED
+	}
+	return work.GetPhase()
+}
