--- a/graph/failures_test.go
+++ b/graph/failures_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"catkinpoint/flow"
 )
@@ -189,3 +190,47 @@
 		t.Errorf("%d failures; want %d", j.MaxFailures(), runs)
 	}
 }
+
+// Guards against any order of ends, late ends and changes of the holder in which a failed run
+// of a gang counts more or less than once.
+func TestFailuresAreTheFailedRuns(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		members := rapid.Int32Range(1, 6).Draw(rt, "members")
+		j := New(&flow.Job{Id: "a", MaxAttempts: 1000, Steps: []*flow.Step{{Count: members, Gang: true}}}, nil)
+		if pageTasks := rapid.Int64Range(0, 3).Draw(rt, "page_tasks"); pageTasks > 0 {
+			j.SplitPages(pageTasks)
+		}
+		failed, unlisted := map[int64]bool{}, map[int32][]int64{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			switch active := j.Active(); rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				j = reload(t, j)
+			case 1:
+				index := rapid.Int32Range(0, members-1).Draw(rt, "late_member")
+				if runs := unlisted[index]; len(runs) > 0 {
+					run := rapid.SampledFrom(runs[max(0, len(runs)-maxUnlistedRuns):]).Draw(rt, "late_run")
+					failed[run] = true
+					j.RecordLateFailure(Ref{Index: index}, run)
+				}
+			default:
+				if len(active) == 0 {
+					unit := j.Ready(0)[0]
+					j.Assign(unit, testPlaces(unit))
+					continue
+				}
+				task := *rapid.SampledFrom(active).Draw(rt, "member")
+				how := rapid.SampledFrom([]string{EndFailed, EndFailed, EndGangBroken, EndStopped, EndUnreachable, "gone"}).Draw(rt, "how")
+				switch how {
+				case EndFailed:
+					failed[task.Run] = true
+				case "gone":
+					unlisted[task.Ref.Index] = append(unlisted[task.Ref.Index], task.Run)
+				}
+				j.End(task.Ref, task.Run, how, "")
+			}
+		}
+		if got := j.MaxFailures(); int(got) != len(failed) {
+			rt.Errorf("%d failures of %d failed runs", got, len(failed))
+		}
+	})
+}
