duty: workers that fail gangs together do not acquit each other

Jobs were given up that sound workers could have run: since members that fail on several workers in one run counted against none of these, so that workers that fail everything stayed in use as long as gangs spanned two of them.

Such a run now counts two thirds of a failure against each worker: it is not known whether the gang or the workers are at fault, and it takes three of these gangs to ban a worker, in place of two. Members that fail on one worker are one failure there, as before.

TestGangsThatFailOnSeveralWorkersBanNone still passes. TestMembersThatFailTogetherCountAgainstNoWorker asked for the fault; TestFailedGangRunCountsOnceAgainstWorkers takes its place, with its other cases, more of them, and the exact weight of each.

--- a/duty/failures.go
+++ b/duty/failures.go
@@ -44,7 +44,7 @@
 }
 
 // unitOf returns the key of a task or, if it is a member of a gang, of the gang.
-func (j *job) unitOf(ref graph.Ref) taskKey { return taskKey{j, j.graph.Members(ref)[0]} }
+func (j *job) unitOf(ref graph.Ref) taskKey { return taskKey{job: j, ref: j.graph.Members(ref)[0]} }
 
 // gangFailure has the workers on which members of the last failed run of a gang failed.
 type gangFailure struct {
@@ -52,8 +52,8 @@
 	workers []*worker
 }
 
-// failedTogether records that a member of a gang has failed on a worker, and returns the
-// other workers on which members failed in the same run.
+// failedTogether records that a member of a gang has failed on a worker, and returns all
+// workers on which members have failed in the same run.
 func (j *job) failedTogether(w *worker, unit taskKey, run int64) []*worker {
 	f := j.gangFailures[unit.ref]
 	if f.run != run {
@@ -66,36 +66,40 @@
 		j.gangFailures = map[graph.Ref]gangFailure{}
 	}
 	j.gangFailures[unit.ref] = f
-	return slices.DeleteFunc(slices.Clone(f.workers), func(other *worker) bool { return other == w })
+	return f.workers
 }
 
 // recordOutcome uses the end of a run as evidence on its worker's health. If a task
 // has also failed on another worker that is not on trial, the task is at fault, and
-// its failures do not count against its workers. So is a gang of which members fail on
-// several workers in one run. Several members that fail on one worker count once there.
+// its failures do not count against its workers. Members of a gang that fail on one worker
+// in one run are one failure there, and those that fail on several workers less on each.
 func (st *state) recordOutcome(w *worker, j *job, ref graph.Ref, run int64, how string, now time.Duration) {
 	switch how {
 	case graph.EndDone:
 		w.health.taskSucceeded()
 	case graph.EndFailed:
 		if j.graph.Step(ref).GetLongRunning() {
-			st.recordLastingFailure(w, j, ref, now)
+			st.recordLastingFailure(w, j, ref, run, now)
 			return
 		}
-		unit := j.unitOf(ref)
-		others := slices.Clone(j.failedOn[ref])
+		unit, points := j.unitOf(ref), fullFailure
 		if j.graph.Step(ref).GetGang() {
-			others = append(others, j.failedTogether(w, unit, run)...)
+			if together := j.failedTogether(w, unit, run); len(together) > 1 {
+				points = sharedFailure
+				for _, other := range together {
+					other.health.shareFailure(unit, run, other.place.Worker, now)
+				}
+			}
 		}
 		taskAtFault := false
-		for _, other := range others {
+		for _, other := range j.failedOn[ref] {
 			if other != w && !w.health.onTrial(now) {
 				other.health.withdrawFailure(unit, other.place.Worker, now)
 			}
 			taskAtFault = taskAtFault || other != w && !other.health.onTrial(now)
 		}
 		if !taskAtFault {
-			w.health.taskFailed(unit, w.place.Worker, now)
+			w.health.taskFailed(unit, run, points, w.place.Worker, now)
 		}
 		if !slices.Contains(j.failedOn[ref], w) {
 			j.failedOn[ref] = append(j.failedOn[ref], w)
--- a/duty/gang_health_test.go
+++ b/duty/gang_health_test.go
@@ -31,18 +31,23 @@
 	}
 }
 
-// Guards against counting one failed run of a gang against several workers: members that fail
-// together on two of them have the cause in common, as a task that fails on two has.
-func TestMembersThatFailTogetherCountAgainstNoWorker(t *testing.T) {
+// Guards against counting each member of a gang that fails in a run as a failure of its own,
+// and against acquitting workers that fail everything because members fail on several.
+func TestFailedGangRunCountsOnceAgainstWorkers(t *testing.T) {
+	first, both := [2]string{graph.EndFailed, graph.EndGangBroken}, [2]string{graph.EndFailed, graph.EndFailed}
+	apart, swapped, same := [2]int{0, 1}, [2]int{1, 0}, [2]int{0, 0}
 	tests := []struct {
-		name       string
-		ends       [][2]string // of the two members in each run
-		workers    [][2]int    // of the two members in each run
-		unreliable [2]bool
+		name    string
+		ends    [][2]string // of the two members in each run
+		workers [][2]int    // of the two members in each run
+		points  [2]int      // that count against each worker
 	}{
-		{"one member", [][2]string{{graph.EndFailed, graph.EndGangBroken}}, [][2]int{{0, 1}}, [2]bool{true, false}},
-		{"one member, on each worker in turn", [][2]string{{graph.EndFailed, graph.EndGangBroken}, {graph.EndFailed, graph.EndGangBroken}}, [][2]int{{0, 1}, {1, 0}}, [2]bool{false, false}},
-		{"both members in one run", [][2]string{{graph.EndFailed, graph.EndFailed}}, [][2]int{{0, 1}}, [2]bool{false, false}},
+		{"one member", [][2]string{first}, [][2]int{apart}, [2]int{fullFailure, 0}},
+		{"one member, on each worker in turn", [][2]string{first, first}, [][2]int{apart, swapped}, [2]int{0, 0}},
+		{"one member, twice on a worker", [][2]string{first, first}, [][2]int{apart, apart}, [2]int{fullFailure, 0}},
+		{"both members on one worker", [][2]string{both}, [][2]int{same}, [2]int{fullFailure, 0}},
+		{"both members on two workers", [][2]string{both}, [][2]int{apart}, [2]int{sharedFailure, sharedFailure}},
+		{"both members on two workers, twice", [][2]string{both, both}, [][2]int{apart, apart}, [2]int{fullFailure, fullFailure}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -55,8 +60,8 @@
 					}
 				}
 				for n, w := range f.workers {
-					if got := w.health.unreliable(clock.Monotonic()); got != test.unreliable[n] {
-						t.Errorf("worker %d unreliable: %v; want %v", n, got, test.unreliable[n])
+					if got := w.health.points(); got != test.points[n] {
+						t.Errorf("%d points against worker %d; want %d", got, n, test.points[n])
 					}
 				}
 			})
--- a/duty/health.go
+++ b/duty/health.go
@@ -10,7 +10,8 @@
 
 const (
 	// suspectFailures is how many tasks must fail on a worker, with none succeeding
-	// there in between, before it is suspect and banned. A gang counts as one task. Tasks that also failed on
+	// there in between, before it is suspect and banned. A gang counts as one task, or
+	// less (see sharedFailure). Tasks that also failed on
 	// a healthy worker, which is one that is not on trial, do not count.
 	suspectFailures = 2
 	// initialBan is how long a suspect worker gets no starts. The ban doubles, up
@@ -38,13 +39,30 @@
 	ref graph.Ref
 }
 
+// failure has the failures of a task or gang on a worker.
+type failure struct {
+	at  time.Duration // the last one
+	run int64         // the run of the last one
+	// points is what that run counts against the worker, and earlier the sum of the runs before.
+	points, earlier int
+}
+
+const (
+	// fullFailure is what a failed run counts against its worker, and the most that one task
+	// or gang counts, however often it fails there.
+	fullFailure = 3
+	// sharedFailure is what a run of a gang counts against each of several workers on which
+	// members failed. It is not known whether the gang or the workers are at fault, so that
+	// it takes three such gangs to ban a worker.
+	sharedFailure = 2
+)
+
 // health is the evidence, from the runs on a worker, on whether tasks fail there
 // through its fault and how fast it is.
 type health struct {
 	// failed holds the tasks and gangs that failed on the worker since the last success
-	// there, and when each did. Tasks that also failed on a healthy worker are not
-	// in it.
-	failed      map[taskKey]time.Duration
+	// there. Tasks that also failed on a healthy worker are not in it.
+	failed      map[taskKey]failure
 	bannedUntil time.Duration // until then the worker gets no starts
 	lastBan     time.Duration // length of the last ban for failed tasks, or 0
 	// trialUntil is when the trial ends, unless a task succeeds earlier.
@@ -68,20 +86,25 @@
 	h.failed, h.lastBan, h.trialUntil = nil, 0, 0
 }
 
-// taskFailed records the failure of a task that has failed on no healthy worker,
+// taskFailed records the failure of a run of a task that has failed on no healthy worker,
 // and bans the worker if there are enough of these or it is on trial, unless a
-// ban is in force.
-func (h *health) taskFailed(key taskKey, worker string, now time.Duration) {
-	for failedTask, failedAt := range h.failed {
-		if now-failedAt > failureMemory {
+// ban is in force. points is what the failure counts.
+func (h *health) taskFailed(key taskKey, run int64, points int, worker string, now time.Duration) {
+	for failedTask, f := range h.failed {
+		if now-f.at > failureMemory {
 			delete(h.failed, failedTask)
 		}
 	}
 	if h.failed == nil {
-		h.failed = map[taskKey]time.Duration{}
+		h.failed = map[taskKey]failure{}
 	}
-	h.failed[key] = now
-	if now < h.bannedUntil || len(h.failed) < suspectFailures && now >= h.trialUntil {
+	f := h.failed[key]
+	if f.run != run {
+		f.earlier += f.points
+	}
+	f.at, f.run, f.points = now, run, points
+	h.failed[key] = f
+	if now < h.bannedUntil || !h.suspect() && now >= h.trialUntil {
 		return
 	}
 	h.lastBan = min(maxBan, max(initialBan, 2*h.lastBan))
@@ -89,6 +112,33 @@
 	klog.InfoS("duty: worker suspect", "worker", worker, "failed_tasks", len(h.failed), "ban_ms", h.lastBan.Milliseconds())
 }
 
+// points returns what counts against the worker.
+func (h *health) points() int {
+	sum := 0
+	for _, f := range h.failed {
+		sum += min(fullFailure, f.points+f.earlier)
+	}
+	return sum
+}
+
+// suspect reports whether enough failures count against the worker to ban it.
+func (h *health) suspect() bool { return h.points() >= suspectFailures*fullFailure }
+
+// shareFailure lowers what the failure of a run counts, as members of the gang have failed on
+// other workers too, and ends the ban and the trial if they are not justified any more.
+func (h *health) shareFailure(key taskKey, run int64, worker string, now time.Duration) {
+	f, ok := h.failed[key]
+	if !ok || f.run != run {
+		return
+	}
+	wasSuspect := h.suspect()
+	f.points = sharedFailure
+	h.failed[key] = f
+	if wasSuspect {
+		h.acquit(worker, now)
+	}
+}
+
 // withdrawFailure removes the failure of a task that has now failed on a healthy
 // worker too, and ends the ban and the trial if too few failures remain to justify
 // them.
@@ -97,7 +147,12 @@
 		return
 	}
 	delete(h.failed, key)
-	if len(h.failed) < suspectFailures && h.onTrial(now) {
+	h.acquit(worker, now)
+}
+
+// acquit ends the ban and the trial if there are too few failures.
+func (h *health) acquit(worker string, now time.Duration) {
+	if !h.suspect() && h.onTrial(now) {
 		h.lastBan, h.bannedUntil, h.trialUntil = 0, 0, 0
 		klog.InfoS("duty: worker acquitted", "worker", worker, "failed_tasks", len(h.failed))
 	}
@@ -113,8 +168,8 @@
 	if h.onTrial(now) {
 		return true
 	}
-	for _, failedAt := range h.failed {
-		if now-failedAt <= failureMemory {
+	for _, f := range h.failed {
+		if now-f.at <= failureMemory {
 			return true
 		}
 	}
--- a/duty/lasting.go
+++ b/duty/lasting.go
@@ -20,7 +20,7 @@
 // recordLastingFailure uses the failure of a task that lasts as evidence. Its step is at
 // fault if tasks of it have failed on several workers and run soundly on none: then the
 // failures count against no worker. Otherwise the worker may be.
-func (st *state) recordLastingFailure(w *worker, j *job, ref graph.Ref, now time.Duration) {
+func (st *state) recordLastingFailure(w *worker, j *job, ref graph.Ref, run int64, now time.Duration) {
 	key := stepOf(ref)
 	if j.lastingFailures == nil {
 		j.lastingFailures = map[stepKey]map[*worker]time.Duration{}
@@ -37,14 +37,15 @@
 		}
 	}
 	if len(failedOn) < 2 || st.provedElsewhere(w, j, ref, now) {
-		w.health.taskFailed(j.unitOf(ref), w.place.Worker, now)
+		w.health.taskFailed(j.unitOf(ref), run, fullFailure, w.place.Worker, now)
 		return
 	}
 	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "workers", len(failedOn))
 	for other := range failedOn {
-		for index := range j.graph.Step(ref).GetCount() {
-			task := graph.Ref{Occurrence: ref.Occurrence, Step: ref.Step, Index: index}
-			other.health.withdrawFailure(taskKey{j, task}, other.place.Worker, now)
+		for failed := range other.health.failed {
+			if failed.job == j && stepOf(failed.ref) == key {
+				other.health.withdrawFailure(failed, other.place.Worker, now)
+			}
 		}
 	}
 }
