duty: a worker on which a task that lasts fails again and again is banned

The failures on a worker are kept by task, so that the same one counts once; a task that ends then waits for other workers by its count of failures, but tasks that last have none. With several tasks or members the worker was banned, until made a gang one.

Each failed run of a task or gang that lasts is a failure of its own now; the members of one run are one. If the step is at fault, all are withdrawn.

--- a/duty/gang_bans_test.go
+++ b/duty/gang_bans_test.go
@@ -11,6 +11,46 @@
 	"catkinpoint/graph"
 )
 
+// Guards against a gang that lasts and is started without end on a worker on which each of
+// its runs fails, with sound workers beside it.
+func TestWorkerThatFailsLastingGangIsBanned(t *testing.T) {
+	tests := []struct {
+		name    string
+		failing []int32 // members that are listed as failed in each run
+	}{
+		{"one member", []int32{0}},
+		{"each member in turn", nil},
+		{"both members", []int32{0, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const runs = 6
+				spec := gangJob(jobID, 2)
+				spec.Steps[0].LongRunning = true
+				f := newCountsFixture(t, spec, 1)
+				for number := range int64(runs) {
+					f.start(0, 0)
+					time.Sleep(200 * time.Millisecond)
+					failing := test.failing
+					if failing == nil {
+						failing = []int32{int32(number % 2)}
+					}
+					for _, index := range failing {
+						f.list(0, index, number+1, graph.EndFailed)
+					}
+					for index := range int32(2) {
+						f.list(0, index, number+1, graph.EndGangBroken)
+					}
+				}
+				if h := &f.workers[0].health; clock.Monotonic() >= h.bannedUntil {
+					t.Errorf("worker not banned after %d runs failed there, with %d failed tasks", runs, len(h.failed))
+				}
+			})
+		})
+	}
+}
+
 // Guards against workers that fail everything and stay in use because members of each gang
 // fail on several of them at once: jobs that sound workers could run are given up.
 func TestWorkersThatFailGangsTogetherCostNoJob(t *testing.T) {
--- a/duty/health.go
+++ b/duty/health.go
@@ -33,10 +33,12 @@
 	noRoomBan = 400 * time.Millisecond
 )
 
-// taskKey identifies a task of a known job or, by its first task, a gang.
+// taskKey identifies a task of a known job or, by its first task, a gang. Tasks that last
+// have the number of a run too, as each run that fails is another failure of theirs.
 type taskKey struct {
 	job *job
 	ref graph.Ref
+	run int64
 }
 
 // failure has the failures of a task or gang on a worker.
--- a/duty/lasting.go
+++ b/duty/lasting.go
@@ -37,7 +37,9 @@
 		}
 	}
 	if len(failedOn) < 2 || st.provedElsewhere(w, j, ref, now) {
-		w.health.taskFailed(j.unitOf(ref), run, fullFailure, w.place.Worker, now)
+		unit := j.unitOf(ref)
+		unit.run = run
+		w.health.taskFailed(unit, run, fullFailure, w.place.Worker, now)
 		return
 	}
 	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "workers", len(failedOn))
