delay: the lost work of a gang has the cause of its run

`catkinpoint delays` put lost work of gangs under "other", or under the cause for which an earlier run had ended. Most members of a gang end as "broken", which tells no cause, and took the last cause that the job had by then. That is the one of their own run only if the member that ended it is heard of first.

Ends are now collected by run (job, occurrence, step, run), and the cause is chosen when all lines are read. If members tell several, it is the first in the order of the causes of late jobs, a cancelled job before all. A step is known as a gang from its placement or from ends that only members of gangs have. Single tasks of a step share run numbers and keep a cause each; the stop of one no longer gives its cause to another that ends first. Lines of older logs without run are taken one by one as before, and without occurrence a second end of a member begins another run. The causes of late jobs are as before.

The lines on stopped runs name no occurrence: if the same task of two occurrences runs at the same time, the cause goes to the one that ends first.

--- a/delay/report.go
+++ b/delay/report.go
@@ -76,9 +76,15 @@
 	// writes one when it learns of the job.
 	timesKnown int
 	// lastCause is the cause for which a run of the job was last stopped or ended.
-	// It is also the cause of ends without one of their own, such as those of the
-	// other members of a gang.
 	lastCause Cause
+	// allRuns has the histories of the runs that have ended, and runs the last one for each
+	// key, as older logs do not tell all runs apart.
+	allRuns []*runHistory
+	runs    map[runKey]*runHistory
+	// gangSteps has the steps that were placed as a gang.
+	gangSteps map[int64]bool
+	// stops has the tasks that were stopped and have not ended since, with the cause.
+	stops map[memberKey]Cause
 	// endLine is the last "duty: job ended" line of the job, and seenAtEnd the
 	// value of seen at that line. There may be an earlier one, written by a
 	// scheduler that had lost its duty.
@@ -110,6 +116,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(in.jobs)) {
 		in.addEndedJob(id, in.jobs[id])
+		in.addLostWork(in.jobs[id])
 	}
 	slices.SortStableFunc(in.report.Late, func(a, b LateJob) int { return cmp.Compare(b.Elapsed-b.Objective, a.Elapsed-a.Objective) })
 	return &in.report, nil
@@ -120,10 +127,12 @@
 	id := l.fields["job"]
 	j := in.jobs[id]
 	if j == nil {
-		j = &jobHistory{seen: map[Cause]bool{}, steps: map[Step]time.Duration{}}
+		j = &jobHistory{
+			seen: map[Cause]bool{}, steps: map[Step]time.Duration{},
+			runs: map[runKey]*runHistory{}, gangSteps: map[int64]bool{}, stops: map[memberKey]Cause{},
+		}
 		in.jobs[id] = j
 	}
-	recordStop := func(c Cause) { j.seen[c], j.lastCause = true, c }
 	switch l.message {
 	case "gate: submit":
 		if verdict := l.fields["verdict"]; verdict == "refused" || verdict == "unknown" {
@@ -135,14 +144,15 @@
 		j.seen[SchedulerInformedLate] = j.seen[SchedulerInformedLate] || j.timesKnown == 1 && l.duration("age_ms") > delayThreshold
 		j.seen[SchedulerLost] = j.timesKnown > 1
 	case "duty: unit placed":
+		j.recordPlacement(l)
 		j.takeStep(StepPlaced, l.duration("waited_ms"))
 		j.seen[WaitedForRoom] = j.seen[WaitedForRoom] || l.integer("run") == 1 && l.duration("waited_ms") > delayThreshold
 	case "duty: run preempted":
-		recordStop(Preempted)
+		j.recordStop(l, Preempted)
 	case "duty: slow run stopped":
-		recordStop(WorkerSlow)
+		j.recordStop(l, WorkerSlow)
 	case "duty: run over":
-		in.addRunEnd(j, l)
+		j.recordEnd(l)
 	case "duty: job ended":
 		j.steps[StepEnded] = l.duration("took_ms")
 		j.endLine, j.seenAtEnd = l, maps.Clone(j.seen)
@@ -156,30 +166,6 @@
 	}
 }
 
-// addRunEnd records the cause of a run's end and the work that was lost with it.
-func (in *logReader) addRunEnd(j *jobHistory, l logLine) {
-	cause := j.lastCause
-	switch how := l.fields["how"]; how {
-	case "done":
-		return
-	case "failed":
-		cause = RunFailed
-	case "gone", "replaced", "unreachable", "lapsed":
-		cause = WorkerLost
-	case "stopped", "broken":
-	default: // "alone", "never_started" and the reasons of refusals
-		cause = NotStarted
-	}
-	if l.fields["cancelled"] == "true" {
-		cause = JobCancelled
-	}
-	if cause == "" {
-		cause = Other
-	}
-	j.seen[cause], j.lastCause = true, cause
-	in.report.LostCoreSeconds[cause] += l.integer("lost_core_s")
-}
-
 // addEndedJob adds a job to the report if it has ended and was not cancelled.
 func (in *logReader) addEndedJob(id string, j *jobHistory) {
 	l := j.endLine
