delay: a forwarded submission was not refused

`catkinpoint delays` gave "refused at first" as the cause of late jobs whose callers had not seen a refusal, before all other causes. A gate that has lost the store logs its own refusal, forwards the call, and then logs the answer of the other gate as its own (OPERATIONS.md); the other gate logs it too. The report took the first of the three lines for an answer to the caller.

A line with an answer "by another gate" now takes back one refusal, that of the gate that writes it. A refusal by the other gate, an unknown outcome and a refusal for which no other gate was found still count.

Evidence: TestForwardedSubmissionWasNotRefused fails before with late jobs [{a 0 false 2s 1s refused at first}]; want one, "ran longer than declared"

--- a/delay/report.go
+++ b/delay/report.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -42,6 +43,10 @@
 // maxLineBytes is the longest log line that Read accepts.
 const maxLineBytes = 1 << 20
 
+// forwardedPrefix begins the reason of an answer that a gate got from another gate, to which
+// it forwarded the call.
+const forwardedPrefix = "by another gate: "
+
 // LateJob is a job that ended after its objective or failed.
 type LateJob struct {
 	ID       string
@@ -72,6 +77,9 @@
 type jobHistory struct {
 	// seen has the causes of delay that apply to the job.
 	seen map[Cause]bool
+	// refusals counts the lines on refused submissions, or on those with an unknown outcome,
+	// without the refusals of gates that then forwarded the submission.
+	refusals int
 	// timesKnown counts the "duty: job known" lines of the job. Each scheduler
 	// writes one when it learns of the job.
 	timesKnown int
@@ -135,9 +143,7 @@
 	}
 	switch l.message {
 	case "gate: submit":
-		if verdict := l.fields["verdict"]; verdict == "refused" || verdict == "unknown" {
-			j.seen[SubmissionRefused] = true
-		}
+		j.recordAnswer(l)
 	case "duty: job known":
 		j.timesKnown++
 		j.takeStep(StepKnown, l.duration("age_ms"))
@@ -159,6 +165,18 @@
 	}
 }
 
+// recordAnswer records the answer of a gate to a submission. A gate that forwards the
+// submission has logged its own refusal before, which the caller does not get.
+func (j *jobHistory) recordAnswer(l logLine) {
+	if strings.HasPrefix(l.fields["reason"], forwardedPrefix) {
+		j.refusals = max(0, j.refusals-1)
+	}
+	if verdict := l.fields["verdict"]; verdict == "refused" || verdict == "unknown" {
+		j.refusals++
+	}
+	j.seen[SubmissionRefused] = j.refusals > 0
+}
+
 // takeStep records the time of a step unless the job has taken it before.
 func (j *jobHistory) takeStep(step Step, after time.Duration) {
 	if _, ok := j.steps[step]; !ok {
