gate: a call of a caller is one answer, also if it is forwarded

catkinpoint_gate_answers showed refused answers at gates whose callers had been answered by another gate, and more answers than calls: the alert on `refused` answers of one gate alone (OPERATIONS.md) rose where the others did answer for it. Each line of the log was counted: a forwarded call once as the refusal of the gate that took it, once by the gate that answered, and once more by the first with the answer of the other; a call that no gate could answer twice as refused. A question for the pending jobs of a queue that was forwarded counted as "state".

Answers are now counted where they are given to the caller, at the end of Submit, State and Cancel, and no longer where they are logged. The log lines are the same. Answers to other gates, which were part of the old figure, have a counter of their own, catkinpoint_gate_peer_answers: it tells which gates work for others.

--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -113,6 +113,11 @@
 // from a body of at most maxBytes; it is called once at most, and only after the caller
 // is authorized, by this gate or, if this gate cannot tell, before another gate does it.
 func (g *Gate) Submit(ctx context.Context, call Call, decode func(maxBytes int64) (*flow.Job, error)) Answer {
+	return countAnswer(flow.Operation_SUBMIT, g.submitHereOrForward(ctx, call, decode))
+}
+
+// submitHereOrForward is Submit without its count.
+func (g *Gate) submitHereOrForward(ctx context.Context, call Call, decode func(maxBytes int64) (*flow.Job, error)) Answer {
 	var job *flow.Job
 	decodeAndKeep := func(maxBytes int64) (*flow.Job, error) {
 		var err error
@@ -132,7 +137,7 @@
 	return g.logAnswer("submit", path.Base(call.Path), g.forwardCall(ctx, flow.Operation_SUBMIT, call, job, answer))
 }
 
-// submit is Submit without the help of other gates. It does not change the decoded job.
+// submit is Submit without the help of other gates and without its count. It does not change the decoded job.
 func (g *Gate) submit(ctx context.Context, call Call, decode func(maxBytes int64) (*flow.Job, error)) Answer {
 	queue, id, customer, refusal := g.authorize(call)
 	if refusal != nil {
@@ -253,6 +258,11 @@
 // call names no job. While this gate cannot follow the store, its copy does not show how
 // jobs end, so that a gate which can is asked first.
 func (g *Gate) State(ctx context.Context, call Call) Answer {
+	return countAnswer(flow.Operation_STATE, g.stateHereOrForward(ctx, call))
+}
+
+// stateHereOrForward is State without its count.
+func (g *Gate) stateHereOrForward(ctx context.Context, call Call) Answer {
 	if g.storeLostFor() == 0 {
 		return g.state(ctx, call)
 	}
@@ -263,14 +273,13 @@
 	return g.state(ctx, call)
 }
 
-// state is State without the help of other gates.
+// state is State without the help of other gates and without its count.
 func (g *Gate) state(ctx context.Context, call Call) Answer {
 	queue, id, customer, refusal := g.authorize(call)
 	if refusal != nil {
 		return g.logAnswer("state", path.Base(call.Path), *refusal)
 	}
 	if id == "" {
-		countAnswer("pending", Done)
 		return Answer{Verdict: Done, ForQueue: true, Pending: g.view.pendingJobs(queue.Name)}
 	}
 	state, refusal := g.lookUpJob(ctx, id)
@@ -281,7 +290,6 @@
 		return g.logAnswer("state", id, Answer{Verdict: NoJob, Reason: "the job belongs to another queue or customer"})
 	}
 	state = g.awaitEnd(ctx, call, id, state)
-	countAnswer("state", Done)
 	return Answer{Verdict: Done, Phase: state.phase()}
 }
 
@@ -325,6 +333,11 @@
 // Cancel stores the cancellation of a job, on which the scheduler ends it. For a job
 // that has ended it does nothing.
 func (g *Gate) Cancel(ctx context.Context, call Call) Answer {
+	return countAnswer(flow.Operation_CANCEL, g.cancelHereOrForward(ctx, call))
+}
+
+// cancelHereOrForward is Cancel without its count.
+func (g *Gate) cancelHereOrForward(ctx context.Context, call Call) Answer {
 	answer := g.cancel(ctx, call)
 	if !answer.noStore {
 		return answer
@@ -332,7 +345,7 @@
 	return g.logAnswer("cancel", path.Base(call.Path), g.forwardCall(ctx, flow.Operation_CANCEL, call, nil, answer))
 }
 
-// cancel is Cancel without the help of other gates.
+// cancel is Cancel without the help of other gates and without its count.
 func (g *Gate) cancel(ctx context.Context, call Call) Answer {
 	queue, id, customer, refusal := g.authorize(call)
 	if refusal != nil {
@@ -363,10 +376,9 @@
 	return g.logAnswer("cancel", id, Answer{Verdict: Done, Reason: "cancelled"})
 }
 
-// logAnswer logs and counts the answer to a call, together with the configuration by
-// which it was decided, and returns the answer.
+// logAnswer logs the answer to a call, together with the configuration by which it was
+// decided, and returns the answer.
 func (g *Gate) logAnswer(operation, id string, a Answer) Answer {
-	countAnswer(operation, a.Verdict)
 	age, _ := g.configFollower.Age()
 	var version int64
 	if table := g.operator.Table(); table != nil {
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -187,6 +187,7 @@
 		case flow.Operation_CANCEL:
 			answer = c.gate.cancel(ctx, call)
 		}
+		countPeerAnswer(request.GetOperation(), answer)
 		response.Verdict, response.Reason, response.RetryAfterMs = int32(answer.Verdict), answer.Reason, answer.RetryAfter.Milliseconds()
 		response.Phase, response.ForQueue, response.Pending = answer.Phase, answer.ForQueue, int64(answer.Pending)
 	})
--- a/gate/stats.go
+++ b/gate/stats.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"catkinpoint/flow"
 )
 
 var (
-	answersCount metric.Int64Counter
-	acceptTime   metric.Float64Histogram
+	answersCount     metric.Int64Counter
+	peerAnswersCount metric.Int64Counter
+	acceptTime       metric.Float64Histogram
 )
 
 func init() {
@@ -20,15 +24,33 @@
 	if answersCount, err = meter.Int64Counter("catkinpoint_gate_answers", metric.WithDescription("Answers to callers by call and verdict.")); err != nil {
 		otel.Handle(err)
 	}
+	if peerAnswersCount, err = meter.Int64Counter("catkinpoint_gate_peer_answers", metric.WithDescription("Answers to calls that other gates forwarded, by call and verdict.")); err != nil {
+		otel.Handle(err)
+	}
 	if acceptTime, err = meter.Float64Histogram("catkinpoint_gate_accept_seconds", metric.WithDescription("Time to store a job."), metric.WithUnit("s")); err != nil {
 		otel.Handle(err)
 	}
 }
 
-// countAnswer counts an answer to a caller; operation is the value of the label
-// "call".
-func countAnswer(operation string, verdict Verdict) {
-	answersCount.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", operation), attribute.String("verdict", verdict.String())))
+// countAnswer counts the answer to a caller and returns it. A call counts once, with the
+// answer that its caller gets, also if another gate had to be asked.
+func countAnswer(operation flow.Operation, a Answer) Answer {
+	answersCount.Add(context.Background(), 1, answerLabels(operation, a))
+	return a
+}
+
+// countPeerAnswer counts the answer to another gate that has forwarded a caller's call.
+func countPeerAnswer(operation flow.Operation, a Answer) {
+	peerAnswersCount.Add(context.Background(), 1, answerLabels(operation, a))
+}
+
+// answerLabels returns the labels "call" and "verdict" of an answer.
+func answerLabels(operation flow.Operation, a Answer) metric.MeasurementOption {
+	call := strings.ToLower(operation.String())
+	if a.ForQueue {
+		call = "pending"
+	}
+	return metric.WithAttributes(attribute.String("call", call), attribute.String("verdict", a.Verdict.String()))
 }
 
 // recordAcceptTime records how long it took to store a job, failures included.
