sched: a job that goes on elsewhere has not ended

catkinpoint_sched_jobs_ended counted a job once for each scheduler that gave it back for another data centre, with "not_run" or the fate of an earlier attempt, and then for the one that ran it. operate.md has operators watch fate="failed" there: each data centre that gave back a job after a failed attempt elsewhere showed one more failed job. A job whose record another scheduler had taken counted as "unknown" here, besides its fate there.

A scheduler now leaves out the jobs that have ended with it but that it would take as new if they were submitted again; these are the ones that may yet run elsewhere. A job that every scheduler refuses is ended by its entry and is not in this figure any more; its caller's answer is in catkinpoint_entry_answers_total, which for a detached job is "accepted".

--- a/sched/stats.go
+++ b/sched/stats.go
@@ -17,7 +17,7 @@
 
 // Stats are counters of a scheduler since its start.
 type Stats struct {
-	Fates        map[wire.Fate]int64 // ended jobs by fate
+	Fates        map[wire.Fate]int64 // jobs that ended here for good, by fate
 	Decisions    int64               // decisions of the placement policy
 	DecisionTime time.Duration       // total time of the decisions
 }
--- a/sched/submit.go
+++ b/sched/submit.go
@@ -181,12 +181,15 @@
 	c.dirty = true
 }
 
-// endJob ends the job with the outcome and answers the callers that wait for it.
+// endJob ends the job here with the outcome and answers the callers that wait for it. The
+// fate of a job that may yet be run elsewhere is left to be counted there.
 func (s *Scheduler) endJob(c *control, j *job, outcome *wire.Outcome) {
 	j.phase, j.outcome, j.endedAt, j.body = ended, outcome, time.Now(), nil
 	j.closeWaiters()
 	c.retainEnded(j)
-	s.stats.countFate(outcome.GetFate())
+	if !j.resubmittable() {
+		s.stats.countFate(outcome.GetFate())
+	}
 }
 
 // closeWaiters wakes the callers that wait for the job.
