sched: TestOneFailedGangAttemptDoesNotEndJob has its members fail at the same time

The test was flaky, 15 of 100 runs: its agents failed each task as it started, so that a member could be stopped before it had started and failed in the second attempt in its place.

--- a/sched/gang_counts_test.go
+++ b/sched/gang_counts_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,18 +21,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			withScheduler(t, 3, func(t *testing.T, h *harness) {
-				for _, a := range h.agents[:test.failing] {
-					var ended atomic.Bool
-					a.endState = func(string) wire.TaskState {
-						if ended.Swap(true) {
-							return wire.TaskState_TASK_DONE
-						}
-						return wire.TaskState_TASK_FAILED
-					}
-				}
 				job := nonIdempotentJob(3)
 				job.Idempotent = true
 				answer := h.submit(job, 0, nil)
+				h.advance(time.Second)
+				for _, a := range h.agents[:test.failing] {
+					a.finish(wire.TaskState_TASK_FAILED)
+				}
 				h.advance(3 * time.Second)
 				for _, a := range h.agents {
 					a.finish(wire.TaskState_TASK_DONE)
