model: a late failure under the next holder is counted

Without the count of such a run a further one begins after the attempts are used up.

If the numbers of the failed runs are not stored, gang_failure_under_two_holders fails.

--- a/model/sequence_test.go
+++ b/model/sequence_test.go
@@ -90,7 +90,7 @@
 		// A run of a gang counts once for each member whose failure becomes known: of one to
 		// the holder, and of the other, whose relay is cut off, to the next holder.
 		name: "gang_failure_under_two_holders", tries: 3,
-		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(10), gang: true, attempts: 2, failures: []gangFailure{bothMembers(3)}}},
+		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(10), gang: true, attempts: 2, failures: []gangFailure{membersFail(3, 0, 1)}}},
 		faults: []fault{
 			{kind: faultCut, at: seconds(3), length: seconds(1.7), gate: -1, seed: holderBothWays},
 			{kind: faultGateKill, at: seconds(4.5), length: seconds(6), gate: -1},
@@ -100,12 +100,24 @@
 		// A run of a gang that one member's failure has counted counts again when the failure
 		// of the other is heard of, whose worker was taken as gone.
 		name: "late_failure_of_counted_run", tries: 3,
-		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(30), gang: true, attempts: 2, failures: []gangFailure{bothMembers(7)}}},
+		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(30), gang: true, attempts: 2, failures: []gangFailure{membersFail(7, 0, 1)}}},
 		faults: []fault{
 			{kind: faultDrain, at: seconds(2), length: seconds(2), gate: -1, seed: 3600},
 			{kind: faultHang, at: seconds(7.5), length: seconds(1.8), gate: -1, seed: 1000},
 		},
 	},
+	{
+		// A failure that becomes known late, and to the next holder, is not counted.
+		name: "late_failure_under_next_holder", tries: 3,
+		jobs: []sequenceJob{{at: seconds(1), tasks: 2, length: seconds(30), gang: true, attempts: 2, failures: []gangFailure{
+			membersFail(7.2, 0), membersFail(4, 0), membersFail(4, 0),
+		}}},
+		faults: []fault{
+			{kind: faultDrain, at: seconds(2), length: seconds(2), gate: -1, seed: 3998},
+			{kind: faultHang, at: seconds(7.9), length: seconds(1.9), gate: -1, seed: 1000},
+			{kind: faultGateKill, at: seconds(9.6), length: seconds(6), gate: -1},
+		},
+	},
 	{
 		// A run of a worker that is gone counts as ended, though a call without an answer may
 		// start it in the next process under the same id.
@@ -125,9 +137,13 @@
 // holderBothWays is the same with one gate.
 const holderBothWays = 16
 
-// bothMembers has both members of a gang fail at the same instant.
-func bothMembers(after float64) gangFailure {
-	return gangFailure{after: seconds(after), members: map[int32]time.Duration{0: 0, 1: 0}}
+// membersFail has members of a gang fail at the same instant.
+func membersFail(after float64, members ...int32) gangFailure {
+	f := gangFailure{after: seconds(after), members: map[int32]time.Duration{}}
+	for _, member := range members {
+		f.members[member] = 0
+	}
+	return f
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
