duty: reports do not outlive a claim that ends while the records are read

A relay's report waited until its caller gave up, and its goroutine for ever, at a gate whose claim ended while its scheduler still read the records from the store: Run returned without the owner of the state ever having run, so that nothing told those who wait.

Run now lets the owner end with the claim.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -128,6 +128,34 @@
 
 const jobID = "00000000000000aa"
 
+// Guards against reports that wait for ever: the claim may end while the scheduler still
+// reads the records.
+func TestReportEndsWithClaimThatEndsWhileLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		kv := fakekv.New()
+		kv.SetFaults(fakekv.AllCallers, fakekv.Faults{Down: true})
+		s := NewScheduler(ctx, testSettings, kv, staticOperator{}, &Claim{Epoch: 1, lost: make(chan struct{})}, func() []string { return nil })
+		go s.Run()
+		answered := make(chan error, 1)
+		go func() {
+			_, err := s.HandleReport(idleReport(1, 1, 0))
+			answered <- err
+		}()
+		time.Sleep(2 * time.Second)
+		cancel()
+		time.Sleep(2 * time.Second)
+		select {
+		case err := <-answered:
+			if err == nil {
+				t.Error("the report was answered with orders")
+			}
+		default:
+			t.Fatal("the report still waits 2 s after the claim has ended")
+		}
+	})
+}
+
 // Guards against starting a task twice after a change of the holder. A run that the
 // previous holder stored must not be ordered until the worker has listed its runs
 // under the new epoch: an earlier list may lack a run that started after it.
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -89,7 +89,9 @@
 	ctx := s.ctx
 	items, err := s.load(ctx)
 	if err != nil {
-		return // ctx has ended
+		// ctx has ended. Reports that wait for the state end with its owner.
+		s.stateOwner.Run(ctx, func(*state) {}, s.abortAfterPanic)
+		return
 	}
 	s.stateOwner.Post(func(st *state) {
 		for _, item := range items {
