--- a/graph/failures_test.go
+++ b/graph/failures_test.go
@@ -180,12 +180,17 @@
 		j.End(unit.Tasks[0], run, EndFailed, "")
 		j.End(unit.Tasks[1], run, "gone", "")
 	}
+	unit := j.Ready(0)[0] // a run that does not fail, so that more failures were possible
+	last := j.Assign(unit, testPlaces(unit))
+	for _, ref := range unit.Tasks {
+		j.End(ref, last, EndStopped, "")
+	}
 	record := j.Record().GetTasks()[1]
 	if len(record.GetFailedRuns()) > maxKeptRuns || len(record.GetUnlistedRuns()) > maxKeptRuns {
 		t.Errorf("%d failed and %d unlisted runs are stored", len(record.GetFailedRuns()), len(record.GetUnlistedRuns()))
 	}
 	for run := range int64(runs) {
-		j.RecordLateFailure(Ref{Index: 1}, run+1, false)
+		j.RecordLateFailure(Ref{Index: 1}, run+1, true)
 	}
 	if j.MaxFailures() != runs {
 		t.Errorf("%d failures; want %d", j.MaxFailures(), runs)
