duty: gangs that fail on several workers leave a third of the workers in use

A failure of which the cause may be the gang bans a worker only if a third of the service's workers stay off trial besides. Failures on one worker alone ban it as before, also the last one.

TestWorkersThatFailGangsTogetherCostNoJob, in which up to two thirds of the workers are bad, still passes.

--- a/duty/failures.go
+++ b/duty/failures.go
@@ -106,10 +106,30 @@
 			taskAtFault = taskAtFault || other != w && !other.health.onTrial(now)
 		}
 		if !taskAtFault {
-			w.health.taskFailed(unit, run, points, w.place.Worker, now)
+			w.health.taskFailed(unit, run, points, w.place.Worker, now, points == fullFailure || st.enoughTrusted(w, now))
 		}
 		if !slices.Contains(j.failedOn[ref], w) {
 			j.failedOn[ref] = append(j.failedOn[ref], w)
 		}
 	}
 }
+
+// minTrusted is the share of a service's workers, of which one is that many, that are not put
+// on trial because of gangs that fail on several: such gangs may be at fault themselves.
+const minTrusted = 3
+
+// enoughTrusted reports whether one more worker of the same service may be put on trial
+// because of gangs that fail on several workers.
+func (st *state) enoughTrusted(w *worker, now time.Duration) bool {
+	workers, trusted := 0, 0
+	for _, other := range st.workers {
+		if other.info.GetService() != w.info.GetService() || other.info.GetGone() || now-other.lastReport > groupsMemory {
+			continue
+		}
+		workers++
+		if other != w && !other.health.onTrial(now) {
+			trusted++
+		}
+	}
+	return trusted*minTrusted >= workers
+}
--- a/duty/gang_bans_test.go
+++ b/duty/gang_bans_test.go
@@ -110,3 +110,33 @@
 		}
 	}
 }
+
+// Guards against banning all workers at once because of gangs that fail wherever they run:
+// nothing else can then be started.
+func TestGangsThatFailEverywhereLeaveWorkersInUse(t *testing.T) {
+	for _, gangs := range []int{1, 2, 3, 5} {
+		t.Run(fmt.Sprint(gangs, " gangs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6)
+				for n := range gangs {
+					spec := gangJob(jobNumber(n), 12)
+					spec.Steps[0].MaxPerWorker, spec.MaxAttempts = 2, 4
+					f.submit(spec, 6*time.Second)
+				}
+				for begin := clock.Monotonic(); clock.Monotonic()-begin < time.Minute; {
+					f.run(fleetTick)
+					f.failTogether(f.workers)
+					banned := 0
+					for _, w := range f.state.workers {
+						if clock.Monotonic() < w.health.bannedUntil {
+							banned++
+						}
+					}
+					if banned == len(f.workers) {
+						t.Fatalf("all %d sound workers banned after %v", banned, clock.Monotonic()-begin)
+					}
+				}
+			})
+		})
+	}
+}
--- a/duty/health.go
+++ b/duty/health.go
@@ -90,8 +90,9 @@
 
 // taskFailed records the failure of a run of a task that has failed on no healthy worker,
 // and bans the worker if there are enough of these or it is on trial, unless a
-// ban is in force. points is what the failure counts.
-func (h *health) taskFailed(key taskKey, run int64, points int, worker string, now time.Duration) {
+// ban is in force. points is what the failure counts, and mayBan is false if it may not
+// lead to a ban.
+func (h *health) taskFailed(key taskKey, run int64, points int, worker string, now time.Duration, mayBan bool) {
 	for failedTask, f := range h.failed {
 		if now-f.at > failureMemory {
 			delete(h.failed, failedTask)
@@ -106,7 +107,7 @@
 	}
 	f.at, f.run, f.points = now, run, points
 	h.failed[key] = f
-	if now < h.bannedUntil || !h.suspect() && now >= h.trialUntil {
+	if !mayBan || now < h.bannedUntil || !h.suspect() && now >= h.trialUntil {
 		return
 	}
 	h.lastBan = min(maxBan, max(initialBan, 2*h.lastBan))
--- a/duty/lasting.go
+++ b/duty/lasting.go
@@ -39,7 +39,7 @@
 	if len(failedOn) < 2 || st.provedElsewhere(w, j, ref, now) {
 		unit := j.unitOf(ref)
 		unit.run = run
-		w.health.taskFailed(unit, run, fullFailure, w.place.Worker, now)
+		w.health.taskFailed(unit, run, fullFailure, w.place.Worker, now, true)
 		return
 	}
 	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "workers", len(failedOn))
