duty: a gang that lasts leaves workers that fail it together

A gang that lasts stayed on two workers that fail everything, 241 runs in a minute, with four sound workers idle: its members fail on both in each run, and a step of which tasks fail on two workers counts as at fault, so that neither was banned.

A step is at fault once a run of it has failed on workers on which another did not.

--- a/duty/gang_bans_test.go
+++ b/duty/gang_bans_test.go
@@ -140,3 +140,33 @@
 		})
 	}
 }
+
+// Guards against a gang that lasts and is started without end on workers that fail
+// everything, as its members fail on several of them in one run, with sound workers beside.
+func TestLastingGangLeavesWorkersThatFailTogether(t *testing.T) {
+	for _, members := range []int32{4, 8} {
+		t.Run(fmt.Sprint(members, " members"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6)
+				spec := gangJob(jobID, members)
+				spec.Steps[0].LongRunning, spec.Steps[0].MaxPerWorker = true, members/2
+				f.submit(spec, time.Hour)
+				f.run(fleetTick)
+				var bad []*fleetWorker
+				for _, w := range f.workers {
+					if len(w.running) > 0 {
+						bad = append(bad, w)
+					}
+				}
+				for range time.Minute / fleetTick {
+					f.run(fleetTick)
+					f.failTogether(bad)
+				}
+				last := f.state.jobs[jobID].graph.Task(graph.Ref{})
+				if len(bad) != 2 || time.Duration(last.Run)*time.Second > time.Minute {
+					t.Errorf("%d runs in a minute, the first on %d bad workers", last.Run, len(bad))
+				}
+			})
+		})
+	}
+}
--- a/duty/job.go
+++ b/duty/job.go
@@ -47,8 +47,8 @@
 	failedOn map[graph.Ref][]*worker
 	// gangFailures has the last failed run of each gang, by its first task.
 	gangFailures map[graph.Ref]gangFailure
-	// lastingFailures has when tasks of a step that lasts last failed on each worker.
-	lastingFailures map[stepKey]map[*worker]time.Duration
+	// lastingFailures has the last failed runs of each step that lasts.
+	lastingFailures map[stepKey][]lastingFailure
 }
 
 // run is the last run of a task, with the state that the task's stored record does
--- a/duty/lasting.go
+++ b/duty/lasting.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,37 +18,46 @@
 
 func stepOf(ref graph.Ref) stepKey { return stepKey{ref.Occurrence, ref.Step} }
 
+// lastingFailure is a failed run of a task that lasts, or of a gang of such tasks, with the
+// workers on which it failed.
+type lastingFailure struct {
+	unit    taskKey
+	at      time.Duration
+	workers []*worker
+}
+
 // recordLastingFailure uses the failure of a task that lasts as evidence. Its step is at
-// fault if tasks of it have failed on several workers and run soundly on none: then the
-// failures count against no worker. Otherwise the worker may be.
+// fault if runs of it have failed on different workers and no task of it runs soundly on
+// others: then the failures count against no worker. Otherwise the workers may be. Members of
+// a gang that fail in one run do not show more than one of them.
 func (st *state) recordLastingFailure(w *worker, j *job, ref graph.Ref, run int64, now time.Duration) {
-	key := stepOf(ref)
+	key, unit := stepOf(ref), j.unitOf(ref)
+	unit.run = run
 	if j.lastingFailures == nil {
-		j.lastingFailures = map[stepKey]map[*worker]time.Duration{}
+		j.lastingFailures = map[stepKey][]lastingFailure{}
 	}
-	failedOn := j.lastingFailures[key]
-	if failedOn == nil {
-		failedOn = map[*worker]time.Duration{}
-		j.lastingFailures[key] = failedOn
+	failures := slices.DeleteFunc(j.lastingFailures[key], func(f lastingFailure) bool { return now-f.at > failureMemory })
+	i := slices.IndexFunc(failures, func(f lastingFailure) bool { return f.unit == unit })
+	if i < 0 {
+		i = len(failures)
+		failures = append(failures, lastingFailure{unit: unit})
 	}
-	failedOn[w] = now
-	for other, at := range failedOn {
-		if now-at > failureMemory {
-			delete(failedOn, other)
-		}
+	failures[i].at = now
+	if !slices.Contains(failures[i].workers, w) {
+		failures[i].workers = append(failures[i].workers, w)
 	}
-	if len(failedOn) < 2 || st.provedElsewhere(w, j, ref, now) {
-		unit := j.unitOf(ref)
-		unit.run = run
+	j.lastingFailures[key] = failures
+	elsewhere := slices.ContainsFunc(failures, func(f lastingFailure) bool {
+		return !slices.ContainsFunc(f.workers, func(other *worker) bool { return slices.Contains(failures[i].workers, other) })
+	})
+	if !elsewhere || st.provedElsewhere(w, j, ref, now) {
 		w.health.taskFailed(unit, run, fullFailure, w.place.Worker, now, true)
 		return
 	}
-	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "workers", len(failedOn))
-	for other := range failedOn {
-		for failed := range other.health.failed {
-			if failed.job == j && stepOf(failed.ref) == key {
-				other.health.withdrawFailure(failed, other.place.Worker, now)
-			}
+	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "failed_runs", len(failures))
+	for _, f := range failures {
+		for _, other := range f.workers {
+			other.health.withdrawFailure(f.unit, other.place.Worker, now)
 		}
 	}
 }
