model: fixed sequence of a crash that counts under a task whose start it prevented

Two starts were on their way to an idle worker whose process had ended. The answer to the first one shows that, and the relay reports a crash under the run of the second one, whose call is rejected as well.

The report of a job that is given up without a cause has the crashes under its tasks.

--- a/model/failure_test.go
+++ b/model/failure_test.go
@@ -163,21 +163,26 @@
 
 // checkOutcome checks the phase in which a job is stored at the end. It may have failed only
 // if the attempts of a task or gang are used up, whether or not all failures were taken note
-// of, or if workers have crashed under a task at least twice. It may be completed only if
-// each task or gang has been done, and cancelled only if a caller has cancelled it.
+// of, or if workers have crashed under a task at least twice. Of crashes only those count that
+// ended a run: a run whose start was never carried out can't have caused one, also if the
+// call had no answer. A job may be completed only if each task or gang has been done, and
+// cancelled only if a caller has cancelled it.
 func (w *world) checkOutcome(id string, phase flow.Phase) {
 	job := w.jobs[id]
 	var tasks []string
 	counts := map[string]string{} // by unit
+	crashes := map[string]int{}   // by task
 	usedUp, done := false, true
 	for s, step := range job.GetSteps() {
 		for i := range step.GetCount() {
 			task := graph.TaskName(id, graph.Ref{Step: int32(s), Index: i})
 			unit := w.unitOf(task)
 			failed, noted := w.rec.failedRuns(unit, time.Now(), 0)
-			crashes := countEnds(w.rec.byTask[task], endCrash)
+			if n := countEnds(w.rec.byTask[task], endCrash); n > 0 {
+				crashes[task] = n
+			}
 			unitDone := countEnds(w.rec.byUnit[unit], graph.EndDone) > 0
-			usedUp = usedUp || len(failed) >= int(job.GetMaxAttempts()) || crashes >= minCrashes
+			usedUp = usedUp || len(failed) >= int(job.GetMaxAttempts()) || crashes[task] >= minCrashes
 			done = done && unitDone
 			tasks = append(tasks, task)
 			counts[unit] = fmt.Sprintf("failed runs %v, taken note of %v, done %v", slices.Sorted(maps.Keys(failed)), slices.Sorted(maps.Keys(noted)), unitDone)
@@ -187,7 +192,7 @@
 	if !unfounded[phase] {
 		return
 	}
-	w.rec.violate(ruleLost, tasks[0], "the job, with %d attempts, is stored as %v: %v", job.GetMaxAttempts(), phase, counts)
+	w.rec.violate(ruleLost, tasks[0], "the job, with %d attempts, is stored as %v: %v, crashes %v", job.GetMaxAttempts(), phase, counts, crashes)
 	for _, task := range tasks {
 		w.rec.suspects[task] = true
 	}
--- a/model/sequence_test.go
+++ b/model/sequence_test.go
@@ -118,6 +118,17 @@
 			{kind: faultGateKill, at: seconds(9.6), length: seconds(6), gate: -1},
 		},
 	},
+	{
+		// Two starts are on their way to a worker that has crashed. The next process rejects
+		// both, but the crash counts under one of the tasks. One real crash under that task
+		// then gives up the job.
+		name: "start_after_crash", tries: 3,
+		jobs: []sequenceJob{{at: seconds(2.3), tasks: 2, length: seconds(10)}},
+		faults: []fault{
+			{kind: faultCrashNew, at: seconds(1.9), length: seconds(0.3), gate: -1},
+			{kind: faultCrashNew, at: seconds(3.2), length: seconds(1), gate: -1},
+		},
+	},
 	{
 		// A run of a worker that is gone counts as ended, though a call without an answer may
 		// start it in the next process under the same id.
