relay: starts under way are not on a process that has ended

A crash is now reported once each first start that was under way has an outcome, within the time limit of a call, and without those that did not reach the process. A start without an answer still counts.

Evidence: TestStartsUnderWayAreNotOnEndedProcess fails before, with three of four starts in the crash of an idle worker.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -25,6 +25,9 @@
 	bornMS int64
 	at     time.Duration // relay's clock
 	runs   []*flow.CrashedRun
+	// undecided are the runs among them whose first start has no outcome yet: it may turn out
+	// that the call did not reach the process. The crash is reported once there are none.
+	undecided map[runKey]bool
 }
 
 // recordCrash records that the worker's process has ended, with the runs that were
@@ -40,7 +43,13 @@
 		return
 	}
 	s.lastCrash++
-	s.crashes = append(s.crashes, crash{number: s.lastCrash, worker: s.worker.GetId(), bornMS: s.worker.GetBornMs(), at: at, runs: runs})
+	c := crash{number: s.lastCrash, worker: s.worker.GetId(), bornMS: s.worker.GetBornMs(), at: at, runs: runs, undecided: map[runKey]bool{}}
+	for key, st := range s.starts {
+		if st.phase == startSending && !st.reachedWorker && s.running[key] == nil {
+			c.undecided[key] = true
+		}
+	}
+	s.crashes = append(s.crashes, c)
 	if dropped := len(s.crashes) - maxUnstoredCrashes; dropped > 0 {
 		klog.InfoS("relay: crashes forgotten that no scheduler has stored", "count", dropped)
 		s.crashes = s.crashes[dropped:]
@@ -50,6 +59,27 @@
 	s.requestReport()
 }
 
+// decideStart records the outcome of a start that was sent to a process of the worker: a run
+// whose start did not reach the process was not on it when it crashed.
+func (s *state) decideStart(worker *flow.Worker, key runKey, answer Answer) {
+	decided := false
+	for i := range s.crashes {
+		c := &s.crashes[i]
+		if c.worker != worker.GetId() || c.bornMS != worker.GetBornMs() || !c.undecided[key] {
+			continue
+		}
+		delete(c.undecided, key)
+		decided = true
+		if answer.Effect() == EffectNone && answer.Err() != nil {
+			c.runs = slices.DeleteFunc(c.runs, func(r *flow.CrashedRun) bool { return r.GetTask() == key.task && r.GetRun() == key.run })
+		}
+	}
+	if decided {
+		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return len(c.runs) == 0 })
+		s.requestReport()
+	}
+}
+
 // runsOnWorker returns the runs that the worker listed last and those whose start was
 // sent before the time at and may have been carried out, the youngest first.
 func (s *state) runsOnWorker(at time.Duration) []*flow.CrashedRun {
@@ -93,11 +123,15 @@
 	}
 }
 
-// crashReports returns the crashes that no scheduler has stored yet.
+// crashReports returns the crashes that no scheduler has stored yet, up to the first one of
+// which the runs are not certain: a scheduler applies them in the order of their numbers.
 func (s *state) crashReports(now time.Duration) []*flow.Crash {
-	reports := make([]*flow.Crash, len(s.crashes))
-	for i, c := range s.crashes {
-		reports[i] = &flow.Crash{Number: c.number, Worker: c.worker, WorkerBornMs: c.bornMS, AgoMs: (now - c.at).Milliseconds(), Runs: c.runs}
+	var reports []*flow.Crash
+	for _, c := range s.crashes {
+		if len(c.undecided) > 0 {
+			break
+		}
+		reports = append(reports, &flow.Crash{Number: c.number, Worker: c.worker, WorkerBornMs: c.bornMS, AgoMs: (now - c.at).Milliseconds(), Runs: c.runs})
 	}
 	return reports
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,6 +107,24 @@
 	})
 }
 
+// Starts that are on their way when another one shows that the process has ended have not
+// run there: the crash of an idle worker counted under one of them.
+func TestStartsUnderWayAreNotOnEndedProcess(t *testing.T) {
+	withRelay(t, func(t *testing.T, f *relayFixture) {
+		time.Sleep(time.Second)
+		f.worker.withLock(func() { f.worker.born = 200 })
+		f.scheduler.setOrders(func(o *flow.Orders) {
+			for n := range 4 {
+				o.Starts = append(o.Starts, &flow.Start{Task: fmt.Sprintf("a.0.0.%d", n), Run: 1, Spec: "x"})
+			}
+		})
+		time.Sleep(3 * time.Second)
+		if crashes := f.scheduler.lastReport().GetCrashes(); len(crashes) != 0 {
+			t.Errorf("crashes: %v; want none", crashes)
+		}
+	})
+}
+
 // A worker may be back before a call has found nothing at its address.
 func TestRestartAtOnceIsACrash(t *testing.T) {
 	withRelay(t, func(t *testing.T, f *relayFixture) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -400,6 +400,7 @@
 		answer := guardedCall("start", func() Answer { return r.opts.Worker.Start(ctx, call, order) })
 		r.stateOwner.Post(func(s *state) {
 			s.startCalls--
+			s.decideStart(worker, key, answer)
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
 				s.handleStartAnswer(key, st, call.Epoch, answer)
 			}
