--- a/duty/failures.go
+++ b/duty/failures.go
@@ -36,8 +36,8 @@
 	return ok && c.run == run && c.how != graph.EndUnreachable
 }
 
-// reportFailure logs what an end that a worker listed as failed counts for, given the
-// failures before it. late is the result of overAs.
+// reportFailure logs and counts whether an end that a worker listed as failed uses an attempt,
+// given the failures before it. late is the result of overAs.
 func (j *job) reportFailure(w *worker, ref graph.Ref, run int64, before int32, late string) {
 	after := j.failuresOf(ref)
 	counted := "no"
@@ -114,9 +114,9 @@
 	}
 }
 
-// minTrusted is the share of a service's workers, of which one is that many, that are not put
-// on trial because of gangs that fail on several: such gangs may be at fault themselves.
-const minTrusted = 3
+// Of the workers of a service, one in oneTrustedIn is not put on trial because of gangs that
+// fail on several workers: such gangs may be at fault themselves.
+const oneTrustedIn = 3
 
 // enoughTrusted reports whether one more worker of the same service may be put on trial
 // because of gangs that fail on several workers.
@@ -131,5 +131,5 @@
 			trusted++
 		}
 	}
-	return trusted*minTrusted >= workers
+	return trusted*oneTrustedIn >= workers
 }
