--- a/model/failure_test.go
+++ b/model/failure_test.go
@@ -20,7 +20,7 @@
 	// machineCount, so that members share workers.
 	maxGangSize = 7
 	// maxTimeToFailure bounds how long a gang works before a member fails, so that a job can
-	// use up its attempts within failureFinishTime.
+	// use up its attempts within finishTime.
 	maxTimeToFailure = 3 * time.Second
 	// maxBreakDelay bounds the time from the first failure in a run of a gang until the other
 	// members end as broken.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -22,9 +22,6 @@
 	calmAfter = 56 * time.Second
 	// finishTime is the time after calmAfter in which all jobs have to end.
 	finishTime = 150 * time.Second
-	// failureFinishTime is the same with runs of gangs that fail: the scheduler tests a worker
-	// on which runs have failed with one run at a time, and less often after each failure.
-	failureFinishTime = 500 * time.Second
 	// drainTime is longer than any message of the model is under way.
 	drainTime = 4 * maxTransit
 )
@@ -146,17 +143,13 @@
 	}
 	go w.submitJobs(ctx, idle, firstFault+faultSpan+faultSpread)
 	sleep(ctx, idle+calmAfter)
-	limit := finishTime
-	if enabled[faultGangFailures] {
-		limit = failureFinishTime
-	}
 	open := w.openJobs(ctx)
-	for until := time.Now().Add(limit); len(open) > 0 && time.Now().Before(until); open = w.openJobs(ctx) {
+	for until := time.Now().Add(finishTime); len(open) > 0 && time.Now().Before(until); open = w.openJobs(ctx) {
 		sleep(ctx, time.Second)
 	}
 	cancel()
 	time.Sleep(drainTime) // in which all goroutines end; the clock stops when this one does
-	w.report(t, faults, open, limit, report)
+	w.report(t, faults, open, finishTime, report)
 }
 
 // report fails the test if a rule was broken or jobs have not ended, and writes a report.
