schema, plan, duty: settings, messages and fields of the parts for uneven workers and shortage

Cause: two customers have workers of unequal speed and callers who compete for too little room. Several parts answer it and share settings, messages and one record. No decision changes yet.

--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -47,6 +47,9 @@
 	// RemoteFactor is how many times as long as declared a task takes outside the
 	// rack of its data, or in a gang that is to share a rack and does not.
 	RemoteFactor float64
+	// UnevenWorkers, LearnRunTimes, OrderByCost and RefuseLate switch on the settings of
+	// the same names.
+	UnevenWorkers, LearnRunTimes, OrderByCost, RefuseLate bool
 }
 
 // Operator gives a scheduler the operator's configuration and orders.
--- a/plan/input.go
+++ b/plan/input.go
@@ -70,6 +70,10 @@
 	// Slowness is the run time of tasks on this worker divided by that on a healthy
 	// one.
 	Slowness float64
+	// Pace is the run time of tasks on this worker divided by that on a typical one, as
+	// learned from earlier runs; 1 if it is not known. Unlike Slowness it is a lasting
+	// property of the worker.
+	Pace float64
 	// Unreliable reports whether the worker is on trial, or tasks have failed on
 	// it recently and none has succeeded since.
 	Unreliable bool
@@ -101,7 +105,7 @@
 	// DeadlineSlack is the time left until the unit must start for the job's result
 	// to be of any use.
 	DeadlineSlack time.Duration
-	// Duration is the declared run time of a task.
+	// Duration is the expected run time of a task on a typical worker.
 	Duration time.Duration
 	// Guaranteed reports whether the customer's guarantee covers the unit and the
 	// unit was never started, so that it may preempt any run that no guarantee
@@ -153,6 +157,9 @@
 	// UrgentWaitedRecently reports whether an urgent unit has recently had to wait
 	// for resources.
 	UrgentWaitedRecently bool
+	// OrderByCost is set if, while room is short, the units wait and the runs are stopped
+	// whose delay costs callers least.
+	OrderByCost bool
 }
 
 // Assignment is a unit with one worker for each of its tasks.
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -139,7 +139,8 @@
 		Settings: duty.Settings{
 			TaskLease: conf.Duration(s.GetTaskLease()), ConfigAge: conf.Duration(s.GetConfigAge()),
 			StartAge: conf.Duration(s.GetStartAge()), Retention: conf.Duration(s.GetRetention()),
-			RemoteFactor: s.GetRemoteFactor(),
+			RemoteFactor: s.GetRemoteFactor(), UnevenWorkers: s.GetUnevenWorkers(), LearnRunTimes: s.GetLearnRunTimes(),
+			OrderByCost: s.GetOrderByCost(), RefuseLate: s.GetRefuseLate(),
 		},
 	}
 }
