--- a/Makefile
+++ b/Makefile
@@ -14,19 +14,20 @@
 	go vet ./...
 	go tool staticcheck ./...
 
-# ./local, ./procs and ./platform/soak test whole systems in real time and run alone:
+# ./local, ./procs, ./platform/soak and ./platform/siege test whole systems in real time and run alone:
 # under the load of other tests their processes may not be scheduled for 2 s, and a
 # gang then fails, as designed. ./matrix and ./model run without the race detector, whose
 # runtime crashes under the many fake clocks of synctest ("CHECK failed: tsan_rtl.cpp:282"
 # or a SIGSEGV).
 test:
 	@[ ! -f KNOWN-RED.txt ] || { echo "Skipped as known to fail:"; cat KNOWN-RED.txt; }
-	go test -race -timeout 5m $(SKIP) $$(go list ./... | grep -v '/procs$$\|/matrix$$\|/model$$\|/local$$\|/soak$$')
+	go test -race -timeout 5m $(SKIP) $$(go list ./... | grep -v '/procs$$\|/matrix$$\|/model$$\|/local$$\|/soak$$\|/siege$$')
 	go test -race -timeout 3m $(SKIP) ./local
 	go test -timeout 4m $(SKIP) ./matrix
 	go test -timeout 4m $(SKIP) ./model
 	go test -timeout 4m $(SKIP) ./procs
 	go test -timeout 3m $(SKIP) ./platform/soak
+	go test -timeout 3m $(SKIP) ./platform/siege
 
 format:
 	go tool gofumpt -w $(GO_FILES)
