intake: one budget for all that clients make a gate hold

Cause: what a gate held for its clients had no bound in sum. Each limit was one of a single request; bodies were decoded before their steps were counted; the kernel's buffers grew to megabytes; the head of a request had net/http's limit of 1 MB; unread bodies were read to 256 kB after the answer.

Change: package intake admits connections, headers, requests and bodies before they are read, by one budget of a third of the memory, and closes those that are behind a steady client when others find no room. Callers' requests without room are answered 503 with Retry-After, and nothing of them is stored.

Their line in the Makefile has -count=1, as the program is built inside the test and its changes are not seen by the test cache.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	go test -timeout 4m $(SKIP) ./model
 	go test -timeout 4m $(SKIP) ./procs
 	go test -timeout 3m $(SKIP) ./platform/soak
-	go test -timeout 3m $(SKIP) ./platform/siege
+	go test -count=1 -timeout 3m $(SKIP) ./platform/siege
 
 format:
 	go tool gofumpt -w $(GO_FILES)
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -85,10 +85,16 @@
 	// capacityRetryAfter is when callers should retry a job for which there are not
 	// enough workers; it is about the time in which machines are added.
 	capacityRetryAfter = 30 * time.Second
+	// roomRetryAfter is when callers should send a body again for which there was no room.
+	roomRetryAfter = time.Second
 	// writeRetryDelay is the pause between two attempts of one write.
 	writeRetryDelay = 50 * time.Millisecond
 )
 
+// ErrNoRoom is what the decoding of a body fails with if it was not read, as too much is
+// held for callers.
+var ErrNoRoom = errors.New("no room for the body")
+
 // authorize returns the queue of a call, the rest of its path after the queue's
 // prefix, which is the id of a job or empty, and the customer of its key. It returns
 // a refusal if no queue serves the path, if the key is not known and the queue needs
@@ -147,6 +153,9 @@
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: "a job's id has 16 hexadecimal digits"})
 	}
 	sent, err := decode(g.operator.Table().MaxBodyBytes)
+	if errors.Is(err, ErrNoRoom) {
+		return g.logAnswer("submit", id, Answer{Verdict: Refused, Reason: err.Error(), RetryAfter: roomRetryAfter})
+	}
 	if err != nil {
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: err.Error()})
 	}
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,169 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"catkinpoint/clock"
+)
+
+const (
+	// lingerTime is how long the rest of a body is thrown away after the answer, so that
+	// the answer is not lost to a reset.
+	lingerTime = 500 * time.Millisecond
+	// lingerBytes limits what is thrown away, bytes.
+	lingerBytes = 1 << 20
+)
+
+// Listen opens a TCP listener for clients, whose connections are admitted by i.
+func (i *Intake) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Accepted connections inherit the sizes, so that they hold from the first byte.
+			for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+				if err := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, socketBytes); err != nil {
+					klog.InfoS("intake: size of a socket's buffer not set", "option", option, "err", err)
+				}
+			}
+		})
+	}}
+	inner, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", address, err)
+	}
+	if tcp, ok := inner.(*net.TCPListener); ok {
+		limitBacklog(tcp)
+	}
+	return i.Listener(inner), nil
+}
+
+// limitBacklog limits the connections that wait to be accepted, of which the kernel would
+// otherwise keep thousands with what they have sent.
+func limitBacklog(tcp *net.TCPListener) {
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		var listenErr error
+		err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), backlog) })
+		err = errors.Join(err, listenErr)
+	}
+	if err != nil {
+		klog.InfoS("intake: backlog not limited", "err", err)
+	}
+}
+
+// Listener returns a listener that accepts the connections of inner that i admits.
+func (i *Intake) Listener(inner net.Listener) net.Listener { return &listener{inner, i} }
+
+type listener struct {
+	net.Listener
+	intake *Intake
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if h := l.intake.open(func() { reset(raw) }); h != nil {
+			return &conn{Conn: raw, intake: l.intake, holder: h}, nil
+		}
+		reset(raw)
+	}
+}
+
+// reset closes a connection so that the kernel keeps nothing of it.
+func reset(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails if the connection is closed
+	}
+	_ = raw.Close()
+}
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	intake *Intake
+	holder *Holder
+	// unread reports whether a body was answered without being read to its end.
+	unread atomic.Bool
+	once   sync.Once
+}
+
+// Read implements net.Conn. It counts what is received.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.intake.receive(c.holder, int64(n)) {
+		return 0, errDropped
+	}
+	return n, err
+}
+
+// receive counts bytes that a connection has received, and reports whether there is room
+// for them.
+func (i *Intake) receive(h *Holder, n int64) bool {
+	i.mu.Lock()
+	if h.phase == Idle {
+		h.enter(clock.Monotonic(), Heading)
+	}
+	h.received += n
+	heading := h.phase == Heading
+	i.mu.Unlock()
+	return !heading || i.hold(h, headerFactor*n, false, "headers")
+}
+
+// Write implements net.Conn. It fails if the client takes nothing for the time of a
+// stall.
+func (c *conn) Write(p []byte) (int, error) {
+	c.intake.mu.Lock()
+	before := *c.holder
+	c.holder.enter(clock.Monotonic(), Answering)
+	c.intake.mu.Unlock()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.stall)) // fails if the connection is closed
+	n, err := c.Conn.Write(p)
+	c.intake.mu.Lock()
+	c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received
+	c.intake.mu.Unlock()
+	return n, err
+}
+
+// CloseWrite shuts the connection down for sending.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		defer c.intake.remove(c.holder)
+		if c.unread.Load() {
+			c.linger()
+		}
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// linger throws away what the client still sends, for a while.
+func (c *conn) linger() {
+	c.intake.enter(c.holder, Closing)
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	buffer := make([]byte, firstBytes)
+	_, _ = io.CopyBuffer(io.Discard, struct{ io.Reader }{io.LimitReader(c.Conn, lingerBytes)}, buffer) // until the client closes
+}
--- /dev/null
+++ b/intake/limits.go
@@ -0,0 +1,103 @@
+package intake
+
+import "time"
+
+const (
+	bytesPerMB = 1 << 20
+	// budgetShare is the part of the memory of a process that clients may take. The rest
+	// is for the process's own state and for garbage between two collections.
+	budgetShare = 1.0 / 3
+	// unlimitedBudget is the budget of a process without a memory limit, bytes.
+	unlimitedBudget = 128 * bytesPerMB
+	// leastBudget has room for one largest body and a few dozen ordinary requests, bytes.
+	leastBudget = 8 * bytesPerMB
+	// reservedDescriptors are kept for files (200 by the platform's pages) and for the
+	// process's own links.
+	reservedDescriptors = 300
+	// leastConnections are allowed whatever the descriptors are.
+	leastConnections = 16
+	// connectionBytes is what a connection costs without a request: the stacks of its
+	// goroutines, two buffers of 4 kB, and its structs.
+	connectionBytes = 24 << 10
+	// socketBytes is set as the size of the kernel's buffers of a connection, each way.
+	// The kernel doubles it.
+	socketBytes = 16 << 10
+	// servingBytes is what the kernel may hold of a connection that is not read while
+	// its request is served: the receive buffer, and half of the send buffer, as answers
+	// are much shorter than that.
+	servingBytes = 3 * socketBytes
+	// backlog is the number of connections that wait to be accepted. The kernel may hold
+	// a receive buffer for each of them, 4 MB in sum.
+	backlog = 128
+	// headerFactor is the memory that a byte of headers takes at most: a header of three
+	// bytes becomes a string, a list of values and a place in a map.
+	headerFactor = 20
+	// MaxHeaderBytes is the largest head of a request by the platform's pages.
+	MaxHeaderBytes = 16384
+	// smallBytes is the size above which a body counts as large; ordinary ones are
+	// smaller.
+	smallBytes = 20 << 10
+	// firstBytes and largeBytes are the first and the third step in which room is taken
+	// for a body of unknown length; the second one is smallBytes.
+	firstBytes = 4 << 10
+	largeBytes = 256 << 10
+	// ordinaryBytes is what a connection with an ordinary request holds at most. Only
+	// those take the last quarter of the budget.
+	ordinaryBytes = 128 << 10
+)
+
+// Limits are the bounds of a Ledger.
+type Limits struct {
+	// Bytes bounds the sum of what is held.
+	Bytes int64
+	// Large bounds what is held for bodies above smallBytes.
+	Large int64
+	// Connections bounds the number of open connections.
+	Connections int
+}
+
+// Resources are what the process has, and what its settings say.
+type Resources struct {
+	MemoryMB    int64         // of the process; 0 means no limit
+	BudgetMB    int64         // for clients; 0 means a share of MemoryMB
+	Connections int64         // largest number; 0 means as many as memory and descriptors allow
+	Descriptors int64         // of the process; 0 means not known
+	Stall       time.Duration // in which a client must make progress
+}
+
+// LimitsOf returns the limits of a process with the resources.
+func LimitsOf(r Resources) Limits {
+	budget := int64(unlimitedBudget)
+	switch {
+	case r.BudgetMB > 0:
+		budget = r.BudgetMB * bytesPerMB
+	case r.MemoryMB > 0:
+		budget = int64(budgetShare * float64(r.MemoryMB*bytesPerMB))
+	}
+	budget = max(budget, leastBudget)
+	connections := budget / 3 / connectionBytes
+	if r.Descriptors > 0 {
+		connections = min(connections, r.Descriptors-reservedDescriptors)
+	}
+	if r.Connections > 0 {
+		connections = min(connections, r.Connections)
+	}
+	return Limits{Bytes: budget, Large: budget / 3, Connections: int(max(connections, leastConnections))}
+}
+
+// nextReserve returns the length for which room is taken for a body, bytes, when what was
+// taken before is used up. declared is the length of the body, or negative if that is not
+// known.
+func nextReserve(taken, declared int64) int64 {
+	switch {
+	case taken == 0 && declared >= 0:
+		return min(declared, largeBytes)
+	case taken < firstBytes:
+		return firstBytes
+	case taken < smallBytes:
+		return smallBytes
+	case taken < largeBytes:
+		return largeBytes
+	}
+	return 2 * taken
+}
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +23,7 @@
 	"catkinpoint/duty"
 	"catkinpoint/flow"
 	"catkinpoint/gate"
+	"catkinpoint/intake"
 	"catkinpoint/link"
 	"catkinpoint/logs"
 	"catkinpoint/platform"
@@ -74,13 +76,20 @@
 	if err := server.Register(gate.RPCName, g.RPCHandlers()); err != nil {
 		return err
 	}
-	listeners, err := listenAll(settings.Node.GetRpcAddress(), settings.Gate.GetJobAddress(), settings.Gate.GetReadyAddress())
+	admission := intake.New(callerResources(settings))
+	listeners, err := listenAll(ctx, netListen, settings.Node.GetRpcAddress())
 	if err != nil {
 		return err
 	}
+	callerListeners, err := listenAll(ctx, admission.Listen, settings.Gate.GetJobAddress(), settings.Gate.GetReadyAddress())
+	if err != nil {
+		return err
+	}
+	listeners = append(listeners, callerListeners...)
 	klog.InfoS("gate: started", "id", settings.Node.GetId(), "data_centre", settings.Node.GetDataCentre())
-	callers := &http.Server{Handler: platform.CallerHandler(g), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	ready := &http.Server{Handler: platform.ReadinessHandler(g), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	serverOptions := intake.ServerOptions{Headers: platform.CallerHeaders, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	callers := admission.Server(platform.CallerHandler(g), serverOptions)
+	ready := admission.Server(platform.ReadinessHandler(g), serverOptions)
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
@@ -221,11 +230,32 @@
 	}
 }
 
-// listenAll opens a TCP listener at each address. If one fails, it closes the others.
-func listenAll(addresses ...string) ([]net.Listener, error) {
+// callerResources returns what the process may use for its callers. The number of
+// descriptors is not known if the system does not tell it.
+func callerResources(settings *conf.Settings) intake.Resources {
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
+		klog.InfoS("gate: limit of descriptors not known", "err", err)
+	}
+	return intake.Resources{
+		MemoryMB:    settings.Platform.GetMemoryMb(),
+		BudgetMB:    settings.Gate.GetCallerMemoryMb(),
+		Connections: settings.Gate.GetCallerConnections(),
+		Descriptors: int64(min(descriptors.Cur, math.MaxInt64)),
+		Stall:       conf.Duration(settings.Gate.GetCallerStall()),
+	}
+}
+
+// netListen opens a TCP listener.
+func netListen(ctx context.Context, address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+}
+
+// listenAll opens a listener at each address. If one fails, it closes the others.
+func listenAll(ctx context.Context, listen func(context.Context, string) (net.Listener, error), addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen(ctx, address)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close() // the listener was never used
--- a/verbs/relay.go
+++ b/verbs/relay.go
@@ -61,7 +61,7 @@
 		SendReport:    client.sendReport,
 	})
 	client.gateAddresses = r.GateAddresses
-	listeners, err := listenAll(settings.Relay.GetHeartbeatAddress())
+	listeners, err := listenAll(ctx, netListen, settings.Relay.GetHeartbeatAddress())
 	if err != nil {
 		return err
 	}
