entry: the same budget for all that callers make an entry hold

Cause: an entry read bodies of up to 8 MB from any number of callers, each held until its job has ended; nothing limited their sum, nor a caller that stops in the middle of a body.

Without room it answers 503 with Retry-After; the fate is not_run, or unknown for a job with a key, as with other refusals. Package intake takes the size of the kernel's buffers and the factor of bodies as options for that.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"catkinpoint/clock"
 	"catkinpoint/head"
+	"catkinpoint/intake"
 	"catkinpoint/link"
 	"catkinpoint/meter"
 	"catkinpoint/sched"
@@ -85,6 +86,18 @@
 	return e, nil
 }
 
+const (
+	// callerTimeout is in which a caller must send its headers, and the next part of a
+	// body.
+	callerTimeout = 10 * time.Second
+	// SocketBytes is the size of the kernel's buffers of a caller's connection. Bodies
+	// of 8 MB and other regions need more than the default of package intake.
+	SocketBytes = 64 << 10
+	// bodyFactor is the memory that a byte of a body takes: it is kept as it came, and
+	// copied while it is sent to a worker or stored.
+	bodyFactor = 3
+)
+
 // Listeners are the sockets on which an entry serves.
 type Listeners struct {
 	RPC  net.Listener
@@ -98,10 +111,14 @@
 	defer stop()
 	e.runCtx = serveCtx
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	httpServer := &http.Server{Handler: e.httpHandler(), ReadHeaderTimeout: 10 * time.Second}
+	admission := intake.New(intake.Resources{
+		BudgetMB: e.opts.CallerMemoryMB, Descriptors: intake.Descriptors(), Stall: callerTimeout,
+		SocketBytes: SocketBytes, BodyFactor: bodyFactor,
+	})
+	httpServer := admission.Server(e.httpHandler(), intake.ServerOptions{HeaderTimeout: callerTimeout})
 	group.Go(func() error { return e.server.Serve(listeners.RPC) })
 	group.Go(func() error {
-		if err := httpServer.Serve(listeners.HTTP); err != http.ErrServerClosed {
+		if err := httpServer.Serve(admission.Listener(listeners.HTTP)); err != http.ErrServerClosed {
 			return fmt.Errorf("serving http: %w", err)
 		}
 		return nil
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
+	"catkinpoint/intake"
 	"catkinpoint/wire"
 )
 
@@ -29,6 +30,10 @@
 // postJob runs the job in the request and answers with its outcome.
 func (e *Entry) postJob(c echo.Context) error {
 	r, err := e.parseJobRequest(c)
+	if errors.Is(err, intake.ErrBusy) {
+		c.Response().Header().Set("Retry-After", "1")
+		return writeError(c, http.StatusServiceUnavailable, refusedFate(c.QueryParam("key")), err.Error())
+	}
 	if err != nil {
 		return writeError(c, http.StatusBadRequest, wire.Fate_NOT_RUN, err.Error())
 	}
@@ -113,6 +118,15 @@
 	return notRunOutcome(reason)
 }
 
+// refusedFate is the fate in a refusal of a request whose body was not read; it is that of
+// refusalOutcome.
+func refusedFate(key string) wire.Fate {
+	if key != "" {
+		return wire.Fate_UNKNOWN
+	}
+	return wire.Fate_NOT_RUN
+}
+
 // acceptedOutcome returns the outcome that the caller of a detached job gets.
 func acceptedOutcome() *wire.Outcome {
 	return &wire.Outcome{Fate: wire.Fate_FATE_UNSPECIFIED, Reason: "accepted"}
--- a/entry/options.go
+++ b/entry/options.go
@@ -50,6 +50,7 @@
 	PermitPolicy         PermitPolicy
 	QueueLimit           int // largest number of requests in this process
 	MaxBodyBytes         int64
+	CallerMemoryMB       int64         // for all that callers make the process hold; 0 means the default of package intake
 	RegionBytesPerSecond float64       // budget for job bodies sent to other regions
 	Retention            time.Duration // of records and results of ended jobs
 	// ShutdownTimeout bounds the wait for requests in progress after a planned stop.
@@ -73,6 +74,7 @@
 		PermitPolicy:         PermitPolicy(settings.GetPermitPolicy()),
 		QueueLimit:           int(settings.GetQueueLimit()),
 		MaxBodyBytes:         settings.GetMaxBodyBytes(),
+		CallerMemoryMB:       settings.GetCallerMemoryMb(),
 		RegionBytesPerSecond: float64(settings.GetRegionLinkBytesPerSecond()),
 
 		ShutdownTimeout: DefaultShutdownTimeout,
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,16 @@
 
 // Listen opens a TCP listener for clients, whose connections are admitted by i.
 func (i *Intake) Listen(ctx context.Context, address string) (net.Listener, error) {
+	inner, err := Listen(ctx, address, i.resources.SocketBytes)
+	if err != nil {
+		return nil, err
+	}
+	return i.Listener(inner), nil
+}
+
+// Listen opens a TCP listener whose connections have small buffers in the kernel, for
+// Intake.Listener. socketBytes is their size, each way.
+func Listen(ctx context.Context, address string, socketBytes int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			// Accepted connections inherit the sizes, so that they hold from the first byte.
@@ -43,7 +54,7 @@
 	if tcp, ok := inner.(*net.TCPListener); ok {
 		limitBacklog(tcp)
 	}
-	return i.Listener(inner), nil
+	return inner, nil
 }
 
 // limitBacklog limits the connections that wait to be accepted, of which the kernel would
@@ -129,7 +140,7 @@
 	before := *c.holder
 	c.holder.enter(clock.Monotonic(), Answering)
 	c.intake.mu.Unlock()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.stall)) // fails if the connection is closed
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.resources.Stall)) // fails if the connection is closed
 	n, err := c.Conn.Write(p)
 	c.intake.mu.Lock()
 	c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received
@@ -167,3 +178,14 @@
 	buffer := make([]byte, firstBytes)
 	_, _ = io.CopyBuffer(io.Discard, struct{ io.Reader }{io.LimitReader(c.Conn, lingerBytes)}, buffer) // until the client closes
 }
+
+// Descriptors returns how many descriptors the process may have open, or 0 if the system
+// does not tell.
+func Descriptors() int64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		klog.InfoS("intake: limit of descriptors not known", "err", err)
+		return 0
+	}
+	return int64(min(limit.Cur, math.MaxInt64))
+}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -12,10 +12,6 @@
 	"catkinpoint/clock"
 )
 
-// bodyFactor is the memory that a byte of a JSON body takes at most: the buffer, the
-// decoded job, its copy, its encoded forms, and what the buffer leaves while it grows.
-const bodyFactor = 8
-
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
@@ -61,7 +57,7 @@
 		}
 		body := &body{inner: r.Body, intake: i, conn: c, declared: r.ContentLength, ended: r.Body == http.NoBody}
 		response := &response{ResponseWriter: w, body: body}
-		if !i.hold(c.holder, servingBytes, false, "requests") {
+		if !i.hold(c.holder, servingFactor*int64(i.resources.SocketBytes), false, "requests") {
 			response.Header().Set("Retry-After", "1")
 			http.Error(response, ErrBusy.Error(), http.StatusServiceUnavailable)
 			return
@@ -153,7 +149,7 @@
 		}
 	}
 	now := clock.Monotonic()
-	deadline := bodyDeadline(now, b.start, b.received, b.intake.stall)
+	deadline := bodyDeadline(now, b.start, b.received, b.intake.resources.Stall)
 	if err := b.conn.Conn.SetReadDeadline(time.Now().Add(deadline - now)); err != nil {
 		return 0, err
 	}
@@ -170,7 +166,7 @@
 	h := b.conn.holder
 	next := nextReserve(b.reserved, b.declared)
 	large := next > smallBytes
-	bytes := bodyFactor * (next - b.reserved)
+	bytes := b.intake.resources.BodyFactor * (next - b.reserved)
 	before := clock.Monotonic()
 	if b.reserved == 0 {
 		b.intake.enter(h, Sending)
@@ -224,7 +220,7 @@
 	if b.failed == nil && b.declared >= 0 && b.declared <= smallBytes {
 		// The HTTP server reads the rest, so that the connection can be used again.
 		b.intake.enter(b.conn.holder, Sending)
-		_ = b.conn.Conn.SetReadDeadline(time.Now().Add(b.intake.stall)) // fails if the connection is closed
+		_ = b.conn.Conn.SetReadDeadline(time.Now().Add(b.intake.resources.Stall)) // fails if the connection is closed
 		return
 	}
 	b.conn.unread.Store(true)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -41,7 +41,7 @@
 // Intake bounds what the clients of a process make it hold. Its methods may be called
 // from any goroutine.
 type Intake struct {
-	stall time.Duration
+	resources Resources
 	// pipelined has room for one request that came before the answer to the earlier one
 	// on its connection.
 	pipelined chan struct{}
@@ -61,12 +61,10 @@
 
 // New returns an Intake for a process with the resources.
 func New(r Resources) *Intake {
-	if r.Stall <= 0 {
-		r.Stall = defaultStall
-	}
+	r = r.withDefaults()
 	limits := LimitsOf(r)
 	klog.InfoS("intake: limits", "bytes", limits.Bytes, "large_bytes", limits.Large, "connections", limits.Connections, "stall_ms", r.Stall.Milliseconds())
-	i := &Intake{stall: r.Stall, ledger: NewLedger(limits), changed: make(chan struct{}), pipelined: make(chan struct{}, 1), logged: map[string]logState{}}
+	i := &Intake{resources: r, ledger: NewLedger(limits), changed: make(chan struct{}), pipelined: make(chan struct{}, 1), logged: map[string]logState{}}
 	i.observe()
 	return i
 }
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+const (
+	servingBytes = servingFactor * defaultSocketBytes
+	bodyFactor   = defaultBodyFactor
+)
+
 var testLimits = LimitsOf(Resources{MemoryMB: 64, Connections: 160})
 
 func TestLimitsOf(t *testing.T) {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -19,13 +19,16 @@
 	// connectionBytes is what a connection costs without a request: the stacks of its
 	// goroutines, two buffers of 4 kB, and its structs.
 	connectionBytes = 24 << 10
-	// socketBytes is set as the size of the kernel's buffers of a connection, each way.
-	// The kernel doubles it.
-	socketBytes = 16 << 10
-	// servingBytes is what the kernel may hold of a connection that is not read while
-	// its request is served: the receive buffer, and half of the send buffer, as answers
-	// are much shorter than that.
-	servingBytes = 3 * socketBytes
+	// defaultSocketBytes is the default of Resources.SocketBytes.
+	defaultSocketBytes = 16 << 10
+	// servingFactor is what the kernel may hold of a connection that is not read while
+	// its request is served, in socket sizes, which the kernel doubles: the receive
+	// buffer, and half of the send buffer, as answers are much shorter than that.
+	servingFactor = 3
+	// defaultBodyFactor is the default of Resources.BodyFactor. It is for a JSON body: the
+	// buffer, the decoded job, its copy, its encoded forms, and what the buffer leaves
+	// while it grows.
+	defaultBodyFactor = 8
 	// backlog is the number of connections that wait to be accepted. The kernel may hold
 	// a receive buffer for each of them, 4 MB in sum.
 	backlog = 128
@@ -62,7 +65,27 @@
 	BudgetMB    int64         // for clients; 0 means a share of MemoryMB
 	Connections int64         // largest number; 0 means as many as memory and descriptors allow
 	Descriptors int64         // of the process; 0 means not known
-	Stall       time.Duration // in which a client must make progress
+	Stall       time.Duration // in which a client must make progress; 0 means 5 s
+	// SocketBytes is the size of the kernel's buffers of a connection, each way; 0 means
+	// 16 kB.
+	SocketBytes int
+	// BodyFactor is the memory that a byte of a body takes at most, from its first byte
+	// to the answer; 0 means that of a JSON body, 8.
+	BodyFactor int64
+}
+
+// withDefaults returns the resources with the defaults of the values that are not set.
+func (r Resources) withDefaults() Resources {
+	if r.Stall <= 0 {
+		r.Stall = defaultStall
+	}
+	if r.SocketBytes <= 0 {
+		r.SocketBytes = defaultSocketBytes
+	}
+	if r.BodyFactor <= 0 {
+		r.BodyFactor = defaultBodyFactor
+	}
+	return r
 }
 
 // LimitsOf returns the limits of a process with the resources.
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -230,18 +229,13 @@
 	}
 }
 
-// callerResources returns what the process may use for its callers. The number of
-// descriptors is not known if the system does not tell it.
+// callerResources returns what the process may use for its callers.
 func callerResources(settings *conf.Settings) intake.Resources {
-	var descriptors syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
-		klog.InfoS("gate: limit of descriptors not known", "err", err)
-	}
 	return intake.Resources{
 		MemoryMB:    settings.Platform.GetMemoryMb(),
 		BudgetMB:    settings.Gate.GetCallerMemoryMb(),
 		Connections: settings.Gate.GetCallerConnections(),
-		Descriptors: int64(min(descriptors.Cur, math.MaxInt64)),
+		Descriptors: intake.Descriptors(),
 		Stall:       conf.Duration(settings.Gate.GetCallerStall()),
 	}
 }
--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -9,6 +9,7 @@
 
 	"catkinpoint/conf"
 	"catkinpoint/entry"
+	"catkinpoint/intake"
 	"catkinpoint/meter"
 	"catkinpoint/place"
 	"catkinpoint/store"
@@ -43,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for RPC connections: %w", err)
 	}
-	httpListener, err := net.Listen("tcp", opts.HTTPAddress.String())
+	httpListener, err := intake.Listen(ctx, opts.HTTPAddress.String(), entry.SocketBytes)
 	if err != nil {
 		return fmt.Errorf("listening for HTTP requests: %w", err)
 	}
