--- a/intake/intake.go
+++ b/intake/intake.go
@@ -62,13 +62,28 @@
 // New returns an Intake for a process with the resources.
 func New(r Resources) *Intake {
 	r = r.withDefaults()
-	limits := LimitsOf(r)
-	klog.InfoS("intake: limits", "bytes", limits.Bytes, "large_bytes", limits.Large, "connections", limits.Connections, "stall_ms", r.Stall.Milliseconds())
-	i := &Intake{resources: r, ledger: NewLedger(limits), changed: make(chan struct{}), pipelined: make(chan struct{}, 1), logged: map[string]logState{}}
+	i := &Intake{resources: r, ledger: NewLedger(logLimits(r)), changed: make(chan struct{}), pipelined: make(chan struct{}, 1), logged: map[string]logState{}}
 	i.observe()
 	return i
 }
 
+// Resize puts the limits of other resources into force. The rest of the resources, which is
+// not about limits, stays.
+func (i *Intake) Resize(r Resources) {
+	limits := logLimits(r)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.ledger.SetLimits(limits)
+	i.signal()
+}
+
+// logLimits returns the limits of resources and logs them.
+func logLimits(r Resources) Limits {
+	l := LimitsOf(r)
+	klog.InfoS("intake: limits", "bytes", l.Bytes, "large_bytes", l.Large, "connections", l.Connections)
+	return l
+}
+
 // decided counts a decision and logs it, at most one of a kind in each logPeriod.
 // i.mu must be held.
 func (i *Intake) decided(decision, reason string) {
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -91,6 +91,9 @@
 // NewLedger returns a ledger without holders.
 func NewLedger(limits Limits) *Ledger { return &Ledger{limits: limits, holders: list.New()} }
 
+// SetLimits puts other limits into force. Nobody is closed for them at once.
+func (l *Ledger) SetLimits(limits Limits) { l.limits = limits }
+
 // Held returns the bytes that are held in sum.
 func (l *Ledger) Held() int64 {
 	return int64(l.holders.Len())*connectionBytes + l.small + l.large
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -93,7 +93,13 @@
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	group.Go(func() error { return g.Run(serveCtx) })
-	group.Go(func() error { return reloadOnHangup(serveCtx, v.Settings, settings, "gate") })
+	limit := func(reloaded *conf.Settings) {
+		limitMemory(reloaded.Platform)
+		resources := callerResources(settings)
+		resources.MemoryMB = reloaded.Platform.GetMemoryMb()
+		admission.Resize(resources)
+	}
+	group.Go(func() error { return reloadOnHangup(serveCtx, v.Settings, settings, "gate", limit) })
 	group.Go(func() error { return server.Serve(listeners[0]) })
 	group.Go(func() error { return serveHTTP(callers, listeners[1]) })
 	group.Go(func() error { return serveHTTP(ready, listeners[2]) })
@@ -197,10 +203,10 @@
 	return answer, nil
 }
 
-// reloadOnHangup reads the settings again on each SIGHUP until ctx ends. A new
-// memory limit applies at once; all other settings apply from the next start. If
-// the file has faults, they are logged and nothing changes.
-func reloadOnHangup(ctx context.Context, path string, settings *conf.Settings, role string) error {
+// reloadOnHangup reads the settings again on each SIGHUP until ctx ends, and calls limit
+// with them, which applies a new memory limit at once. All other settings apply from the
+// next start. If the file has faults, they are logged and nothing changes.
+func reloadOnHangup(ctx context.Context, path string, settings *conf.Settings, role string, limit func(*conf.Settings)) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -215,7 +221,7 @@
 			klog.ErrorS(err, "settings not reloaded", "path", path)
 			continue
 		}
-		limitMemory(reloaded.Platform)
+		limit(reloaded)
 		klog.InfoS("settings reloaded", "path", path, "memory_mb", reloaded.Platform.GetMemoryMb(),
 			"needs_restart", !proto.Equal(reloaded.Node, settings.Node) || !proto.Equal(reloaded.Gate, settings.Gate) || !proto.Equal(reloaded.Relay, settings.Relay))
 	}
--- a/verbs/relay.go
+++ b/verbs/relay.go
@@ -71,7 +71,9 @@
 	group.Go(func() error { return r.Run(ctx) })
 	group.Go(func() error { return serveHTTP(heartbeats, listeners[0]) })
 	group.Go(func() error { return serveProcessMetrics(ctx, settings, "relay") })
-	group.Go(func() error { return reloadOnHangup(ctx, v.Settings, settings, "relay") })
+	group.Go(func() error {
+		return reloadOnHangup(ctx, v.Settings, settings, "relay", func(reloaded *conf.Settings) { limitMemory(reloaded.Platform) })
+	})
 	group.Go(func() error {
 		<-ctx.Done()
 		return heartbeats.Close()
--- a/verbs/serve.go
+++ b/verbs/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 
+	"go.opentelemetry.io/otel"
 	"k8s.io/klog/v2"
 
 	"catkinpoint/conf"
@@ -31,6 +32,7 @@
 	if err != nil {
 		return fmt.Errorf("starting metrics: %w", err)
 	}
+	otel.SetMeterProvider(page.Provider()) // for the metrics of packages without one of their own
 	opts.Store = store.New(conf.Address(settings.Entry.GetStoreAddress()), store.Options{
 		Caller:        opts.ID,
 		MeterProvider: page.Provider(),
