relay, graph: a start that times out at a crash has no known age

A start that is held up on its way to a worker and never carried out was reported as on the worker when its process crashed, with the age from the call.

A process that crashes breaks its connections, and relay and worker share a machine, so that a call which the process had taken ends at that time. The relay now reports an unknown age for a run whose start calls all ended at their time limit and that no list has shown. The run stays a suspect, but as a possible cause: four crashes, or five with outages, give up its job as before. A call that breaks off keeps its age, and two such crashes give up the job as before. A crash in which a run of unknown age is a bystander no longer counts as one under the task itself. A task that leaves its worker without any answer for three calls and only then ends it is now given up after four crashes; before it was after three.

--- a/graph/crash.go
+++ b/graph/crash.go
@@ -217,7 +217,7 @@
 // crash once each take a large gang with them each time.
 func (j *Job) crashesExhausted(nowUnixMS int64) bool {
 	for ref, own := range j.crashes {
-		if t := j.tasks[ref]; t != nil && t.Done || len(own) < minOwnCrashes {
+		if t := j.tasks[ref]; t != nil && t.Done || countOwn(own) < minOwnCrashes {
 			continue
 		}
 		crashes := j.UnitCrashes(ref)
@@ -229,6 +229,18 @@
 	return false
 }
 
+// countOwn returns how many of the crashes under a task it may have been on the worker for. A
+// run without a known age beside another that explains the crash may never have started.
+func countOwn(own []Crash) int {
+	n := 0
+	for _, c := range own {
+		if c.Age >= 0 || c.Suspicion != flow.Suspicion_BYSTANDER {
+			n++
+		}
+	}
+	return n
+}
+
 // countRelevant returns how many of the crashes the unit possibly or probably caused,
 // or were outages shortly after the start of the run.
 func countRelevant(crashes []Crash) int {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -25,8 +25,9 @@
 	bornMS int64
 	at     time.Duration // relay's clock
 	runs   []*flow.CrashedRun
-	// undecided are the runs among them whose first start has no outcome yet: it may turn out
-	// that the call did not reach the process. The crash is reported once there are none.
+	// undecided are the runs among them whose start has no outcome yet: it may turn out that
+	// the call did not reach the process. The value is set if an earlier call may have. The
+	// crash is reported once there are none.
 	undecided map[runKey]bool
 }
 
@@ -45,8 +46,8 @@
 	s.lastCrash++
 	c := crash{number: s.lastCrash, worker: s.worker.GetId(), bornMS: s.worker.GetBornMs(), at: at, runs: runs, undecided: map[runKey]bool{}}
 	for key, st := range s.starts {
-		if st.phase == startSending && !st.reachedWorker && s.running[key] == nil {
-			c.undecided[key] = true
+		if st.phase == startSending && s.running[key] == nil && (!st.reachedWorker || s.silentStarts[key]) {
+			c.undecided[key] = st.reachedWorker
 		}
 	}
 	s.crashes = append(s.crashes, c)
@@ -59,19 +60,35 @@
 	s.requestReport()
 }
 
+// recordSilence records whether a call of a start ended at its time limit or, without an
+// answer, before it.
+func (s *state) recordSilence(key runKey, answer Answer, timedOut bool) {
+	if answer.Effect() != EffectUnknown {
+		return
+	}
+	if _, known := s.silentStarts[key]; !known || !timedOut {
+		s.silentStarts[key] = timedOut
+	}
+}
+
 // decideStart records the outcome of a start that was sent to a process of the worker: a run
-// whose start did not reach the process was not on it when it crashed.
+// whose start did not reach the process was not on it when it crashed, and of one whose calls
+// all ended at their time limit it is not known.
 func (s *state) decideStart(worker *flow.Worker, key runKey, answer Answer) {
 	decided := false
 	for i := range s.crashes {
 		c := &s.crashes[i]
-		if c.worker != worker.GetId() || c.bornMS != worker.GetBornMs() || !c.undecided[key] {
+		reachedBefore, undecided := c.undecided[key]
+		if c.worker != worker.GetId() || c.bornMS != worker.GetBornMs() || !undecided {
 			continue
 		}
 		delete(c.undecided, key)
 		decided = true
-		if answer.Effect() == EffectNone && answer.Err() != nil {
-			c.runs = slices.DeleteFunc(c.runs, func(r *flow.CrashedRun) bool { return r.GetTask() == key.task && r.GetRun() == key.run })
+		isRun := func(r *flow.CrashedRun) bool { return r.GetTask() == key.task && r.GetRun() == key.run }
+		if answer.Effect() == EffectNone && answer.Err() != nil && !reachedBefore {
+			c.runs = slices.DeleteFunc(c.runs, isRun)
+		} else if n := slices.IndexFunc(c.runs, isRun); n >= 0 && s.silentStarts[key] && answer.Effect() != EffectDone {
+			c.runs[n].AgeMs = -1
 		}
 	}
 	if decided {
@@ -82,11 +99,18 @@
 
 // runsOnWorker returns the runs that the worker listed last and those whose start was
 // sent before the time at and may have been carried out, the youngest first.
+//
+// A run has no known age if all calls of its start ended at their time limit. A process that
+// crashes breaks its connections, so that a call which it had received ends at that time. A
+// call that goes on may have been held up and never received: without this rule two of these,
+// at two crashes of other causes, looked like a task that crashes workers at once.
 func (s *state) runsOnWorker(at time.Duration) []*flow.CrashedRun {
 	var runs []*flow.CrashedRun
 	add := func(key runKey) {
 		age := int64(-1)
-		if since, ok := s.startedSince[key]; ok {
+		st := s.starts[key]
+		silent := s.running[key] == nil && s.silentStarts[key] && (st == nil || st.phase != startSending)
+		if since, ok := s.startedSince[key]; ok && !silent {
 			age = max(0, at-since).Milliseconds()
 		}
 		runs = append(runs, &flow.CrashedRun{Task: key.task, Run: key.run, AgeMs: age})
@@ -106,7 +130,10 @@
 }
 
 // forgetStart forgets when a run started, as it has ended or can no longer start.
-func (s *state) forgetStart(key runKey) { delete(s.startedSince, key) }
+func (s *state) forgetStart(key runKey) {
+	delete(s.startedSince, key)
+	delete(s.silentStarts, key)
+}
 
 // forgetOldStarts forgets starts whose run is not on the worker and can no longer
 // come to be there.
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -142,3 +142,38 @@
 		}
 	})
 }
+
+// A start that is held up on its way to a worker has no answer, and its connection stays open
+// when the process ends. Two of them, at crashes of other causes, looked like a task that
+// crashes workers at once, and its job was given up.
+func TestStartThatTimesOutHasNoKnownAgeAtCrash(t *testing.T) {
+	tests := []struct {
+		name   string
+		broken bool // the worker's process takes the call, and its end breaks the connection
+		want   int64
+	}{
+		{"held up on its way", false, -1},
+		{"taken by the process that ends", true, 100},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withPath(t, 1, func(t *testing.T, f *pathFixture) {
+				f.worker.withLock(func() {
+					f.worker.breaksAtEnd = test.broken
+					f.worker.onStart = func(Call, *flow.Start) {}
+				})
+				f.scheduler.order(startOrder("a.0.0.0"))
+				time.Sleep(100 * time.Millisecond)
+				f.crash()
+				time.Sleep(3 * time.Second)
+				crashes := f.scheduler.lastReport().GetCrashes()
+				if len(crashes) != 1 || len(crashes[0].GetRuns()) != 1 {
+					t.Fatalf("crashes: %v; want one with one run", crashes)
+				}
+				if age := crashes[0].GetRuns()[0].GetAgeMs(); age < test.want || age > test.want+50 || test.want < 0 && age != -1 {
+					t.Errorf("age %d ms; want %d", age, test.want)
+				}
+			})
+		})
+	}
+}
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -36,6 +36,8 @@
 	onStart    func(call Call, s *flow.Start)
 	onHold     func(call Call, observed int64) bool
 	startCalls int
+	// breaksAtEnd has the end of the process end the calls that onStart handles.
+	breaksAtEnd bool
 }
 
 // clock returns the worker's clock. The caller holds w.mu.
@@ -53,8 +55,14 @@
 	w.startCalls++
 	if w.onStart != nil {
 		w.onStart(call, s)
+		breaks := w.breaksAtEnd
 		w.mu.Unlock()
-		<-ctx.Done()
+		for ended := false; breaks && !ended && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+			w.withLock(func() { ended = w.notListening })
+		}
+		if !breaks {
+			<-ctx.Done()
+		}
 		return Unknown(errSilent)
 	}
 	defer w.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -398,8 +398,12 @@
 		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 		defer cancel()
 		answer := guardedCall("start", func() Answer { return r.opts.Worker.Start(ctx, call, order) })
+		timedOut := ctx.Err() != nil
 		r.stateOwner.Post(func(s *state) {
 			s.startCalls--
+			if _, ok := s.startedSince[key]; ok {
+				s.recordSilence(key, answer, timedOut)
+			}
 			s.decideStart(worker, key, answer)
 			if s.worker.GetId() == worker.GetId() && s.worker.GetBornMs() == worker.GetBornMs() {
 				s.handleStartAnswer(key, st, call.Epoch, answer)
--- a/relay/state.go
+++ b/relay/state.go
@@ -71,6 +71,9 @@
 	// answer, when the first call was sent, on the relay's clock. It has the runs that
 	// are on the worker or may still start there.
 	startedSince map[runKey]time.Duration
+	// silentStarts has the starts of which a call had no answer: true if all such calls ended
+	// at their time limit, so that their connections did not break.
+	silentStarts map[runKey]bool
 	ends         map[int64]*flow.End // by number, until the scheduler has stored them
 	refusals     map[runKey]string   // reasons, of runs that will never start
 	starts       map[runKey]*start
@@ -135,6 +138,7 @@
 	s.running = map[runKey]*flow.Run{}
 	s.startedAtHold = map[runKey]int64{}
 	s.startedSince = map[runKey]time.Duration{}
+	s.silentStarts = map[runKey]bool{}
 	s.ends = map[int64]*flow.End{}
 	s.refusals = map[runKey]string{}
 	s.starts = map[runKey]*start{}
