duty, plan: bans do not grow while most workers of a service fail

After all workers had failed for a while each was banned by itself, for up to 24 s, and after that got only single tasks that had not failed, which need not exist.

If fewer than a third of the workers of a service are off trial, the cause is taken to be none of them: a ban then lasts initialBan, and a worker on trial also takes one task of a gang, of priority 0 or that has failed, once its unit has waited as long as it would for reliable workers.

--- a/duty/failures.go
+++ b/duty/failures.go
@@ -106,7 +106,7 @@
 			taskAtFault = taskAtFault || other != w && !other.health.onTrial(now)
 		}
 		if !taskAtFault {
-			w.health.taskFailed(unit, run, points, w.place.Worker, now, points == fullFailure || st.enoughTrusted(w, now))
+			w.health.taskFailed(unit, run, points, w.place.Worker, now, points == fullFailure || st.enoughTrusted(w, now), st.enoughTrusted(w, now))
 		}
 		if !slices.Contains(j.failedOn[ref], w) {
 			j.failedOn[ref] = append(j.failedOn[ref], w)
@@ -115,21 +115,44 @@
 }
 
 // Of the workers of a service, one in oneTrustedIn is not put on trial because of gangs that
-// fail on several workers: such gangs may be at fault themselves.
+// fail on several workers: such gangs may be at fault themselves. If fewer are off trial, the
+// cause is taken to be none of the workers.
 const oneTrustedIn = 3
 
 // enoughTrusted reports whether one more worker of the same service may be put on trial
 // because of gangs that fail on several workers.
 func (st *state) enoughTrusted(w *worker, now time.Duration) bool {
-	workers, trusted := 0, 0
-	for _, other := range st.workers {
-		if other.info.GetService() != w.info.GetService() || other.info.GetGone() || now-other.lastReport > groupsMemory {
+	workers, trusted := st.countTrusted(w.info.GetService(), now)
+	if !w.health.onTrial(now) {
+		trusted--
+	}
+	return trusted*oneTrustedIn >= workers
+}
+
+// countTrusted returns how many workers a service has, and how many of them are not on trial.
+func (st *state) countTrusted(service string, now time.Duration) (workers, trusted int) {
+	for _, w := range st.workers {
+		if w.info.GetService() != service || w.info.GetGone() || now-w.lastReport > groupsMemory {
 			continue
 		}
 		workers++
-		if other != w && !other.health.onTrial(now) {
+		if !w.health.onTrial(now) {
 			trusted++
 		}
 	}
-	return trusted*oneTrustedIn >= workers
+	return workers, trusted
+}
+
+// fewTrusted returns the services of which more workers are on trial than failures of their
+// own explain.
+func (st *state) fewTrusted(now time.Duration) map[string]bool {
+	few := map[string]bool{}
+	for _, w := range st.workers {
+		service := w.info.GetService()
+		if _, known := few[service]; !known {
+			workers, trusted := st.countTrusted(service, now)
+			few[service] = trusted*oneTrustedIn < workers
+		}
+	}
+	return few
 }
--- a/duty/health.go
+++ b/duty/health.go
@@ -16,7 +16,7 @@
 	suspectFailures = 2
 	// initialBan is how long a suspect worker gets no starts. The ban doubles, up
 	// to maxBan, each time that the worker is banned again without a success in
-	// between.
+	// between, except while most workers of its service fail (see fewTrusted).
 	initialBan = 3 * time.Second
 	maxBan     = 30 * time.Second
 	// trialPeriod is how long after a ban a worker is on trial and gets one task at
@@ -90,9 +90,9 @@
 
 // taskFailed records the failure of a run of a task that has failed on no healthy worker,
 // and bans the worker if there are enough of these or it is on trial, unless a
-// ban is in force. points is what the failure counts, and mayBan is false if it may not
-// lead to a ban.
-func (h *health) taskFailed(key taskKey, run int64, points int, worker string, now time.Duration, mayBan bool) {
+// ban is in force. points is what the failure counts, mayBan is false if it may not lead to
+// a ban, and mayGrow is false if the ban is not to be longer than initialBan.
+func (h *health) taskFailed(key taskKey, run int64, points int, worker string, now time.Duration, mayBan, mayGrow bool) {
 	for failedTask, f := range h.failed {
 		if now-f.at > failureMemory {
 			delete(h.failed, failedTask)
@@ -110,11 +110,22 @@
 	if !mayBan || now < h.bannedUntil || !h.suspect() && now >= h.trialUntil {
 		return
 	}
-	h.lastBan = min(maxBan, max(initialBan, 2*h.lastBan))
+	h.lastBan = nextBan(h.lastBan, mayGrow)
 	h.bannedUntil, h.trialUntil = now+h.lastBan, now+h.lastBan+trialPeriod
 	klog.InfoS("duty: worker suspect", "worker", worker, "failed_tasks", len(h.failed), "ban_ms", h.lastBan.Milliseconds())
 }
 
+// nextBan returns the length of a ban after one of length last, or 0 for none. Bans grow as
+// each shows that the worker is at fault for longer. If most workers fail at a time the cause
+// is elsewhere and may end for all of them at once: bans that had grown to 24 s then left
+// sound workers idle, with tasks waiting (see fewTrusted).
+func nextBan(last time.Duration, mayGrow bool) time.Duration {
+	if !mayGrow {
+		return initialBan
+	}
+	return min(maxBan, max(initialBan, 2*last))
+}
+
 // points returns what counts against the worker.
 func (h *health) points() int {
 	sum := 0
--- a/duty/health_test.go
+++ b/duty/health_test.go
@@ -136,3 +136,30 @@
 		}
 	})
 }
+
+// Guards against sound workers that stay idle after all of them have failed for a while, as
+// when a service that the tasks need was down: each was banned by itself, for up to 24 s, and
+// then waited for a single task that had not failed, which need not exist.
+func TestWorkersThatFailedTogetherAreUsedSoonAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		setAll := func(fails bool) {
+			for _, w := range f.workers {
+				w.fails = fails
+			}
+		}
+		setAll(true)
+		for n := range 40 {
+			f.submit(simpleJob(fmt.Sprintf("%016x", n+1), 40), 2*time.Second)
+			f.run(700 * time.Millisecond)
+		}
+		setAll(false)
+		spec := simpleJob(fmt.Sprintf("%016x", 99), 40)
+		spec.Steps[0].Gang, spec.Steps[0].Count, spec.Steps[0].Accelerators = true, 6, 4
+		gang := f.submit(spec, 2*time.Second)
+		f.run(initialBan + 10*time.Second)
+		if took, ok := f.elapsed(gang); !ok {
+			t.Errorf("a gang is not completed 13 s after the workers were sound again (%v)", took)
+		}
+	})
+}
--- a/duty/lasting.go
+++ b/duty/lasting.go
@@ -51,7 +51,7 @@
 		return !slices.ContainsFunc(f.workers, func(other *worker) bool { return slices.Contains(failures[i].workers, other) })
 	})
 	if !elsewhere || st.provedElsewhere(w, j, ref, now) {
-		w.health.taskFailed(unit, run, fullFailure, w.place.Worker, now, true)
+		w.health.taskFailed(unit, run, fullFailure, w.place.Worker, now, true, st.enoughTrusted(w, now))
 		return
 	}
 	klog.InfoS("duty: step at fault", "job", j.graph.Spec.GetId(), "step", ref.Step, "occurrence", ref.Occurrence, "failed_runs", len(failures))
--- a/duty/place.go
+++ b/duty/place.go
@@ -178,12 +178,14 @@
 			in.Requests = append(in.Requests, request)
 		}
 	}
+	fewTrusted := st.fewTrusted(now)
 	for p, w := range st.byPlace {
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
 			Capacity: capacity(w.info), Free: free[p], Runs: runsOn[p],
 			Usable: st.acceptsStarts(s, w, now) && !testing[w.relay] && starting[p] < maxStarting, Slowness: w.health.slowness(now),
 			Unreliable: w.health.unreliable(now), OnTrial: w.health.onTrial(now),
+			FewTrusted: fewTrusted[w.info.GetService()],
 		})
 	}
 	sortWorkers(in.Workers)
--- a/plan/failures_test.go
+++ b/plan/failures_test.go
@@ -31,6 +31,22 @@
 		{name: "on trial", priority: 1, count: 4, change: func(w *Worker, _ *Request) { w.OnTrial = true }, want: 1},
 		{name: "on trial, gang", priority: 1, count: 4, gang: true, change: func(w *Worker, _ *Request) { w.OnTrial = true }},
 		{name: "on trial, urgent", count: 4, change: func(w *Worker, _ *Request) { w.OnTrial = true }},
+		// After all workers had failed for a while, tasks that had failed, gangs and urgent
+		// tasks waited though all were sound again.
+		{
+			name: "on trial as most workers, unit that has failed and waited", count: 4, want: 1,
+			change: func(w *Worker, r *Request) {
+				w.OnTrial, w.FewTrusted, r.Failures, r.ReadyFor = true, true, 1, 4100*time.Millisecond
+			},
+		},
+		{
+			name: "on trial as most workers, urgent", count: 4,
+			change: func(w *Worker, r *Request) { w.OnTrial, w.FewTrusted, r.ReadyFor = true, true, 3*time.Second },
+		},
+		{
+			name: "on trial alone, unit that has failed and waited", count: 4,
+			change: func(w *Worker, r *Request) { w.OnTrial, r.Failures, r.ReadyFor = true, 1, 10*time.Second },
+		},
 		{
 			name: "on trial, guaranteed unit that has waited", count: 4, want: 4,
 			change: func(w *Worker, r *Request) { w.OnTrial, r.Guaranteed, r.ReadyFor = true, true, 1100*time.Millisecond },
--- a/plan/fit.go
+++ b/plan/fit.go
@@ -23,7 +23,7 @@
 func (s *state) atLeastAsHard(r, failed *Request) bool {
 	rs, fs := r.Unit.Step, failed.Unit.Step
 	return len(r.Held) == 0 && r.Need.Covers(failed.Need) && len(r.Unit.Tasks) >= len(failed.Unit.Tasks) && r.Duration >= failed.Duration &&
-		s.avoidsSameRacks(r, failed) && (!mayTestWorker(r) || mayTestWorker(failed)) && r.Unit.Job.Spec.GetService() == failed.Unit.Job.Spec.GetService() &&
+		s.avoidsSameRacks(r, failed) && (!mayTestWorker(r) || mayTestWorker(failed)) && (!hasWaitedForTrust(r) || hasWaitedForTrust(failed)) && r.Unit.Job.Spec.GetService() == failed.Unit.Job.Spec.GetService() &&
 		(fs.GetRequiredLabel() == "" || fs.GetRequiredLabel() == rs.GetRequiredLabel()) &&
 		(fs.GetMaxPerWorker() == 0 || fs == rs && r.Unit.Tasks[0].Occurrence == failed.Unit.Tasks[0].Occurrence)
 }
--- a/plan/input.go
+++ b/plan/input.go
@@ -81,6 +81,8 @@
 	// stall, and no task has succeeded there since. Such a worker takes only one
 	// task at a time, except from guaranteed units.
 	OnTrial bool
+	// FewTrusted reports whether most workers of its service are on trial.
+	FewTrusted bool
 }
 
 func (w *Worker) hasLabel(label string) bool {
