duty, plan: work on workers that leave is stopped by what is lost

Change: with save_leaving_work in [gate], off by default, the holder decides for each unit with a task on a worker that drains (plan.StopLeaving): one that ends in time is left, one with checkpoints is stopped 1.2 s before, and any other is stopped if that loses less by expectation. With the setting off nothing changes.

--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -155,6 +155,9 @@
 		}
 		f.state.expireLeases(f.scheduler, now)
 		f.state.moveSlowRuns(now)
+		if f.scheduler.settings.SaveLeavingWork {
+			f.state.saveLeavingWork(now)
+		}
 		f.state.placeUnits(f.scheduler, now)
 		f.state.advanceJobs()
 		for _, j := range f.state.jobs {
--- a/duty/report.go
+++ b/duty/report.go
@@ -124,6 +124,7 @@
 		klog.InfoS("duty: worker changed", "worker", place.Worker, "draining", info.GetDraining(), "gone", info.GetGone(), "remaining_ms", info.GetRemainingMs())
 		st.planNeeded = true
 	}
+	w.noteLeaving(info, w.lastReport)
 	w.info, w.infoBoot = info, w.relayBoot
 	if !info.GetGone() {
 		w.goneSince = 0
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -49,7 +49,7 @@
 	RemoteFactor float64
 	// UnevenWorkers, LearnRunTimes, OrderByCost and RefuseLate switch on the settings of
 	// the same names.
-	UnevenWorkers, LearnRunTimes, OrderByCost, RefuseLate bool
+	UnevenWorkers, LearnRunTimes, OrderByCost, RefuseLate, SaveLeavingWork bool
 }
 
 // Operator gives a scheduler the operator's configuration and orders.
@@ -232,6 +232,9 @@
 	if st.planNeeded && s.claim.Valid() {
 		st.planNeeded = false
 		st.moveSlowRuns(now)
+		if s.settings.SaveLeavingWork {
+			st.saveLeavingWork(now)
+		}
 		st.placeUnits(s, now)
 	}
 	st.advanceJobs()
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -17,6 +17,7 @@
 	endsCounter           = newCounter("catkinpoint_duty_ends", "Runs that have ended, by how they ended.")
 	lostWorkCounter       = newCounter("catkinpoint_duty_thrown_core_seconds", "Work lost in runs that ended without success, core-seconds.")
 	preemptionsCounter    = newCounter("catkinpoint_duty_preemptions", "Runs ordered to stop for more urgent units of work.")
+	leavingStopsCounter   = newCounter("catkinpoint_duty_leaving_stops", "Units of work stopped as a worker of theirs was about to leave.")
 	claimsCounter         = newCounter("catkinpoint_duty_claims", "Times that this process claimed the scheduler role.")
 	unconfirmedCounter    = newCounter("catkinpoint_duty_unconfirmed_writes", "Writes of progress whose outcome was at first unknown.")
 	refusedCounter        = newCounter("catkinpoint_duty_refused_writes", "Writes of a job's progress that the store refuses.")
--- a/duty/worker.go
+++ b/duty/worker.go
@@ -44,6 +44,8 @@
 	unexpectedRuns map[string]map[int64]bool
 	// goneSince is when the relay first reported the worker as gone, or 0.
 	goneSince time.Duration
+	// leavesAt is when a worker that drains leaves at the earliest.
+	leavesAt time.Duration
 	// overRuns are runs that were taken as over on this machine, as long as a call for one
 	// of them may still be carried out.
 	overRuns      []*overRun
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -140,7 +140,7 @@
 			TaskLease: conf.Duration(s.GetTaskLease()), ConfigAge: conf.Duration(s.GetConfigAge()),
 			StartAge: conf.Duration(s.GetStartAge()), Retention: conf.Duration(s.GetRetention()),
 			RemoteFactor: s.GetRemoteFactor(), UnevenWorkers: s.GetUnevenWorkers(), LearnRunTimes: s.GetLearnRunTimes(),
-			OrderByCost: s.GetOrderByCost(), RefuseLate: s.GetRefuseLate(),
+			OrderByCost: s.GetOrderByCost(), RefuseLate: s.GetRefuseLate(), SaveLeavingWork: s.GetSaveLeavingWork(),
 		},
 	}
 }
