speed, duty, plan: placement by the learned pace of workers

Cause: on one deployment a third of the workers takes 2.0 to 2.5 times as long for the same work, and urgent jobs are late for it; the slowness of duty starts at 2 and is measured against declared times that are off by as much. Change: package speed fits the pace of each worker from the progress of running tasks of the same step. duty feeds it, stores the estimates in transactions of progress and forgets the process that ended. plan keeps units that may preempt off workers on which they would miss their objective, prefers fast or slow workers by slack and room, and keeps gangs on workers of like pace. Off unless uneven_workers is set.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -43,6 +43,12 @@
 // newHarness stores a claim of the duty and starts a scheduler that runs until the
 // test ends.
 func newHarness(t *testing.T, kv *fakekv.Server, epoch int64) *harness {
+	t.Helper()
+	return newHarnessWith(t, kv, epoch, testSettings)
+}
+
+// newHarnessWith is like newHarness, with other settings.
+func newHarnessWith(t *testing.T, kv *fakekv.Server, epoch int64, settings Settings) *harness {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -57,7 +63,7 @@
 	claim := &Claim{Epoch: epoch, Revision: revision, ttl: time.Hour, lost: make(chan struct{})}
 	claim.extend(clock.Monotonic())
 	operator := staticOperator{route.New(1, 1000, nil, []route.Customer{{Name: "c", Guaranteed: 16}}, nil)}
-	b := &harness{t: t, kv: kv, claim: claim, scheduler: NewScheduler(ctx, testSettings, kv, operator, claim, func() []string { return nil })}
+	b := &harness{t: t, kv: kv, claim: claim, scheduler: NewScheduler(ctx, settings, kv, operator, claim, func() []string { return nil })}
 	go b.scheduler.Run()
 	synctest.Wait()
 	return b
--- a/duty/job.go
+++ b/duty/job.go
@@ -9,6 +9,7 @@
 	"catkinpoint/flow"
 	"catkinpoint/graph"
 	"catkinpoint/plan"
+	"catkinpoint/speed"
 )
 
 // job is a job with the state that its stored records do not hold.
@@ -77,6 +78,10 @@
 	slowSamples   int     // slow samples in a row
 	checkpoint    string  // last one that the worker listed
 	expectedTime  time.Duration
+	// pace is the pace that expectedTime includes, which is that of the slowest worker of a
+	// gang, and ownPace that of the run's own worker; 0 if expectedTime includes none.
+	pace, ownPace float64
+	stretch       speed.Stretch // the part of the run since the last sample of its worker's pace
 }
 
 // runRef identifies a run of a task of a known job.
--- a/duty/keys.go
+++ b/duty/keys.go
@@ -19,6 +19,8 @@
 	gatePrefix     = KeyPrefix + "gate/"
 	claimKey       = KeyPrefix + "duty"
 	epochKey       = KeyPrefix + "epoch"
+	// learnedKey is the key of what the holder has learned. Gates do not follow it.
+	learnedKey = "catkinpoint-learned"
 )
 
 // JobKey returns the key of an accepted job.
@@ -62,6 +64,7 @@
 	KindClaim
 	KindGate
 	KindPage
+	KindLearned
 )
 
 // KindOf returns the kind of a key, and the id of its job or the name of its gate
@@ -85,8 +88,11 @@
 	if name, ok := strings.CutPrefix(key, gatePrefix); ok {
 		return KindGate, name
 	}
-	if key == claimKey {
+	switch key {
+	case claimKey:
 		return KindClaim, ""
+	case learnedKey:
+		return KindLearned, ""
 	}
 	return KindOther, ""
 }
--- /dev/null
+++ b/duty/learned.go
@@ -0,0 +1,163 @@
+package duty
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"catkinpoint/clock"
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/speed"
+	"catkinpoint/store"
+)
+
+const (
+	// learnPeriod is the time between two fits of what was learned.
+	learnPeriod = time.Second
+	// learnedWritePeriod is the least time between two writes of the learned record. A new
+	// holder loses at most what was learned in it.
+	learnedWritePeriod = 2 * time.Second
+	// learnedRefusedPause is the time for which the record is not written after the store
+	// refused a transaction with it.
+	learnedRefusedPause = time.Minute
+	// maxLearnedBytes is the size from which the record is not written, so that it fits into
+	// a transaction beside the progress of jobs.
+	maxLearnedBytes = 256 << 10
+	// paceLogFactor is the factor by which a pace must change to be logged again.
+	paceLogFactor = 1.3
+)
+
+// learned is what the holder has learned beside the records of jobs.
+type learned struct {
+	paces *speed.Paces
+	// logged has the paces that were logged last.
+	logged  map[graph.Place]float64
+	nextFit time.Duration
+	// changed counts the changes, and stored is the count at the last stored record.
+	changed, stored int64
+	nextWrite       time.Duration
+}
+
+func newLearned() learned {
+	return learned{paces: speed.NewPaces(), logged: map[graph.Place]float64{}}
+}
+
+// samplePace takes the progress of a run as evidence of its worker's pace. A gang that is
+// not complete, and a run that is being stopped, make no progress of their own.
+func (st *state) samplePace(s *Scheduler, w *worker, j *job, ref graph.Ref, r *run, percent int32, listed listTime) {
+	step := j.graph.Step(ref)
+	if listed.workerClock == 0 || r.begunAt == 0 || r.stopOrdered || step.GetLongRunning() || !s.settings.UnevenWorkers {
+		return
+	}
+	elapsed, gained, ok := r.stretch.Listed(listed.workerClock, percent)
+	if !ok {
+		return
+	}
+	if step.GetDataRack() != "" && rackOf(w.info) != step.GetDataRack() {
+		elapsed = time.Duration(float64(elapsed) / s.settings.RemoteFactor)
+	}
+	st.learned.paces.Add(speed.Sample{
+		Group:  speed.Group{Job: j.graph.Spec.GetId(), Occurrence: ref.Occurrence, Step: ref.Step, Gang: step.GetGang()},
+		Worker: w.place, Elapsed: elapsed, Percent: gained, At: listed.received,
+	})
+}
+
+// learn brings what was learned up to date.
+func (st *state) learn(s *Scheduler, now time.Duration) {
+	l := &st.learned
+	if !s.settings.UnevenWorkers || now < l.nextFit {
+		return
+	}
+	l.nextFit = now + learnPeriod
+	if !l.paces.Fit(now) {
+		return
+	}
+	l.changed++
+	known := int64(0)
+	for p := range st.byPlace {
+		pace := l.paces.Pace(p, now)
+		if pace != 1 {
+			known++
+			paceHistogram.Record(context.Background(), pace)
+		}
+		last, ok := l.logged[p]
+		if !ok {
+			last = 1
+		}
+		if math.Abs(math.Log(pace/last)) < math.Log(paceLogFactor) {
+			continue
+		}
+		l.logged[p] = pace
+		klog.InfoS("duty: worker pace learned", "worker", p.Worker, "pace", pace, "before", last, "weight", l.paces.Weight(p, now))
+	}
+	pacedGauge.Record(context.Background(), known)
+}
+
+// paceOf returns the pace of the worker at a place, or 1 if it is not known.
+func (st *state) paceOf(s *Scheduler, p graph.Place, now time.Duration) float64 {
+	if !s.settings.UnevenWorkers {
+		return 1
+	}
+	return st.learned.paces.Pace(p, now)
+}
+
+// forgetWorker drops what was learned of a worker's process.
+func (l *learned) forgetWorker(p graph.Place) {
+	l.paces.Forget(p)
+	delete(l.logged, p)
+}
+
+// restore takes over the record of the holder before. One that cannot be decoded counts
+// as empty.
+func (l *learned) restore(value []byte, now time.Duration) {
+	record := &flow.Learned{}
+	if err := proto.Unmarshal(value, record); err != nil {
+		klog.ErrorS(err, "duty: cannot decode what the last holder learned")
+		return
+	}
+	l.paces.Restore(record.GetPaces(), now)
+	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()))
+}
+
+// record returns what is to be stored.
+func (l *learned) record(now time.Duration) *flow.Learned {
+	return &flow.Learned{Paces: l.paces.Record(now)}
+}
+
+// addLearned adds the learned record to a transaction that stores progress anyway, if it has
+// changed and there is room. The record needs no condition of its own: only the holder
+// writes it, and the transaction requires the claim.
+func (b *batch) addLearned(l *learned, now time.Duration) {
+	alone := len(b.writes) == 1 && b.writes[0].job.writeAlone
+	if l.changed == l.stored || now < l.nextWrite || len(b.writes) == 0 || alone || b.txn.Rows() >= store.MaxTxnRows || b.bytes >= maxBatchBytes {
+		return
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.record(now))
+	if err != nil || len(value) > maxLearnedBytes {
+		klog.ErrorS(err, "duty: learned record is not written", "bytes", len(value))
+		l.nextWrite = now + learnedRefusedPause
+		return
+	}
+	l.nextWrite = now + learnedWritePeriod
+	b.learned = l.changed
+	b.write(learnedKey, value)
+}
+
+// applyLearnedWrite applies the outcome of a transaction with the learned record. It
+// reports whether the transaction is to be tried again without it.
+func (l *learned) applyLearnedWrite(b *batch, result writeResult) bool {
+	switch {
+	case b.learned == 0:
+	case result.refused != nil:
+		l.nextWrite = clock.Monotonic() + learnedRefusedPause
+		klog.InfoS("duty: transaction with the learned record refused, it is repeated without", "rows", b.txn.Rows(), "bytes", b.bytes, "err", result.refused)
+		return true
+	case result.conflict == nil && !result.cancelled:
+		l.stored = b.learned
+	}
+	return false
+}
--- /dev/null
+++ b/duty/learned_test.go
@@ -0,0 +1,167 @@
+package duty
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"catkinpoint/clock"
+	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/stand/fakekv"
+	"catkinpoint/store"
+)
+
+// unevenSettings are testSettings with learned paces.
+func unevenSettings() Settings {
+	settings := testSettings
+	settings.UnevenWorkers = true
+	return settings
+}
+
+// teachPaces gives a scheduler paces of workers 1 to n, of which each third takes twice as
+// long.
+func (b *harness) teachPaces(n int) {
+	b.t.Helper()
+	err := b.scheduler.stateOwner.Do(b.t.Context(), func(st *state) {
+		var paces []*flow.WorkerPace
+		for i := 1; i <= n; i++ {
+			p := placeOf(i)
+			paces = append(paces, &flow.WorkerPace{Relay: p.Relay, Worker: p.Worker, BornMs: p.StartUnixMS, LogTime: math.Log(2) * float64(1-min(1, i%3)), Weight: 10})
+		}
+		st.learned.paces.Restore(paces, clock.Monotonic())
+		st.learned.changed++
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// pace returns the pace that a scheduler uses for worker n.
+func (b *harness) pace(n int) float64 {
+	b.t.Helper()
+	pace := 0.0
+	if err := b.scheduler.stateOwner.Do(b.t.Context(), func(st *state) { pace = st.paceOf(b.scheduler, placeOf(n), clock.Monotonic()) }); err != nil {
+		b.t.Fatal(err)
+	}
+	return pace
+}
+
+// Guards against paces that each holder learns anew, or that a worker's next process
+// inherits, and against a record that cannot be decoded and stops the next holder.
+func TestPacesSurviveHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newHarnessWith(t, kv, 1, unevenSettings())
+		workers := newBulkWorkers(t, 1, time.Second)
+		b.teachPaces(30)
+		writes := kv.Counts(fakekv.AllCallers).Writes
+		b.scheduler.Apply([]store.Event{storeMessage(t, kv, JobKey(smallID), bulkJob(smallID, 3, 0))})
+		b.runUntilDone(workers, 10*time.Second, smallID)
+		without := countWrites(t)
+		if with := kv.Counts(fakekv.AllCallers).Writes - writes; with != without {
+			t.Errorf("%d writes with the learned record; %d without", with, without)
+		}
+		b = newHarnessWith(t, kv, 2, unevenSettings())
+		if pace := b.pace(3); math.Abs(pace-2) > 0.05 {
+			t.Errorf("the next holder takes the pace as %.2f; want 2", pace)
+		}
+		restarted := idleReport(3, 1, 2)
+		b.report(restarted)
+		restarted = idleReport(3, 2, 2)
+		restarted.Worker.BornMs++
+		b.report(restarted)
+		if pace := b.pace(3); pace != 1 {
+			t.Errorf("the pace is %.2f after the worker restarted; want 1", pace)
+		}
+		if _, err := kv.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: learnedKey, Value: []byte("\xff\xff")}}}); err != nil {
+			t.Fatal(err)
+		}
+		if pace := newHarnessWith(t, kv, 3, unevenSettings()).pace(3); pace != 1 {
+			t.Errorf("the pace of an unreadable record is %.2f; want 1", pace)
+		}
+	})
+}
+
+// countWrites returns the writes of the job of TestPacesSurviveHandover without a learned
+// record.
+func countWrites(t *testing.T) int64 {
+	t.Helper()
+	kv := fakekv.New()
+	b := newHarness(t, kv, 1)
+	workers := newBulkWorkers(t, 1, time.Second)
+	writes := kv.Counts(fakekv.AllCallers).Writes
+	b.scheduler.Apply([]store.Event{storeMessage(t, kv, JobKey(smallID), bulkJob(smallID, 3, 0))})
+	b.runUntilDone(workers, 10*time.Second, smallID)
+	return kv.Counts(fakekv.AllCallers).Writes - writes
+}
+
+// Guards against a learned record that the store refuses and that holds up the progress of
+// jobs, or makes them count as refused.
+func TestRefusedLearnedRecordStopsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakekv.New()
+		b := newHarnessWith(t, kv, 1, unevenSettings())
+		kv.SetMaxValueBytes(3000)
+		b.teachPaces(200)
+		workers := newBulkWorkers(t, 1, time.Second)
+		b.scheduler.Apply([]store.Event{storeMessage(t, kv, JobKey(smallID), bulkJob(smallID, 3, 0))})
+		if !b.runUntilDone(workers, 10*time.Second, smallID) {
+			t.Errorf("the job is %v", b.headOf(smallID).GetPhase())
+		}
+		if _, err := kv.Get(t.Context(), learnedKey); err == nil {
+			t.Error("the record is stored; the store was to refuse it")
+		}
+	})
+}
+
+// Guards against paces that are not learned from what relays report: members of gangs
+// progress at the speed of their workers, declared times are far too long, and a third of
+// the workers takes 2.4 times as long.
+func TestPacesAreLearnedFromReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Scheduler{settings: unevenSettings()}
+		st := newState(clock.Monotonic())
+		for n := 1; n <= 6; n++ {
+			w := &worker{place: placeOf(n), info: idleReport(n, 1, 1).GetWorker()}
+			st.byPlace[w.place] = w
+		}
+		for number := range 3 {
+			j := newTestGang(t, st, fmt.Sprintf("%016x", number+1))
+			runs := map[graph.Ref]*run{}
+			for tick := range 12 {
+				for i, ref := range j.graph.Ready(0)[0].Tasks {
+					if runs[ref] == nil {
+						runs[ref] = &run{expectedTime: time.Minute}
+					}
+					pace := 1.0
+					if i%3 == 2 {
+						pace = 2.4
+					}
+					percent := int32(min(100, 12*float64(tick)/pace))
+					listed := listTime{received: clock.Monotonic(), workerClock: clock.Monotonic()}
+					runs[ref].updateProgress(percent, true, listed)
+					st.samplePace(s, st.byPlace[placeOf(i+1)], j, ref, runs[ref], percent, listed)
+				}
+				time.Sleep(500 * time.Millisecond)
+				st.learn(s, clock.Monotonic())
+			}
+		}
+		for n, want := range []float64{1, 1, 2.4, 1, 1, 2.4} {
+			if pace := st.paceOf(s, placeOf(n+1), clock.Monotonic()); math.Abs(math.Log(pace/want)) > 0.15 {
+				t.Errorf("pace of worker %d is %.2f; want %.2f", n+1, pace, want)
+			}
+		}
+	})
+}
+
+// newTestGang adds a job with one gang of six tasks to a state.
+func newTestGang(t *testing.T, st *state, id string) *job {
+	t.Helper()
+	spec := simpleJob(id, 6)
+	spec.Steps[0].Gang = true
+	st.apply(store.Event{Item: itemOf(t, JobKey(id), spec, 1)})
+	return st.jobs[id]
+}
--- a/duty/place.go
+++ b/duty/place.go
@@ -54,7 +54,9 @@
 		}
 		number := j.graph.Assign(a.Unit, a.Places)
 		for i, ref := range a.Unit.Tasks {
-			j.runs[ref] = &run{run: number, knownSince: now, expectedTime: st.expectedTimeAt(j, ref, a.Places, i, s)}
+			pace := st.unitPace(s, a, i, now)
+			expected := time.Duration(float64(st.expectedTimeAt(j, ref, a.Places, i, s)) * pace)
+			j.runs[ref] = &run{run: number, knownSince: now, expectedTime: expected, pace: pace, ownPace: st.paceOf(s, a.Places[i], now)}
 			delete(j.readySince, ref)
 			st.addActive(j, j.graph.Task(ref))
 		}
@@ -64,7 +66,7 @@
 		first := a.Unit.Tasks[0]
 		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", first.Step, "index", first.Index, "tasks", len(a.Unit.Tasks),
 			"run", number, "workers", workerNames(a.Places), "expected_ms", j.runs[first].expectedTime.Milliseconds(), "declared_ms", a.Unit.Step.GetEstimateMs(),
-			"waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
+			"pace", j.runs[first].pace, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
 	if len(decision.Holds) > 0 {
 		st.urgentWaitAt = now
@@ -123,6 +125,18 @@
 	return declaredTime(j, ref)
 }
 
+// unitPace returns the pace at which the unit's task i is expected to run: that of its
+// worker or, for a gang, which ends with its slowest member, that of the slowest.
+func (st *state) unitPace(s *Scheduler, a plan.Assignment, i int, now time.Duration) float64 {
+	pace := st.paceOf(s, a.Places[i], now)
+	if a.Unit.Step.GetGang() {
+		for _, p := range a.Places {
+			pace = max(pace, st.paceOf(s, p, now))
+		}
+	}
+	return pace
+}
+
 // rackOfPlace returns the rack of the worker at a place, or "" if it is not known.
 func (st *state) rackOfPlace(p graph.Place) string {
 	if w := st.byPlace[p]; w != nil {
@@ -182,15 +196,39 @@
 		in.Workers = append(in.Workers, plan.Worker{
 			Place: p, Service: w.info.GetService(), Labels: w.info.GetLabels(), Rack: rackOf(w.info),
 			Capacity: capacity(w.info), Free: free[p], Runs: runsOn[p],
-			Usable: st.acceptsStarts(s, w, now) && !testing[w.relay] && starting[p] < maxStarting, Slowness: w.health.slowness(now),
+			Usable: st.acceptsStarts(s, w, now) && !testing[w.relay] && starting[p] < maxStarting, Slowness: w.health.slowness(now), Pace: st.paceOf(s, p, now),
 			Unreliable: w.health.unreliable(now), OnTrial: w.health.onTrial(now),
 		})
 	}
 	sortWorkers(in.Workers)
+	if s.settings.UnevenWorkers {
+		endGangsTogether(in.Running)
+	}
 	st.planInput = in
 	return in
 }
 
+// endGangsTogether sets the remaining time of all members of a gang to that of the slowest,
+// with which it ends.
+func endGangsTogether(running []plan.Running) {
+	type gangKey struct {
+		job              *graph.Job
+		occurrence, step int32
+	}
+	longest := map[gangKey]time.Duration{}
+	for i := range running {
+		if r := &running[i]; r.Job.Step(r.Ref).GetGang() {
+			k := gangKey{r.Job, r.Ref.Occurrence, r.Ref.Step}
+			longest[k] = max(longest[k], r.Remaining)
+		}
+	}
+	for i := range running {
+		if r := &running[i]; r.Job.Step(r.Ref).GetGang() {
+			r.Remaining = longest[gangKey{r.Job, r.Ref.Occurrence, r.Ref.Step}]
+		}
+	}
+}
+
 func capacity(info *flow.Worker) plan.Resources {
 	return plan.Resources{MilliCPU: info.GetCpu(), MemoryMB: info.GetMemoryMb(), Accelerators: info.GetAccelerators()}
 }
--- a/duty/progress.go
+++ b/duty/progress.go
@@ -64,3 +64,20 @@
 	}
 	return max(0, left-(now-r.percentAt))
 }
+
+// typicalTime returns the expected run time on a typical worker.
+func (r *run) typicalTime() time.Duration {
+	if r.pace <= 0 {
+		return r.expectedTime
+	}
+	return time.Duration(float64(r.expectedTime) / r.pace)
+}
+
+// ownTime returns the expected time in which the run makes its own progress, without the
+// wait for slower members of its gang.
+func (r *run) ownTime() time.Duration {
+	if r.ownPace <= 0 {
+		return r.expectedTime
+	}
+	return time.Duration(float64(r.typicalTime()) * r.ownPace)
+}
--- a/duty/records.go
+++ b/duty/records.go
@@ -40,6 +40,8 @@
 		st.addJob(id, e.Item)
 	case kind == KindProgress && !st.loaded:
 		st.loadedProgress[id] = e.Item
+	case kind == KindLearned && !st.loaded:
+		st.learned.restore(e.Value, clock.Monotonic())
 	case kind == KindPage && !st.loaded:
 		st.loadPage(id, e.Item)
 	case kind == KindCrash && !st.loaded:
--- a/duty/report.go
+++ b/duty/report.go
@@ -102,6 +102,7 @@
 		klog.InfoS("duty: worker known", "worker", place.Worker, "born", place.StartUnixMS, "relay", w.relay, "old", w.place.Worker, "epoch", s.claim.Epoch)
 		st.inferCrash(s, w)
 		delete(st.byPlace, w.place)
+		st.learned.forgetWorker(w.place)
 		w.place, w.reconciled, w.lastAppliedEnd, w.lastStoredEnd, w.unstoredEnds, w.unexpectedRuns = place, false, 0, 0, nil, nil
 		if w.goneSince = 0; place.Worker != w.place.Worker {
 			w.overRuns = nil // calls for them name another worker
@@ -325,6 +326,7 @@
 	}
 	known.updateProgress(r.GetPercent(), j.graph.MembersStarted(ref, t.Run), listed)
 	w.health.addSample(j, known, listed)
+	st.samplePace(s, w, j, ref, known, r.GetPercent(), listed)
 	if !known.proved && j.graph.Step(ref).GetLongRunning() && known.provesWorker(listed.received) {
 		known.proved = true
 		w.health.taskSucceeded()
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -147,7 +147,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading pages: %w", err)
 	}
-	return append(items, pages...), nil
+	items = append(items, pages...)
+	if !s.settings.UnevenWorkers {
+		return items, nil
+	}
+	records, _, err := s.kv.Range(ctx, learnedKey)
+	if err != nil {
+		return nil, fmt.Errorf("reading what was learned: %w", err)
+	}
+	return append(items, records...), nil
 }
 
 // Yield gives up the claim of an epoch so that a gate with much more processor
@@ -231,6 +239,7 @@
 	}
 	if st.planNeeded && s.claim.Valid() {
 		st.planNeeded = false
+		st.learn(s, now)
 		st.moveSlowRuns(now)
 		st.placeUnits(s, now)
 	}
--- a/duty/slow.go
+++ b/duty/slow.go
@@ -87,7 +87,7 @@
 	}
 	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
 	left := time.Duration(r.slowness * float64(r.expectedTime) * float64(100-r.percent) / 100)
-	return now-j.submitted+left >= objective && float64(left) >= minMoveGain*float64(typicalStopTime+r.expectedTime)
+	return now-j.submitted+left >= objective && float64(left) >= minMoveGain*float64(typicalStopTime+r.typicalTime())
 }
 
 // stopUnit orders a stop of a task's run, or of all runs of its gang.
--- a/duty/slowness.go
+++ b/duty/slowness.go
@@ -32,12 +32,13 @@
 // other members of its gang.
 func (h *health) addSample(j *job, r *run, listed listTime) {
 	elapsed := listed.workerClock - r.sampleClock
-	if listed.workerClock == 0 || r.begunAt == 0 || r.percent >= 100 || r.expectedTime <= 0 || elapsed < max(minSampleTime, r.expectedTime*minSamplePercent/100) {
+	expected := r.ownTime()
+	if listed.workerClock == 0 || r.begunAt == 0 || r.percent >= 100 || expected <= 0 || elapsed < max(minSampleTime, expected*minSamplePercent/100) {
 		return
 	}
 	share := float64(r.percent-r.samplePercent) / 100
 	r.sampleClock, r.samplePercent = listed.workerClock, r.percent
-	r.slowness = min(maxSlowness, elapsed.Seconds()/(r.expectedTime.Seconds()*max(share, minProgressShare)))
+	r.slowness = min(maxSlowness, elapsed.Seconds()/(expected.Seconds()*max(share, minProgressShare)))
 	if r.slowness < slowThreshold {
 		r.slowSamples = 0
 	} else {
--- a/duty/state.go
+++ b/duty/state.go
@@ -46,6 +46,7 @@
 	lastSeq      int64 // number of the last change of any job's progress
 	// planInput is the last input of package plan. Its slices are reused.
 	planInput plan.Input
+	learned   learned
 	// openCache is the result of openJobs, or nil if it has to be built again.
 	openCache []*job
 }
@@ -61,6 +62,7 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{}, activeByRelay: map[string]map[*graph.Task]*job{},
 		revisions: map[string]int64{}, cancelled: map[string]bool{}, loadedProgress: map[string]store.Item{}, loadedCrashes: map[string]store.Item{}, startedAt: now,
 		loadedPages: map[string]map[int64]store.Item{}, gates: map[string]bool{}, maxUnpagedBytes: maxUnpagedBytes,
+		learned: newLearned(),
 	}
 }
 
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -25,6 +25,8 @@
 	failuresCounter       = newCounter("catkinpoint_duty_failed_runs", "Runs that a worker listed as failed, by whether they count as an attempt.")
 	contradictionsCounter = newCounter("catkinpoint_duty_contradictions", "Runs that a worker listed after they had been taken as over, by how.")
 	decisionHistogram     = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
+	pacedGauge            = newGauge("catkinpoint_duty_paced_workers", "Workers whose run times are known to differ from those of the median worker.")
+	paceHistogram         = newRatioHistogram("catkinpoint_duty_worker_pace", "Learned run time on a worker relative to the median worker, each time that it is fitted.")
 	writeHistogram        = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
 )
 
@@ -44,6 +46,22 @@
 	return h
 }
 
+func newGauge(name, help string) metric.Int64Gauge {
+	g, err := meter.Int64Gauge(name, metric.WithDescription(help))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return g
+}
+
+func newRatioHistogram(name, help string) metric.Float64Histogram {
+	h, err := meter.Float64Histogram(name, metric.WithDescription(help), metric.WithExplicitBucketBoundaries(0.5, 0.67, 0.8, 0.9, 1.1, 1.25, 1.5, 2, 3))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return h
+}
+
 func count(c metric.Int64Counter, n int64, label, value string) {
 	c.Add(context.Background(), n, metric.WithAttributes(attribute.String(label, value)))
 }
--- a/duty/write.go
+++ b/duty/write.go
@@ -54,6 +54,8 @@
 	txn    store.Txn
 	writes []*jobWrite
 	bytes  int
+	// learned is the count of changes of the learned record in the transaction, or 0.
+	learned int64
 }
 
 // writeResult is the outcome of a batch's transaction.
@@ -72,6 +74,7 @@
 	if len(batch.writes) == 0 {
 		return
 	}
+	batch.addLearned(&st.learned, now)
 	st.writing = true
 	go func() {
 		result := s.commit(batch)
@@ -300,6 +303,9 @@
 // applyWrite applies the outcome of a batch: runs that are now stored are ordered,
 // and ends that are now stored are acknowledged.
 func (st *state) applyWrite(b *batch, result writeResult) {
+	if st.learned.applyLearnedWrite(b, result) {
+		return // its jobs are still changed and are collected again
+	}
 	switch {
 	case result.cancelled:
 		return
--- a/plan/fit.go
+++ b/plan/fit.go
@@ -23,7 +23,7 @@
 func (s *state) atLeastAsHard(r, failed *Request) bool {
 	rs, fs := r.Unit.Step, failed.Unit.Step
 	return len(r.Held) == 0 && r.Need.Covers(failed.Need) && len(r.Unit.Tasks) >= len(failed.Unit.Tasks) && r.Duration >= failed.Duration &&
-		s.avoidsSameRacks(r, failed) && (!mayTestWorker(r) || mayTestWorker(failed)) && r.Unit.Job.Spec.GetService() == failed.Unit.Job.Spec.GetService() &&
+		s.avoidsSameRacks(r, failed) && s.paceLimit(r) <= s.paceLimit(failed) && (!mayTestWorker(r) || mayTestWorker(failed)) && r.Unit.Job.Spec.GetService() == failed.Unit.Job.Spec.GetService() &&
 		(fs.GetRequiredLabel() == "" || fs.GetRequiredLabel() == rs.GetRequiredLabel()) &&
 		(fs.GetMaxPerWorker() == 0 || fs == rs && r.Unit.Tasks[0].Occurrence == failed.Unit.Tasks[0].Occurrence)
 }
@@ -60,7 +60,7 @@
 	step := r.Unit.Step
 	waits := !anywhere && s.waitsForRack(r)
 	if rack, ok := s.rackIndex[step.GetDataRack()]; ok && step.GetDataRack() != "" {
-		if found, ok := s.fitAmong(r, s.racks[rack], free); ok {
+		if found, ok := s.fitLikePace(r, s.racks[rack], free); ok {
 			return found, true
 		}
 		if waits {
@@ -75,7 +75,17 @@
 			return nil, false
 		}
 	}
-	return s.fitAmong(r, s.allWorkers, free)
+	return s.fitLikePace(r, s.allWorkers, free)
+}
+
+// fitLikePace is like fitAmong, with workers of like pace for a gang if possible.
+func (s *state) fitLikePace(r *Request, workers []int, free []Resources) ([]int, bool) {
+	for _, band := range s.paceBands(r) {
+		if found, ok := s.fitAmong(r, workers, free, band); ok {
+			return found, true
+		}
+	}
+	return nil, false
 }
 
 // fitsEmptyRack reports whether the gang would fit on some rack if that were empty.
@@ -95,12 +105,22 @@
 }
 
 // fitOneRack finds workers for the gang on one rack: that with the least free
-// resources, with a penalty for slow workers.
+// resources, with a penalty for slow workers, and on workers of like pace if possible.
 func (s *state) fitOneRack(r *Request, free []Resources) ([]int, bool) {
+	for _, band := range s.paceBands(r) {
+		if found, ok := s.fitOneRackWithin(r, free, band); ok {
+			return found, true
+		}
+	}
+	return nil, false
+}
+
+// fitOneRackWithin is like fitOneRack, with workers whose pace is in a band only.
+func (s *state) fitOneRackWithin(r *Request, free []Resources, band paceBand) ([]int, bool) {
 	var best []int
 	bestScore := 0.0
 	for _, rack := range s.racks {
-		found, ok := s.fitAmong(r, rack, free)
+		found, ok := s.fitAmong(r, rack, free, band)
 		if !ok {
 			continue
 		}
@@ -109,7 +129,7 @@
 			score += free[w].CoreEquivalents()
 		}
 		for _, w := range found {
-			score += slowdownWeight * max(0, s.workers[w].Slowness-1)
+			score += slowdownWeight*max(0, s.workers[w].Slowness-1) + s.paceCost(r, w)
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = found, score
@@ -122,14 +142,15 @@
 // which tasks take twice as long.
 const slowdownWeight = 64
 
-// fitAmong is like fitInto, with the given workers only and without a preferred
-// rack.
-func (s *state) fitAmong(r *Request, workers []int, free []Resources) ([]int, bool) {
+// fitAmong is like fitInto, with the given workers only, of these those whose pace is in
+// a band, and without a preferred rack.
+func (s *state) fitAmong(r *Request, workers []int, free []Resources, band paceBand) ([]int, bool) {
+	limit := s.paceLimit(r)
 	tasks := int64(len(r.Unit.Tasks))
 	s.candidates = s.candidates[:0]
 	capacity := int64(0)
 	for _, w := range workers {
-		if free[w].Covers(r.Need) && s.eligible(r, w) {
+		if free[w].Covers(r.Need) && s.eligible(r, w) && band.has(s.pace(w)) && s.pace(w) <= limit {
 			s.candidates = append(s.candidates, w)
 			s.leftover[w] = free[w]
 			if capacity < tasks {
@@ -151,7 +172,7 @@
 			if !s.leftover[w].Covers(r.Need) || limited && s.stepTasks[w] >= r.Unit.Step.GetMaxPerWorker() {
 				continue
 			}
-			cost := s.placementCost(w, s.leftover[w].Sub(r.Need))
+			cost := s.placementCost(w, s.leftover[w].Sub(r.Need)) + s.paceCost(r, w)
 			if r.Isolated {
 				cost = s.exposureCost(w, s.stepTasks[w] > 0)
 			}
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -46,7 +46,7 @@
 // it. Otherwise both results are nil if the unit may not preempt, or if there are
 // no victims or they cost too much.
 func (s *state) preempt(r *Request) (stops []Stop, held []int) {
-	mayPreempt := !r.Isolated && (r.Guaranteed || r.priority() == 0 && r.Slack > stopDelay)
+	mayPreempt := r.mayPreempt()
 	if !mayPreempt && len(r.Held) == 0 {
 		return nil, nil // not urgent, or would miss its objective even with a stop
 	}
@@ -85,6 +85,11 @@
 	return stops, workers
 }
 
+// mayPreempt reports whether runs may be stopped for the unit.
+func (r *Request) mayPreempt() bool {
+	return !r.Isolated && (r.Guaranteed || r.priority() == 0 && r.Slack > stopDelay)
+}
+
 // validHold returns the workers of the unit's hold if the resources on them will
 // be free once all ordered stops have ended, and nil otherwise. free is the result
 // of freeAfterStops.
--- a/plan/reserve.go
+++ b/plan/reserve.go
@@ -21,7 +21,7 @@
 func (s *state) respectsReservations(r *Request, w int, free Resources) bool {
 	freeAfter := free.Sub(r.Need)
 	for _, res := range s.reserved[w] {
-		if res.owner == r || r.Duration <= res.from {
+		if res.owner == r || s.durationOn(r, w) <= res.from {
 			continue
 		}
 		if !s.freeAt(w, freeAfter, res.from).Covers(res.need) {
@@ -36,7 +36,7 @@
 func (s *state) respectsLaterReservations(r *Request, w int, free Resources) bool {
 	freeAfter := free.Sub(r.Need)
 	for _, res := range s.reserved[w] {
-		if res.owner == r || res.from == 0 || r.Duration <= res.from {
+		if res.owner == r || res.from == 0 || s.durationOn(r, w) <= res.from {
 			continue
 		}
 		later := freeAfter
--- a/plan/state.go
+++ b/plan/state.go
@@ -67,6 +67,9 @@
 	// free at the start of the decision, and crowded whether less than
 	// crowdedShare of it was.
 	busy, crowded bool
+	// fastPace, slowest and uneven are set by measurePaces.
+	fastPace, slowest float64
+	uneven            bool
 }
 
 // stepOnWorker identifies a step of one occurrence of a job on one worker.
@@ -96,6 +99,7 @@
 			s.runsOn[w] = append(s.runsOn[w], i)
 		}
 	}
+	s.measurePaces()
 	free := s.freeShare()
 	s.urgentRacks, s.busy, s.crowded = s.emptiestRacks(), free < 0.5, free < crowdedShare
 	return s
--- a/plan/victims.go
+++ b/plan/victims.go
@@ -34,6 +34,7 @@
 // cheapest victims.
 type victimSearch struct {
 	*state
+	paceLimit        float64 // of the request
 	request          *Request
 	candidateWorkers []int
 	chosenVictims    []int
@@ -52,6 +53,7 @@
 // placeAll assigns the tasks one after another and reports whether all fit.
 func (v *victimSearch) placeAll(free []Resources) bool {
 	v.searchNumber++
+	v.paceLimit = v.state.paceLimit(v.request)
 	capacity := int64(0)
 	for _, w := range v.candidateWorkers {
 		v.simFree[w] = free[w]
@@ -105,7 +107,7 @@
 	if v.slots[a].stopCost != v.slots[b].stopCost {
 		return v.slots[a].stopCost < v.slots[b].stopCost
 	}
-	return v.state.placementCost(a, v.simFree[a]) < v.state.placementCost(b, v.simFree[b])
+	return v.state.placementCost(a, v.simFree[a])+v.paceCost(v.request, a) < v.state.placementCost(b, v.simFree[b])+v.paceCost(v.request, b)
 }
 
 // assign places one task in the slot on a worker, and updates the slots of all
@@ -140,7 +142,7 @@
 func (v *victimSearch) slotOn(w int) slot {
 	need := v.request.Need
 	limit := v.request.Unit.Step.GetMaxPerWorker()
-	if limit > 0 && v.stepTasks[w] >= limit || !v.eligible(v.request, w) || !v.maxFree(w).Covers(need) {
+	if limit > 0 && v.stepTasks[w] >= limit || !v.eligible(v.request, w) || v.pace(w) > v.paceLimit || !v.maxFree(w).Covers(need) {
 		return slot{}
 	}
 	free := v.simFree[w]
