intake, verbs: readiness checks have a budget of their own

Cause: the listener of readiness checks shared the budget of the callers, so that a crowd of callers could make the balancer take a sound gate out. The rest of a small refused body was read after the request had ended, and counted as headers of the next one.

Change: a second Intake of 8 MB and 64 connections for readiness checks; log lines and metrics name the listeners. The rest of a small body is read before the answer, as net/http would, within caller_stall.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,6 +112,7 @@
 	e.runCtx = serveCtx
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	admission := intake.New(intake.Resources{
+		Name:     "callers",
 		BudgetMB: e.opts.CallerMemoryMB, Descriptors: intake.Descriptors(), Stall: callerTimeout,
 		SocketBytes: SocketBytes, BodyFactor: bodyFactor,
 	})
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -55,7 +55,10 @@
 			keepHeaders(r, headers)
 			i.forgetHeaders(c.holder)
 		}
-		body := &body{inner: r.Body, intake: i, conn: c, declared: r.ContentLength, ended: r.Body == http.NoBody}
+		body := &body{
+			inner: r.Body, intake: i, conn: c, declared: r.ContentLength,
+			expectsContinue: r.Header.Get("Expect") != "", ended: r.Body == http.NoBody,
+		}
 		response := &response{ResponseWriter: w, body: body}
 		if !i.hold(c.holder, servingFactor*int64(i.resources.SocketBytes), false, "requests") {
 			response.Header().Set("Retry-After", "1")
@@ -108,9 +111,11 @@
 	start    time.Duration // of the first read
 	received int64
 	reserved int64 // bytes for which there is room
-	begun    bool
-	ended    bool  // was read to its end
-	failed   error // of an earlier read
+	// expectsContinue reports whether the client waits to be told to send the body.
+	expectsContinue bool
+	begun           bool
+	ended           bool  // was read to its end
+	failed          error // of an earlier read
 }
 
 // Read implements io.Reader. Its error is ErrBusy if there is no room.
@@ -161,6 +166,24 @@
 	return n, err
 }
 
+// discard throws the rest of a small body away, within the time of a stall. It reports
+// whether the body has ended.
+func (b *body) discard() bool {
+	if b.expectsContinue && !b.begun {
+		return false // the client waits for the answer before it sends the body
+	}
+	b.intake.enter(b.conn.holder, Sending)
+	defer b.intake.enter(b.conn.holder, Serving)
+	if b.conn.Conn.SetReadDeadline(time.Now().Add(b.intake.resources.Stall)) != nil {
+		return false
+	}
+	if _, err := io.CopyN(io.Discard, b.inner, smallBytes+1); err != io.EOF {
+		return false
+	}
+	b.ended = true
+	return b.conn.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // reserve takes room for the next part of the body.
 func (b *body) reserve() bool {
 	h := b.conn.holder
@@ -217,11 +240,8 @@
 		b.intake.stopped()
 		panic(http.ErrAbortHandler) // the client has stopped; there is nothing to say about its job
 	}
-	if b.failed == nil && b.declared >= 0 && b.declared <= smallBytes {
-		// The HTTP server reads the rest, so that the connection can be used again.
-		b.intake.enter(b.conn.holder, Sending)
-		_ = b.conn.Conn.SetReadDeadline(time.Now().Add(b.intake.resources.Stall)) // fails if the connection is closed
-		return
+	if b.failed == nil && b.declared >= 0 && b.declared <= smallBytes && b.discard() {
+		return // the connection can be used again
 	}
 	b.conn.unread.Store(true)
 	r.Header().Set("Connection", "close")
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -80,19 +80,19 @@
 // logLimits returns the limits of resources and logs them.
 func logLimits(r Resources) Limits {
 	l := LimitsOf(r)
-	klog.InfoS("intake: limits", "bytes", l.Bytes, "large_bytes", l.Large, "connections", l.Connections)
+	klog.InfoS("intake: limits", "listeners", r.Name, "bytes", l.Bytes, "large_bytes", l.Large, "connections", l.Connections)
 	return l
 }
 
 // decided counts a decision and logs it, at most one of a kind in each logPeriod.
 // i.mu must be held.
 func (i *Intake) decided(decision, reason string) {
-	countDecision(decision, reason)
+	countDecision(i.resources.Name, decision, reason)
 	now := clock.Monotonic()
 	state, known := i.logged[decision+reason]
 	state.passed++
 	if !known || now-state.last >= logPeriod {
-		klog.InfoS("intake: client "+decision, "reason", reason, "count", state.passed,
+		klog.InfoS("intake: client "+decision, "listeners", i.resources.Name, "reason", reason, "count", state.passed,
 			"held_bytes", i.ledger.Held(), "connections", i.ledger.Connections())
 		state = logState{last: now}
 	}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -11,9 +11,9 @@
 	unlimitedBudget = 128 * bytesPerMB
 	// leastBudget has room for one largest body and a few dozen ordinary requests, bytes.
 	leastBudget = 8 * bytesPerMB
-	// reservedDescriptors are kept for files (200 by the platform's pages) and for the
-	// process's own links.
-	reservedDescriptors = 300
+	// reservedDescriptors are kept for files (200 by the platform's pages), for the
+	// process's own links, and for listeners with an Intake of their own.
+	reservedDescriptors = 400
 	// leastConnections are allowed whatever the descriptors are.
 	leastConnections = 16
 	// connectionBytes is what a connection costs without a request: the stacks of its
@@ -61,6 +61,7 @@
 
 // Resources are what the process has, and what its settings say.
 type Resources struct {
+	Name        string        // of the listeners, in log lines and metrics
 	MemoryMB    int64         // of the process; 0 means no limit
 	BudgetMB    int64         // for clients; 0 means a share of MemoryMB
 	Connections int64         // largest number; 0 means as many as memory and descriptors allow
--- a/intake/stats.go
+++ b/intake/stats.go
@@ -22,8 +22,8 @@
 	return c
 }
 
-func countDecision(decision, reason string) {
-	decisionsCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("decision", decision), attribute.String("reason", reason)))
+func countDecision(listeners, decision, reason string) {
+	decisionsCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("listeners", listeners), attribute.String("decision", decision), attribute.String("reason", reason)))
 }
 
 // observe shows what is held and how many connections are open.
@@ -37,8 +37,9 @@
 	if _, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		o.ObserveInt64(held, i.ledger.Held())
-		o.ObserveInt64(open, int64(i.ledger.Connections()))
+		name := metric.WithAttributes(attribute.String("listeners", i.resources.Name))
+		o.ObserveInt64(held, i.ledger.Held(), name)
+		o.ObserveInt64(open, int64(i.ledger.Connections()), name)
 		return nil
 	}, held, open); err != nil {
 		otel.Handle(err)
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -52,6 +52,10 @@
 	// connection open.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
+	// readyBudgetMB and readyConnections limit what readiness checks make a gate hold. A
+	// few balancers check at a time.
+	readyBudgetMB    = 8
+	readyConnections = 64
 )
 
 // Run serves until ctx ends, and then until callers have moved to other gates or
@@ -80,15 +84,23 @@
 	if err != nil {
 		return err
 	}
-	callerListeners, err := listenAll(ctx, admission.Listen, settings.Gate.GetJobAddress(), settings.Gate.GetReadyAddress())
-	if err != nil {
-		return err
+	// Readiness checks have a budget of their own, so that a crowd of callers does not make
+	// the balancer take the gate out.
+	checks := intake.New(intake.Resources{Name: "ready", BudgetMB: readyBudgetMB, Connections: readyConnections})
+	for _, client := range []struct {
+		admission *intake.Intake
+		address   string
+	}{{admission, settings.Gate.GetJobAddress()}, {checks, settings.Gate.GetReadyAddress()}} {
+		opened, err := listenAll(ctx, client.admission.Listen, client.address)
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, opened...)
 	}
-	listeners = append(listeners, callerListeners...)
 	klog.InfoS("gate: started", "id", settings.Node.GetId(), "data_centre", settings.Node.GetDataCentre())
 	serverOptions := intake.ServerOptions{Headers: platform.CallerHeaders, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	callers := admission.Server(platform.CallerHandler(g), serverOptions)
-	ready := admission.Server(platform.ReadinessHandler(g), serverOptions)
+	ready := checks.Server(platform.ReadinessHandler(g), serverOptions)
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
@@ -238,6 +250,7 @@
 // callerResources returns what the process may use for its callers.
 func callerResources(settings *conf.Settings) intake.Resources {
 	return intake.Resources{
+		Name:        "callers",
 		MemoryMB:    settings.Platform.GetMemoryMb(),
 		BudgetMB:    settings.Gate.GetCallerMemoryMb(),
 		Connections: settings.Gate.GetCallerConnections(),
