speed, duty: run times expected from those of earlier jobs

Cause: declared run times of two queues of one customer are off by a factor of 2.5 either way. A job with a short declaration counts as late after half of its true time, and then takes slow workers; one with a long declaration counts as having time. Change: package speed regresses actual on declared times for each queue, customer and image. With learn_run_times, slack, objectives, expected ends and reservations use the expected times, and those measured from the progress of the job's own tasks. The pace that a unit accepts leaves 0.4 s for start and end and 15% for errors. Runs outside their rack are no evidence of long run times. Off unless learn_run_times is set.

--- a/duty/job.go
+++ b/duty/job.go
@@ -37,6 +37,9 @@
 	refusedUntil        time.Duration
 
 	runs map[graph.Ref]*run // by task
+	// measured has, by step, the run time of a task on a typical worker as its progress shows
+	// it.
+	measured map[int32]time.Duration
 	// readySince is when a unit became ready, by the first task of the unit.
 	readySince map[graph.Ref]time.Duration
 	// moves counts how often runs were stopped because of slow or stalled workers.
@@ -81,7 +84,9 @@
 	// pace is the pace that expectedTime includes, which is that of the slowest worker of a
 	// gang, and ownPace that of the run's own worker; 0 if expectedTime includes none.
 	pace, ownPace float64
-	stretch       speed.Stretch // the part of the run since the last sample of its worker's pace
+	// remote is set if the run was placed outside the rack of its data or its gang.
+	remote  bool
+	stretch speed.Stretch // the part of the run since the last sample of its worker's pace
 }
 
 // runRef identifies a run of a task of a known job.
--- a/duty/learned.go
+++ b/duty/learned.go
@@ -34,6 +34,11 @@
 // learned is what the holder has learned beside the records of jobs.
 type learned struct {
 	paces *speed.Paces
+	times *speed.Times
+	// useTimes is set if run times are expected from earlier ones, and averagePace is the
+	// mean pace of the workers then.
+	useTimes    bool
+	averagePace float64
 	// logged has the paces that were logged last.
 	logged  map[graph.Place]float64
 	nextFit time.Duration
@@ -43,21 +48,21 @@
 }
 
 func newLearned() learned {
-	return learned{paces: speed.NewPaces(), logged: map[graph.Place]float64{}}
+	return learned{paces: speed.NewPaces(), times: speed.NewTimes(), averagePace: 1, logged: map[graph.Place]float64{}}
 }
 
 // samplePace takes the progress of a run as evidence of its worker's pace. A gang that is
 // not complete, and a run that is being stopped, make no progress of their own.
 func (st *state) samplePace(s *Scheduler, w *worker, j *job, ref graph.Ref, r *run, percent int32, listed listTime) {
 	step := j.graph.Step(ref)
-	if listed.workerClock == 0 || r.begunAt == 0 || r.stopOrdered || step.GetLongRunning() || !s.settings.UnevenWorkers {
+	if listed.workerClock == 0 || r.begunAt == 0 || r.stopOrdered || step.GetLongRunning() || !s.learns() {
 		return
 	}
 	elapsed, gained, ok := r.stretch.Listed(listed.workerClock, percent)
 	if !ok {
 		return
 	}
-	if step.GetDataRack() != "" && rackOf(w.info) != step.GetDataRack() {
+	if r.remote || step.GetDataRack() != "" && rackOf(w.info) != step.GetDataRack() {
 		elapsed = time.Duration(float64(elapsed) / s.settings.RemoteFactor)
 	}
 	st.learned.paces.Add(speed.Sample{
@@ -69,7 +74,7 @@
 // learn brings what was learned up to date.
 func (st *state) learn(s *Scheduler, now time.Duration) {
 	l := &st.learned
-	if !s.settings.UnevenWorkers || now < l.nextFit {
+	if l.useTimes = s.settings.LearnRunTimes; !s.learns() || now < l.nextFit {
 		return
 	}
 	l.nextFit = now + learnPeriod
@@ -77,6 +82,10 @@
 		return
 	}
 	l.changed++
+	if l.useTimes {
+		l.averagePace = st.averagePace(s, now)
+		st.learnTimes(now)
+	}
 	known := int64(0)
 	for p := range st.byPlace {
 		pace := l.paces.Pace(p, now)
@@ -97,6 +106,9 @@
 	pacedGauge.Record(context.Background(), known)
 }
 
+// learns reports whether the progress of runs is evaluated.
+func (s *Scheduler) learns() bool { return s.settings.UnevenWorkers || s.settings.LearnRunTimes }
+
 // paceOf returns the pace of the worker at a place, or 1 if it is not known.
 func (st *state) paceOf(s *Scheduler, p graph.Place, now time.Duration) float64 {
 	if !s.settings.UnevenWorkers {
@@ -120,12 +132,13 @@
 		return
 	}
 	l.paces.Restore(record.GetPaces(), now)
-	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()))
+	l.times.Restore(record.GetRunTimes())
+	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()), "run_times", len(record.GetRunTimes()))
 }
 
 // record returns what is to be stored.
 func (l *learned) record(now time.Duration) *flow.Learned {
-	return &flow.Learned{Paces: l.paces.Record(now)}
+	return &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record()}
 }
 
 // addLearned adds the learned record to a transaction that stores progress anyway, if it has
--- a/duty/learned_test.go
+++ b/duty/learned_test.go
@@ -10,6 +10,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/speed"
 	"catkinpoint/stand/fakekv"
 	"catkinpoint/store"
 )
@@ -165,3 +166,31 @@
 	st.apply(store.Event{Item: itemOf(t, JobKey(id), spec, 1)})
 	return st.jobs[id]
 }
+
+// Guards against an urgent job with a far too short declaration that counts as late from the
+// start, and against one with a far too long one that counts as having time (urgent jobs of
+// about 2 s whose declarations are off by a factor of 2.5 and more).
+func TestObjectiveFollowsExpectedWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newState(clock.Monotonic())
+		for i := range 40 {
+			off := []float64{0.3, 0.7, 1, 1.5, 3}[i%5]
+			st.learned.times.Add(speed.TimesKey{Queue: "q", Customer: "c"}, time.Duration(off*2e9), 2*time.Second)
+		}
+		spec := simpleJob(jobID, 1)
+		spec.SlackFactor, spec.TargetMs, spec.Steps[0].EstimateMs = 1.5, 600, 400
+		st.apply(store.Event{Item: itemOf(t, JobKey(jobID), spec, 1)})
+		j := st.jobs[jobID]
+		if got := st.objectiveOf(j); got != 1200*time.Millisecond {
+			t.Errorf("the objective by the declaration is %v; want 1.2s", got)
+		}
+		st.learned.useTimes = true
+		if got, tail := st.objectiveOf(j), st.tailOf(j, 0); got < 2800*time.Millisecond || got > 3700*time.Millisecond || tail < 1500*time.Millisecond || tail > 2100*time.Millisecond {
+			t.Errorf("the expected objective is %v and the run time %v; want about 3.4s and 1.9s", got, tail)
+		}
+		j.measured = map[int32]time.Duration{0: 4 * time.Second}
+		if got := st.objectiveOf(j); got != 6600*time.Millisecond {
+			t.Errorf("the objective of a job that runs for 4s is %v; want 6.6s", got)
+		}
+	})
+}
--- a/duty/place.go
+++ b/duty/place.go
@@ -55,8 +55,8 @@
 		number := j.graph.Assign(a.Unit, a.Places)
 		for i, ref := range a.Unit.Tasks {
 			pace := st.unitPace(s, a, i, now)
-			expected := time.Duration(float64(st.expectedTimeAt(j, ref, a.Places, i, s)) * pace)
-			j.runs[ref] = &run{run: number, knownSince: now, expectedTime: expected, pace: pace, ownPace: st.paceOf(s, a.Places[i], now)}
+			expected := time.Duration(float64(st.expectedTimeAt(s, j, a, i)) * pace)
+			j.runs[ref] = &run{run: number, knownSince: now, expectedTime: expected, remote: st.isRemote(a, i), pace: pace, ownPace: st.paceOf(s, a.Places[i], now)}
 			delete(j.readySince, ref)
 			st.addActive(j, j.graph.Task(ref))
 		}
@@ -109,20 +109,26 @@
 }
 
 // expectedTimeAt returns the expected run time of the unit's task i at its place. It
-// is the declared time, multiplied by RemoteFactor if the task runs outside the rack
+// is that on a typical worker, multiplied by RemoteFactor if the task runs outside the rack
 // of its data, or if its gang is to share a rack and is spread over several.
-func (st *state) expectedTimeAt(j *job, ref graph.Ref, places []graph.Place, i int, s *Scheduler) time.Duration {
-	step := j.graph.Step(ref)
+func (st *state) expectedTimeAt(s *Scheduler, j *job, a plan.Assignment, i int) time.Duration {
+	if st.isRemote(a, i) {
+		return time.Duration(float64(st.typicalTimeOf(j, a.Unit.Tasks[i].Step)) * s.settings.RemoteFactor)
+	}
+	return st.typicalTimeOf(j, a.Unit.Tasks[i].Step)
+}
+
+// isRemote reports whether the unit's task i is outside the rack of its data, or its gang is
+// to share a rack and is spread over several.
+func (st *state) isRemote(a plan.Assignment, i int) bool {
+	step, places := a.Unit.Step, a.Places
 	remote := step.GetDataRack() != "" && st.rackOfPlace(places[i]) != step.GetDataRack()
 	if step.GetGang() && step.GetSameRack() {
 		for _, p := range places {
 			remote = remote || st.rackOfPlace(p) != st.rackOfPlace(places[0])
 		}
 	}
-	if remote {
-		return time.Duration(float64(declaredTime(j, ref)) * s.settings.RemoteFactor)
-	}
-	return declaredTime(j, ref)
+	return remote
 }
 
 // unitPace returns the pace at which the unit's task i is expected to run: that of its
@@ -248,8 +254,7 @@
 		return plan.Running{Job: j.graph, Ref: t.Ref, Run: t.Run, Place: t.Place, Need: need, Guaranteed: guaranteed}
 	}
 	done := time.Duration(float64(r.expectedTime) * float64(r.percent) / 100)
-	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
-	tail := time.Duration(graph.CriticalPathFromMS(j.graph.Spec, t.Ref.Step)) * time.Millisecond
+	objective, tail := st.objectiveOf(j), st.tailOf(j, t.Ref.Step)
 	spare := objective - (now - j.submitted) - tail
 	if j.graph.Step(t.Ref).GetCheckpointing() {
 		spare += done
@@ -270,16 +275,15 @@
 		since = j.readyAt(unit, now)
 		j.readySince[first] = since
 	}
-	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
+	objective, tail := st.objectiveOf(j), st.tailOf(j, first.Step)
 	left := objective - (now - j.submitted)
-	tail := time.Duration(graph.CriticalPathFromMS(j.graph.Spec, first.Step)) * time.Millisecond
 	const lateFactor = 3 // a result is of no use after this many times the objective
 	failures, failedAt := j.failures(unit)
 	return plan.Request{
 		Failures: failures, FailedOn: failedAt,
 		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: left - tail,
 		DeadlineSlack: lateFactor*objective - (now - j.submitted) - tail,
-		Duration:      time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Guaranteed: reclaims && j.graph.Task(first) == nil,
+		Duration:      st.typicalTimeOf(j, first.Step), Guaranteed: reclaims && j.graph.Task(first) == nil,
 		Held: st.holds[unitKey{j.graph, first}],
 	}
 }
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -148,7 +148,7 @@
 		return nil, fmt.Errorf("reading pages: %w", err)
 	}
 	items = append(items, pages...)
-	if !s.settings.UnevenWorkers {
+	if !s.learns() {
 		return items, nil
 	}
 	records, _, err := s.kv.Range(ctx, learnedKey)
--- a/duty/slow.go
+++ b/duty/slow.go
@@ -40,7 +40,7 @@
 				continue
 			}
 			stalled := workerStalled && r.stalled()
-			if !stalled && !j.worthMoving(r, w, now) {
+			if !stalled && !st.worthMoving(j, r, w, now) {
 				continue
 			}
 			klog.InfoS("duty: slow run stopped", "job", j.graph.Spec.GetId(), "step", t.Ref.Step, "index", t.Ref.Index,
@@ -78,14 +78,14 @@
 // and would end much sooner elsewhere. Other jobs must be slow on the worker too,
 // as otherwise the job's declared run time is probably too short. For the same
 // reason a job is moved for slowness only once.
-func (j *job) worthMoving(r *run, w *worker, now time.Duration) bool {
+func (st *state) worthMoving(j *job, r *run, w *worker, now time.Duration) bool {
 	if j.moves > 0 || r.slowSamples < minSlowSamples {
 		return false
 	}
 	if slowness, jobs := w.health.slownessOfOthers(j, now); jobs == 0 || slowness < slowThreshold {
 		return false
 	}
-	objective := time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
+	objective := st.objectiveOf(j)
 	left := time.Duration(r.slowness * float64(r.expectedTime) * float64(100-r.percent) / 100)
 	return now-j.submitted+left >= objective && float64(left) >= minMoveGain*float64(typicalStopTime+r.typicalTime())
 }
--- a/plan/pace.go
+++ b/plan/pace.go
@@ -13,6 +13,12 @@
 	// guaranteedPaceWait is how long a guaranteed unit avoids workers for their pace. It is
 	// a fraction of the time in which a guarantee must take effect.
 	guaranteedPaceWait = time.Second
+	// overheadMargin is the time from a decision until the start of a unit and from its end
+	// until its caller knows, which both count.
+	overheadMargin = 400 * time.Millisecond
+	// paceMargin is the share by which a unit may take longer than expected on a worker of
+	// known pace: paces are known to about a tenth.
+	paceMargin = 0.15
 )
 
 // pace returns the pace of a worker, which is 1 if it is not known.
@@ -45,13 +51,13 @@
 	s.uneven = s.slowest > likePace*s.fastPace
 }
 
-// objectivePace returns the largest pace with which the unit meets its objective if it
+// objectivePace returns the largest pace with which the unit surely meets its objective if it
 // starts now, and infinity if it can't meet it even on a worker of pace 1.
 func (r *Request) objectivePace() float64 {
 	if r.Slack < 0 || r.Duration <= 0 {
 		return math.Inf(1)
 	}
-	return 1 + r.Slack.Seconds()/r.Duration.Seconds()
+	return max(1, (1+(r.Slack-overheadMargin).Seconds()/r.Duration.Seconds())/(1+paceMargin))
 }
 
 // paceLimit returns the pace from which the unit does not take a worker (urgent gangs while
