plan, duty: order of waiting by cost in a shortage (order_by_cost)

With the setting on, and only while a schedule by deadline cannot serve in time all that waits, units go by the worth that a wait costs for each unit of waiting work, after guaranteed and urgent ones. Each job gets at most one reservation, apart from those of others, and gangs may use the racks that are set aside for urgent units. A unit that exceeds the starvation bound goes first. Without a shortage nothing changes.

--- a/duty/place.go
+++ b/duty/place.go
@@ -46,6 +46,10 @@
 	began := time.Now()
 	decision := plan.Decide(in)
 	observe(decisionHistogram, time.Since(began))
+	if short := decision.Shortage; short != nil && len(decision.Starts)+len(decision.Stops) > 0 {
+		klog.InfoS("duty: room is short", "waiting_in_time", short.InTime, "waiting_late", short.Late, "waiting_useless", short.Useless,
+			"backlog_ms", short.Backlog.Milliseconds(), "units_placed", len(decision.Starts), "runs_preempted", len(decision.Stops))
+	}
 	doubtful := doubtfulJobs(in.Requests)
 	for _, a := range decision.Starts {
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
@@ -145,7 +149,7 @@
 func (st *state) buildInput(s *Scheduler, table *route.Table, free map[graph.Place]plan.Resources, now time.Duration) plan.Input {
 	in := plan.Input{
 		Workers: st.planInput.Workers[:0], Requests: st.planInput.Requests[:0], Running: st.planInput.Running[:0],
-		RemoteFactor: s.settings.RemoteFactor, UrgentWaitedRecently: st.urgentUnitsWaited(now),
+		RemoteFactor: s.settings.RemoteFactor, UrgentWaitedRecently: st.urgentUnitsWaited(now), OrderByCost: s.settings.OrderByCost,
 	}
 	guaranteed := st.guaranteed(table)
 	unixMS := time.Now().UnixMilli()
--- a/graph/job.go
+++ b/graph/job.go
@@ -292,6 +292,11 @@
 	return j.steps[stepKey{occurrence, step}].done == j.Spec.GetSteps()[step].GetCount()
 }
 
+// BusyTasks returns the number of tasks of a step of an occurrence that are done or active.
+func (j *Job) BusyTasks(occurrence, step int32) int32 {
+	return j.steps[stepKey{occurrence, step}].busy
+}
+
 // Unit is a gang or a single task, which is placed as a whole.
 type Unit struct {
 	Job   *Job
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -42,12 +42,21 @@
 func Decide(in Input) Decision {
 	s := newState(in)
 	requests := slices.Clone(in.Requests)
-	slices.SortStableFunc(requests, compareRequests)
+	var d Decision
+	if in.OrderByCost {
+		s.order = newCostOrder(&in)
+	}
+	if s.order != nil {
+		d.Shortage = s.order.shortage
+		s.order.sort(requests)
+	} else {
+		slices.SortStableFunc(requests, compareRequests)
+	}
 	for i := range requests {
 		s.restoreHold(&requests[i])
 	}
-	var d Decision
 	reservations := 0
+	reservedFor := map[occurrence]bool{}
 	for i := range requests {
 		r := &requests[i]
 		if workers, ok := s.fit(r, false); ok {
@@ -63,6 +72,14 @@
 		switch {
 		case held != nil:
 			d.Holds = append(d.Holds, Assignment{Unit: r.Unit, Places: s.placesOf(held)})
+		case s.order != nil:
+			// One reservation for each job: the other units of its step need the same.
+			if reservations < maxShortReservations && s.order.mayReserve(r) && !reservedFor[r.occurrence()] {
+				if s.reserveApart(r) {
+					reservations++
+				}
+				reservedFor[r.occurrence()] = true
+			}
 		case reservations < maxReservations:
 			s.reserveEarliest(r)
 			reservations++
--- a/plan/input.go
+++ b/plan/input.go
@@ -177,6 +177,8 @@
 	// Holds are the units that cannot start yet and the workers on which resources
 	// are being freed for them.
 	Holds []Assignment
+	// Shortage is set if room is short and the order by cost was applied.
+	Shortage *Shortage
 }
 
 // Stop is a run to preempt.
--- /dev/null
+++ b/plan/order.go
@@ -0,0 +1,271 @@
+package plan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"catkinpoint/graph"
+)
+
+// minWaitingWork is the least waiting work of a job for its rank, in core-equivalent
+// seconds. It applies to jobs of which no run time is declared.
+const minWaitingWork = 0.1
+
+// Starvation bound: a unit that has waited for starvationWait, and for starvationFactor
+// times as long as its result can be of use, goes before all others without a guarantee.
+// Results that are of use to nobody wait this long at most while others come.
+const (
+	starvationWait   = time.Minute
+	starvationFactor = 2
+)
+
+// maxShortReservations is maxReservations in a shortage. It is higher because a unit whose
+// delay costs much is often a wide gang, which never starts without one.
+const maxShortReservations = 8
+
+// Shortage says what waits while room is short, for the log.
+type Shortage struct {
+	// InTime is the number of waiting units that can still meet their objective, Late that
+	// of the others whose result can still be of use, and Useless that of the rest.
+	InTime, Late, Useless int
+	// Backlog is how long all workers need for what runs and for the waiting work that can
+	// still be of use.
+	Backlog time.Duration
+}
+
+// occurrence identifies an occurrence of a job.
+type occurrence struct {
+	job    *graph.Job
+	number int32
+}
+
+// costOrder ranks requests in a shortage by what a delay costs their callers. A nil
+// *costOrder stands for the order without a shortage.
+type costOrder struct {
+	shortage *Shortage
+	// waiting is the work of an occurrence that has not started, in core-equivalent
+	// seconds, and worth what the whole of it is worth; see Worth.
+	waiting, worth map[occurrence]float64
+	// starving is the request that has waited longest, if it exceeds the starvation bound.
+	starving *Request
+}
+
+// newCostOrder returns the order for the input, or nil if room is not short.
+func newCostOrder(in *Input) *costOrder {
+	o := &costOrder{shortage: findShortage(in), waiting: map[occurrence]float64{}, worth: map[occurrence]float64{}}
+	if o.shortage == nil {
+		return nil
+	}
+	for i := range in.Requests {
+		r := &in.Requests[i]
+		if starves(r) && (o.starving == nil || r.ReadyFor > o.starving.ReadyFor) {
+			o.starving = r
+		}
+		key := r.occurrence()
+		if _, ok := o.waiting[key]; ok {
+			continue
+		}
+		spec := key.job.Spec
+		o.worth[key] = Worth(spec.GetPriority(), Work(spec))
+		o.waiting[key] = minWaitingWork
+		for n, step := range spec.GetSteps() {
+			need := Resources{MilliCPU: step.GetCpu(), Accelerators: step.GetAccelerators()}
+			tasks := step.GetCount() - key.job.BusyTasks(key.number, int32(n))
+			o.waiting[key] += float64(tasks) * need.CoreEquivalents() * float64(step.GetEstimateMs()) / 1000
+		}
+	}
+	return o
+}
+
+// sharesUrgentRacks reports whether a unit may use the racks that are set aside for urgent
+// units. Only these have whole workers free in a shortage, so that a gang which stays off
+// them waits past all use, while small tasks fit elsewhere too.
+func (o *costOrder) sharesUrgentRacks(r *Request) bool {
+	return o != nil && r.Unit.Step.GetGang() && r.useful()
+}
+
+// rank returns what is lost for each core-equivalent second of the waiting work of the
+// unit's job if the unit waits for as long as the backlog lasts, rather than starting now.
+// What the job has already lost by being late does not count, so that a unit with much
+// slack and one that is of no use any more both cost little. As the worth of a job is lost
+// until its last task has ended, work that has started does not count against it.
+func (o *costOrder) rank(r *Request) float64 {
+	key := r.occurrence()
+	return o.worth[key] * o.stake(r) / o.waiting[key]
+}
+
+// stake returns the share of the job's worth that is at stake. The start of a unit is
+// expected within the backlog, with a rate that is the same at each time, so that a share
+// of exp(-slack/backlog) of the starts comes too late.
+func (o *costOrder) stake(r *Request) float64 {
+	if r.Unit.Step.GetLongRunning() {
+		return 1 // it earns from its start on
+	}
+	lost := func(slack time.Duration) float64 {
+		if slack <= 0 {
+			return 0
+		}
+		return math.Exp(-slack.Seconds() / o.shortage.Backlog.Seconds())
+	}
+	return (1-LateShare)*lost(r.Slack) + LateShare*lost(r.DeadlineSlack)
+}
+
+// class returns the precedence of a request, the lowest first: guaranteed units, the
+// starving unit, urgent ones whose result can still be of use, and all others.
+func (o *costOrder) class(r *Request) int {
+	switch {
+	case r.Guaranteed:
+		return 0
+	case o.isStarving(r):
+		return 1
+	case r.priority() == 0 && r.useful():
+		return 2
+	}
+	return 3
+}
+
+// sort orders requests by class, guaranteed units by compareRequests and the others by
+// rank.
+func (o *costOrder) sort(requests []Request) {
+	type ranked struct {
+		Request
+		class int
+		rank  float64
+	}
+	list := make([]ranked, len(requests))
+	for i, r := range requests {
+		list[i] = ranked{Request: r, class: o.class(&r)}
+		if !r.Guaranteed {
+			list[i].rank = o.rank(&r)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.rank, a.rank), compareRequests(a.Request, b.Request))
+	})
+	for i := range list {
+		requests[i] = list[i].Request
+	}
+}
+
+// mayReserve reports whether a unit that does not fit may keep room from others.
+func (o *costOrder) mayReserve(r *Request) bool { return r.useful() || o.isStarving(r) }
+
+func (o *costOrder) isStarving(r *Request) bool {
+	return o.starving != nil && r.Unit.Job == o.starving.Unit.Job && r.Unit.Tasks[0] == o.starving.Unit.Tasks[0]
+}
+
+func (r *Request) occurrence() occurrence {
+	return occurrence{r.Unit.Job, r.Unit.Tasks[0].Occurrence}
+}
+
+// useful reports whether the unit's result can still be of use to its caller.
+func (r *Request) useful() bool { return r.DeadlineSlack > 0 || r.Unit.Step.GetLongRunning() }
+
+// starves reports whether the unit exceeds the starvation bound.
+func starves(r *Request) bool {
+	useful := LateFactor * time.Duration(graph.ObjectiveMS(r.Unit.Job.Spec)) * time.Millisecond
+	return r.ReadyFor > max(starvationWait, starvationFactor*useful)
+}
+
+// reserveApart is like reserveEarliest, without the resources that are reserved for other
+// units at any time. In a shortage several gangs wait for the same workers, and with
+// reservations that overlap in time only the first of them would get its room. It reports
+// whether it reserved any.
+func (s *state) reserveApart(r *Request) bool {
+	free, reserved := s.free, s.reserved
+	s.free, s.reserved = slices.Clone(free), make([][]reservation, len(reserved))
+	for w, list := range reserved {
+		for _, res := range list {
+			s.free[w] = s.free[w].Sub(res.need)
+		}
+	}
+	s.reserveEarliest(r)
+	found := false
+	for w, list := range s.reserved {
+		reserved[w] = append(reserved[w], list...)
+		found = found || len(list) > 0
+	}
+	s.free, s.reserved = free, reserved
+	return found
+}
+
+// findShortage reports what waits if the workers of a service cannot do all the waiting
+// work of use in time, even one after another by deadline and without any loss by
+// packing, and nil if they can. A unit that can still meet its objective is to start in
+// time for that, and one that is late in time to be of use.
+func findShortage(in *Input) *Shortage {
+	type demand struct {
+		latest time.Duration // time from now at which the unit has to end
+		work   float64       // seconds of all workers of the service
+	}
+	capacity := map[string]Resources{}
+	serviceOf := map[graph.Place]string{}
+	for i := range in.Workers {
+		w := &in.Workers[i]
+		if w.Usable {
+			capacity[w.Service] = capacity[w.Service].Add(w.Capacity)
+			serviceOf[w.Place] = w.Service
+		}
+	}
+	backlog := map[string]float64{}
+	for i := range in.Running {
+		run := &in.Running[i]
+		if service, ok := serviceOf[run.Place]; ok && !run.Stopping {
+			backlog[service] += run.Need.shareOf(capacity[service]) * max(run.Remaining, minRemaining).Seconds()
+		}
+	}
+	found := &Shortage{}
+	demands := map[string][]demand{}
+	for i := range in.Requests {
+		r := &in.Requests[i]
+		slack := r.Slack
+		switch {
+		case !r.useful():
+			found.Useless++
+			continue
+		case slack > 0:
+			found.InTime++
+		default:
+			found.Late++
+			slack = r.DeadlineSlack
+		}
+		service := r.Unit.Job.Spec.GetService()
+		work := r.Need.shareOf(capacity[service]) * r.Duration.Seconds() * float64(len(r.Unit.Tasks))
+		demands[service] = append(demands[service], demand{slack + r.Duration, work})
+	}
+	short := false
+	for service, list := range demands {
+		slices.SortFunc(list, func(a, b demand) int { return cmp.Compare(a.latest, b.latest) })
+		total := backlog[service]
+		for _, d := range list {
+			total += d.work
+			short = short || total > d.latest.Seconds()
+		}
+		found.Backlog = max(found.Backlog, time.Duration(min(total, maxBacklog.Seconds())*float64(time.Second)))
+	}
+	if !short {
+		return nil
+	}
+	return found
+}
+
+// maxBacklog bounds Shortage.Backlog, which has no limit if hardly any worker is usable.
+const maxBacklog = time.Hour
+
+// shareOf returns the largest share that a takes of any resource of total, and 1 if total
+// lacks one of them.
+func (a Resources) shareOf(total Resources) float64 {
+	share := 0.0
+	for _, pair := range [][2]int64{{a.MilliCPU, total.MilliCPU}, {a.MemoryMB, total.MemoryMB}, {a.Accelerators, total.Accelerators}} {
+		switch {
+		case pair[0] <= 0:
+		case pair[1] <= 0:
+			return 1
+		default:
+			share = max(share, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return min(share, 1)
+}
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -27,6 +27,10 @@
 // replayResult is the outcome of a simulated load.
 type replayResult struct {
 	onTime, late map[int32]int // jobs by priority
+	useless      map[int32]int // of late, those that ended after LateFactor objectives
+	unended      map[int32]int
+	shortages    int     // decisions for which room was short
+	worth        float64 // sum of Value of the jobs that ended
 	stops        int
 	lostWork     float64 // core-seconds lost by stops
 }
@@ -45,7 +49,13 @@
 // replay simulates a load for the given duration on workers that obey every start
 // and stop, and calls Decide every replayTick.
 func replay(workers []Worker, load []arrival, duration time.Duration) replayResult {
-	out := replayResult{onTime: map[int32]int{}, late: map[int32]int{}}
+	return replayWith(workers, load, duration, nil)
+}
+
+// replayWith is like replay, with a call of change on the input of each decision unless
+// that is nil.
+func replayWith(workers []Worker, load []arrival, duration time.Duration, change func(*Input)) replayResult {
+	out := replayResult{onTime: map[int32]int{}, late: map[int32]int{}, useless: map[int32]int{}, unended: map[int32]int{}}
 	var running []*replayRun
 	readySince := map[*graph.Job]map[graph.Ref]time.Duration{}
 	ended := map[*graph.Job]bool{}
@@ -80,6 +90,10 @@
 				} else {
 					out.late[a.job.Spec.GetPriority()]++
 				}
+				out.worth += Value(a.job.Spec, now-a.at)
+				if now-a.at > LateFactor*objective {
+					out.useless[a.job.Spec.GetPriority()]++
+				}
 				continue
 			}
 			if readySince[a.job] == nil {
@@ -113,7 +127,13 @@
 				SlackAfterStop: time.Duration(graph.ObjectiveMS(r.arrival.job.Spec))*time.Millisecond - (now - r.arrival.at) - estimate,
 			})
 		}
+		if change != nil {
+			change(&in)
+		}
 		d := Decide(in)
+		if d.Shortage != nil {
+			out.shortages++
+		}
 		clear(held)
 		for _, h := range d.Holds {
 			held[unitKey(h.Unit)] = h.Places
@@ -142,6 +162,11 @@
 			}
 		}
 	}
+	for _, a := range load {
+		if !ended[a.job] {
+			out.unended[a.job.Spec.GetPriority()]++
+		}
+	}
 	return out
 }
 
--- a/plan/state.go
+++ b/plan/state.go
@@ -67,6 +67,8 @@
 	// free at the start of the decision, and crowded whether less than
 	// crowdedShare of it was.
 	busy, crowded bool
+	// order is the order by cost, or nil if room is not short.
+	order *costOrder
 }
 
 // stepOnWorker identifies a step of one occurrence of a job on one worker.
@@ -146,7 +148,7 @@
 // longer than urgentRackMaxWait.
 func (s *state) avoidsRack(r *Request, rack int) bool {
 	switch {
-	case !s.urgentRacks[rack] || r.priority() == 0 || s.holdsData(r, rack):
+	case !s.urgentRacks[rack] || r.priority() == 0 || s.holdsData(r, rack) || s.order.sharesUrgentRacks(r):
 		return false
 	case s.busy && s.input.UrgentWaitedRecently:
 		return true
