where: a command that says where a job would go now and why, without submitting it

Cause: operators see from the logs where a job went, but not where one would go, nor what keeps a waiting one from which workers. Change: catkinpoint where asks the gate that holds the duty. It runs the same decision as the scheduler, with the units of the job among the others, and says for each what the decision does with it and what keeps it from workers. Nothing is stored.

--- a/duty/place.go
+++ b/duty/place.go
@@ -147,7 +147,7 @@
 		Workers: st.planInput.Workers[:0], Requests: st.planInput.Requests[:0], Running: st.planInput.Running[:0],
 		RemoteFactor: s.settings.RemoteFactor, UrgentWaitedRecently: st.urgentUnitsWaited(now),
 	}
-	guaranteed := st.guaranteed(table)
+	guaranteed := st.guaranteed(table, nil)
 	unixMS := time.Now().UnixMilli()
 	testing, testedJobs := st.probation(now)
 	runsOn, starting := map[graph.Place]int{}, map[graph.Place]int{}
@@ -274,13 +274,18 @@
 
 // guaranteed returns the jobs of priority 0 and whether their customer's guarantee
 // covers each: it does if all such jobs of the customer that have not ended or been
-// cancelled together need no more accelerators than are guaranteed.
-func (st *state) guaranteed(table *route.Table) map[*job]bool {
+// cancelled together need no more accelerators than are guaranteed. extra is a job that the
+// scheduler does not know but that counts too, or nil.
+func (st *state) guaranteed(table *route.Table, extra *job) map[*job]bool {
 	need := map[string]int64{}
+	jobs := st.openJobs()
+	if extra != nil {
+		jobs = append(slices.Clip(jobs), extra)
+	}
 	urgent := func(j *job) bool {
 		return j.graph.Spec.GetPriority() == 0 && !j.graph.Ended() && !j.graph.Cancelled
 	}
-	for _, j := range st.openJobs() {
+	for _, j := range jobs {
 		if !urgent(j) {
 			continue
 		}
@@ -289,7 +294,7 @@
 		}
 	}
 	covered := map[*job]bool{}
-	for _, j := range st.openJobs() {
+	for _, j := range jobs {
 		if urgent(j) {
 			customer := j.graph.Spec.GetCustomer()
 			covered[j] = need[customer] <= table.Guaranteed(customer)
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -154,10 +154,8 @@
 	if job.Digest, err = digest(job); err != nil {
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: err.Error()})
 	}
-	job.Id, job.Queue, job.Customer, job.Service = id, queue.Name, customer, queue.Service
-	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
-	job.SlackFactor, job.TargetMs = queue.SlackFactor, queue.Target.Milliseconds()
-	job.AcceptedUnixMs = time.Now().UnixMilli()
+	job.Id, job.Customer = id, customer
+	setQueue(job, queue)
 	if err := graph.Check(job); err != nil {
 		return g.logAnswer("submit", id, Answer{Verdict: Invalid, Reason: err.Error()})
 	}
@@ -168,14 +166,19 @@
 		return g.logAnswer("submit", id, Answer{Verdict: Refused, Reason: "queues with a hint service are not served", RetryAfter: time.Minute})
 	}
 	if groups, age := g.knownWorkerGroups(); len(groups) > 0 && !plan.Feasible(groups, job) {
-		return g.logAnswer("submit", id, Answer{
-			Verdict: Busy, RetryAfter: capacityRetryAfter,
-			Reason: fmt.Sprintf("all workers together cannot hold a step of the job, by a count that is %d ms old", age.Milliseconds()),
-		})
+		return g.logAnswer("submit", id, Answer{Verdict: Busy, RetryAfter: capacityRetryAfter, Reason: tooLarge(age)})
 	}
 	return g.logAnswer("submit", id, g.storeJob(ctx, call, job))
 }
 
+// setQueue sets what a job takes from its queue, and the time of its acceptance.
+func setQueue(job *flow.Job, queue route.Queue) {
+	job.Queue, job.Service = queue.Name, queue.Service
+	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
+	job.SlackFactor, job.TargetMs = queue.SlackFactor, queue.Target.Milliseconds()
+	job.AcceptedUnixMs = time.Now().UnixMilli()
+}
+
 // digest hashes what the caller sent, to detect another job under the same id.
 func digest(job *flow.Job) (uint64, error) {
 	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(job)
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -40,9 +40,16 @@
 // Decide returns the units to start, the runs to preempt and the units for which
 // resources are being freed. It does not change the input.
 func Decide(in Input) Decision {
+	_, d := decide(in)
+	return d
+}
+
+// decide is Decide, and returns the state after the decision too.
+func decide(in Input) (*state, Decision) {
 	s := newState(in)
 	requests := slices.Clone(in.Requests)
 	slices.SortStableFunc(requests, compareRequests)
+	s.requests = requests
 	for i := range requests {
 		s.restoreHold(&requests[i])
 	}
@@ -68,7 +75,7 @@
 			reservations++
 		}
 	}
-	return d
+	return s, d
 }
 
 // compareRequests orders requests by precedence: guaranteed units, units whose
--- a/plan/reserve.go
+++ b/plan/reserve.go
@@ -79,6 +79,14 @@
 // reserveEarliest reserves resources for the unit at the earliest time at which it
 // is expected to fit. It reserves nothing if the unit never fits.
 func (s *state) reserveEarliest(r *Request) {
+	if workers, from, ok := s.earliestFit(r); ok {
+		s.addReservations(r, workers, from)
+	}
+}
+
+// earliestFit returns the workers on which the unit is expected to fit first, one for each
+// task, and the time until then.
+func (s *state) earliestFit(r *Request) (workers []int, from time.Duration, ok bool) {
 	order := s.runsByEnd()
 	free := slices.Clone(s.free)
 	for n, i := range order {
@@ -94,10 +102,10 @@
 			continue
 		}
 		if found, ok := s.fitInto(r, free, false); ok {
-			s.addReservations(r, found, s.remaining(i))
-			return
+			return found, s.remaining(i), true
 		}
 	}
+	return nil, 0, false
 }
 
 // addReservations reserves resources for a unit, whose tasks are to run on the given
--- a/plan/state.go
+++ b/plan/state.go
@@ -12,6 +12,8 @@
 // are identified by their indices.
 type state struct {
 	input Input
+	// requests are those of the input in the order in which the decision considers them.
+	requests []Request
 	// workers are those of the input, workerIndex their indices, and free the
 	// resources that this decision has not taken yet.
 	workers     []Worker
--- a/route/table.go
+++ b/route/table.go
@@ -94,6 +94,16 @@
 	return Queue{}, "", false
 }
 
+// Queue returns the queue with a name, and false if there is none.
+func (t *Table) Queue(name string) (Queue, bool) {
+	for _, list := range t.byHost {
+		if i := slices.IndexFunc(list, func(q Queue) bool { return q.Name == name }); i >= 0 {
+			return list[i], true
+		}
+	}
+	return Queue{}, false
+}
+
 // Customer returns the name of the customer that key belongs to, or "".
 func (t *Table) Customer(key string) string { return t.byKey[key] }
 
--- a/verbs/cli.go
+++ b/verbs/cli.go
@@ -32,6 +32,7 @@
 	Local    Local    `cmd:"" help:"Run an example of the whole system in this process."`
 	Replay   Replay   `cmd:"" help:"Replay recorded traces through the placement policies and compare them."`
 	Delays   Delays   `cmd:"" help:"Report from collected logs of gates why jobs were late."`
+	Where    Where    `cmd:"" help:"Show where a job would go now and why, without submitting it."`
 	Settings Settings `cmd:"" help:"Print the reference page of settings and declarations."`
 }
 
