--- a/plan/decide.go
+++ b/plan/decide.go
@@ -40,6 +40,12 @@
 // Decide returns the units to start, the runs to preempt and the units for which
 // resources are being freed. It does not change the input.
 func Decide(in Input) Decision {
+	_, d := decide(in)
+	return d
+}
+
+// decide is Decide, and returns the state after the decision too.
+func decide(in Input) (*state, Decision) {
 	s := newState(in)
 	requests := slices.Clone(in.Requests)
 	var d Decision
@@ -52,6 +58,7 @@
 	} else {
 		slices.SortStableFunc(requests, compareRequests)
 	}
+	s.requests = requests
 	for i := range requests {
 		s.restoreHold(&requests[i])
 	}
@@ -85,7 +92,7 @@
 			reservations++
 		}
 	}
-	return d
+	return s, d
 }
 
 // compareRequests orders requests by precedence: guaranteed units, units whose
