shed, duty, gate: refusals on arrival

Cause: while there is too little room, jobs are accepted that end when their result is of no use to the caller, and callers learn that only from their deadline. Change: with refuse_late, the holder of the duty simulates the work that waits and is expected, in the order of package plan, and refuses a job that ends after three times its objective also by a lower estimate. The caller is told when to return; if it can then still be of use, its room is kept, it is admitted at its time and keeps its place before who came later. Gates ask the holder only while it has told them of a shortage, 150 ms at most, and check that the id is not stored. Promises are in the record catkinpoint-learned. Off by default; decisions are then as before. Why not by a table of waits at the gates: two gates would promise the same room.

--- a/duty/place.go
+++ b/duty/place.go
@@ -20,6 +20,11 @@
 // them had to wait for some. Bursts of urgent units last for some seconds.
 const urgentWaitMemory = 4 * time.Second
 
+// returnedSlack is the least slack with which units count whose job has returned at a promised
+// time and can still be of use. They keep their place before jobs that came later, which units
+// with negative slack do not. It is too short to preempt.
+const returnedSlack = time.Millisecond
+
 // maxStepUnits bounds the units of one step of a job in a decision. The others, which need
 // the same, come next.
 const maxStepUnits = 1000
@@ -40,12 +45,14 @@
 	st.takeBackStarts(free)
 	in := st.buildInput(s, table, free, now)
 	s.guaranteedWorkWaiting.Store(slices.ContainsFunc(in.Requests, func(r plan.Request) bool { return r.Guaranteed }))
+	st.admission.unitsWait = len(in.Requests) > 0
 	if len(in.Requests) == 0 {
 		return
 	}
 	began := time.Now()
 	decision := plan.Decide(in)
 	observe(decisionHistogram, time.Since(began))
+	st.admission.unitsWait = len(decision.Starts) < len(in.Requests)
 	doubtful := doubtfulJobs(in.Requests)
 	for _, a := range decision.Starts {
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
@@ -237,10 +244,14 @@
 	tail := time.Duration(graph.CriticalPathFromMS(j.graph.Spec, first.Step)) * time.Millisecond
 	const lateFactor = 3 // a result is of no use after this many times the objective
 	failures, failedAt := j.failures(unit)
+	slack, deadlineSlack := left-tail, lateFactor*objective-(now-j.submitted)-tail
+	if j.returned && deadlineSlack > 0 {
+		slack = max(slack, returnedSlack)
+	}
 	return plan.Request{
 		Failures: failures, FailedOn: failedAt,
-		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: left - tail,
-		DeadlineSlack: lateFactor*objective - (now - j.submitted) - tail,
+		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: slack,
+		DeadlineSlack: deadlineSlack,
 		Duration:      time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Guaranteed: reclaims && j.graph.Task(first) == nil,
 		Held: st.holds[unitKey{j.graph, first}],
 	}
--- a/duty/records.go
+++ b/duty/records.go
@@ -68,6 +68,7 @@
 		runs: map[graph.Ref]*run{}, readySince: map[graph.Ref]time.Duration{}, failedOn: map[graph.Ref][]*worker{},
 		concluded: map[graph.Ref]conclusion{},
 	}
+	st.admission.noteArrival(spec, st.jobs[id].submitted)
 	klog.InfoS("duty: job known", "job", id, "queue", spec.GetQueue(), "age_ms", age.Milliseconds())
 	if st.cancelled[id] {
 		st.cancel(st.jobs[id])
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -77,6 +77,8 @@
 	// guaranteedWorkWaiting is set while work that a customer's guarantee covers waits to be
 	// placed.
 	guaranteedWorkWaiting atomic.Bool
+	// refusing is set while jobs may have to be refused on arrival.
+	refusing atomic.Bool
 }
 
 // NewScheduler returns a scheduler for a claim. Run starts it, and it ends with ctx.
@@ -98,6 +100,10 @@
 	}
 	s.stateOwner.Post(func(st *state) {
 		for _, item := range items {
+			if item.Key == learnedKey {
+				st.loadLearned(item)
+				continue
+			}
 			st.apply(store.Event{Item: item})
 		}
 		st.loaded = true
@@ -147,7 +153,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading pages: %w", err)
 	}
-	return append(items, pages...), nil
+	return s.readLearned(ctx, append(items, pages...))
 }
 
 // Yield gives up the claim of an epoch so that a gate with much more processor
@@ -235,6 +241,7 @@
 		st.placeUnits(s, now)
 	}
 	st.advanceJobs()
+	st.updateShortage(s, now)
 	if !st.writing && !st.superseded {
 		s.flush(st, now)
 	}
--- a/duty/state.go
+++ b/duty/state.go
@@ -46,6 +46,7 @@
 	lastSeq      int64 // number of the last change of any job's progress
 	// planInput is the last input of package plan. Its slices are reused.
 	planInput plan.Input
+	admission admission
 	// openCache is the result of openJobs, or nil if it has to be built again.
 	openCache []*job
 }
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -25,7 +25,12 @@
 	failuresCounter       = newCounter("catkinpoint_duty_failed_runs", "Runs that a worker listed as failed, by whether they count as an attempt.")
 	contradictionsCounter = newCounter("catkinpoint_duty_contradictions", "Runs that a worker listed after they had been taken as over, by how.")
 	decisionHistogram     = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
-	writeHistogram        = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
+	// admissionRefusalsCounter counts refusals on arrival, also repeated ones of a caller that
+	// returns early.
+	admissionRefusalsCounter = newCounter("catkinpoint_duty_refusals", "Jobs refused on arrival, by queue.")
+	promisesEndedCounter     = newCounter("catkinpoint_duty_ended_promises", "Promises to refused callers that have ended, by how.")
+	promisesGauge            = newGauge("catkinpoint_duty_promises", "Open promises to refused callers.")
+	writeHistogram           = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
 )
 
 func newCounter(name, help string) metric.Int64Counter {
@@ -36,6 +41,16 @@
 	return c
 }
 
+func newGauge(name, help string) metric.Int64Gauge {
+	g, err := meter.Int64Gauge(name, metric.WithDescription(help))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return g
+}
+
+func observePromises(n int) { promisesGauge.Record(context.Background(), int64(n)) }
+
 func newHistogram(name, help string) metric.Float64Histogram {
 	h, err := meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"))
 	if err != nil {
--- a/duty/write.go
+++ b/duty/write.go
@@ -54,6 +54,8 @@
 	txn    store.Txn
 	writes []*jobWrite
 	bytes  int
+	// learned is set if it stores what the scheduler has learned too.
+	learned bool
 }
 
 // writeResult is the outcome of a batch's transaction.
@@ -69,7 +71,8 @@
 // time.
 func (s *Scheduler) flush(st *state, now time.Duration) {
 	batch := st.collectBatch(s.claim, now)
-	if len(batch.writes) == 0 {
+	batch.addLearned(st)
+	if len(batch.writes) == 0 && !batch.learned {
 		return
 	}
 	st.writing = true
@@ -118,8 +121,12 @@
 }
 
 // tookEffect reports whether an earlier attempt of the transaction was committed,
-// with its revision: then the conflict shows that the store has all its records.
+// with its revision: then the conflict shows that the store has all its records. Without
+// records of jobs, only a lost claim can conflict.
 func (b *batch) tookEffect(conflict *store.ConflictError) (int64, bool) {
+	if len(b.writes) == 0 {
+		return 0, false
+	}
 	revision := int64(0)
 	for _, w := range b.writes {
 		for _, r := range w.records {
@@ -304,6 +311,7 @@
 	case result.cancelled:
 		return
 	case result.conflict != nil:
+		st.admission.promisesDirty = st.admission.promisesDirty || b.learned
 		st.resolveConflict(b, result.conflict)
 		return
 	case result.refused != nil:
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -25,12 +25,12 @@
 type changeForwarder struct {
 	currentClaim func() *flow.Claim
 	changes      chan *flow.Change
-	// setWorkerGroups receives the worker counts that the scheduler answers with.
-	setWorkerGroups func([]*flow.WorkerGroup)
+	// received gets the scheduler's answers.
+	received func(*flow.ChangeAnswer)
 }
 
-func newChangeForwarder(currentClaim func() *flow.Claim, setWorkerGroups func([]*flow.WorkerGroup)) changeForwarder {
-	return changeForwarder{currentClaim: currentClaim, changes: make(chan *flow.Change, forwardQueueLength), setWorkerGroups: setWorkerGroups}
+func newChangeForwarder(currentClaim func() *flow.Claim, received func(*flow.ChangeAnswer)) changeForwarder {
+	return changeForwarder{currentClaim: currentClaim, changes: make(chan *flow.Change, forwardQueueLength), received: received}
 }
 
 // enqueue queues a change. It never blocks: if the queue is full the change is
@@ -80,7 +80,7 @@
 			conn = nil
 			continue
 		}
-		f.setWorkerGroups(answer.GetWorkerGroups())
+		f.received(answer)
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -62,6 +62,9 @@
 	// RequestYield asks the gate at an address to give up the claim. If it is nil,
 	// this gate never asks.
 	RequestYield func(ctx context.Context, holder netip.AddrPort, request *flow.YieldRequest) error
+	// AskAdmission asks the gate at an address, which holds the claim, whether a job is
+	// admitted. If it is nil, this gate never asks another.
+	AskAdmission func(ctx context.Context, holder netip.AddrPort, request *flow.AdmissionRequest) (*flow.AdmissionAnswer, error)
 	// Peers calls other gates. If it is nil, this gate never does.
 	Peers        Peers
 	KV           store.TxnKV
@@ -85,6 +88,7 @@
 	vacant    chan struct{}
 	forwarder changeForwarder
 	groups    reportedGroups
+	shortage  knownShortage
 	peers     peerChecks
 }
 
@@ -93,7 +97,10 @@
 	g := &Gate{opts: opts, view: newStoreView(), vacant: make(chan struct{})}
 	g.stateFollower = cache.New(opts.KV, duty.KeyPrefix, g.applyStateEvents)
 	g.configFollower = cache.New(opts.KV, opts.OperatorKeys.Prefix, g.applyOperatorEvents)
-	g.forwarder = newChangeForwarder(g.view.currentClaim, g.groups.set)
+	g.forwarder = newChangeForwarder(g.view.currentClaim, func(answer *flow.ChangeAnswer) {
+		g.groups.set(answer.GetWorkerGroups())
+		g.shortage.set(answer.GetShortage())
+	})
 	g.operator = &operatorState{evacuated: map[string]bool{}, age: g.configFollower.Age}
 	return g
 }
@@ -268,12 +275,12 @@
 }
 
 // Tell passes to the scheduler a change that another gate has committed, and returns
-// the counts of workers.
+// the counts of workers and whether jobs may be refused.
 func (c RPCHandlers) Tell(change *flow.Change, answer *flow.ChangeAnswer) error {
 	return guard.Run("change", func() {
 		c.gate.applyToScheduler(change)
 		if s := c.gate.scheduler.Load(); s != nil {
-			answer.WorkerGroups = s.WorkerGroups()
+			answer.WorkerGroups, answer.Shortage = s.WorkerGroups(), s.Shortage()
 		}
 	})
 }
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -173,6 +173,9 @@
 			Reason: fmt.Sprintf("all workers together cannot hold a step of the job, by a count that is %d ms old", age.Milliseconds()),
 		})
 	}
+	if refusal := g.refusal(ctx, job); refusal != nil {
+		return g.logAnswer("submit", id, *refusal)
+	}
 	return g.logAnswer("submit", id, g.storeJob(ctx, call, job))
 }
 
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -132,6 +132,7 @@
 		Address:      conf.Address(settings.Node.GetRpcAddress()),
 		Processor:    int64(milliPerProcessor * settings.Platform.GetProcessorShare() * settings.Platform.GetProcessorSpeed()),
 		RequestYield: requestYield,
+		AskAdmission: (&gate.HolderLink{}).AskAdmission,
 		Peers:        peers{},
 		KV:           platform.NewStore(conf.Address(settings.Platform.GetStoreAddress())),
 		OperatorKeys: platform.OperatorKeys(),
