--- a/duty/job.go
+++ b/duty/job.go
@@ -36,6 +36,9 @@
 	writeAlone, refused bool
 	refusedUntil        time.Duration
 
+	// returned is set if the job came at the time that was promised when it was refused.
+	returned bool
+
 	runs map[graph.Ref]*run // by task
 	// measured has, by step, the run time of a task on a typical worker as its progress shows
 	// it.
--- a/duty/learned.go
+++ b/duty/learned.go
@@ -11,6 +11,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/shed"
 	"catkinpoint/speed"
 	"catkinpoint/store"
 )
@@ -42,13 +43,18 @@
 	// logged has the paces that were logged last.
 	logged  map[graph.Place]float64
 	nextFit time.Duration
+	// promises are those of the state. unstoredPromises is set while the last stored record
+	// does not have all of them.
+	promises         *shed.Promises
+	unstoredPromises bool
 	// changed counts the changes, and stored is the count at the last stored record.
 	changed, stored int64
-	nextWrite       time.Duration
+	nextWrite       time.Duration // of changes that can wait
+	pausedUntil     time.Duration // after a refused write
 }
 
-func newLearned() learned {
-	return learned{paces: speed.NewPaces(), times: speed.NewTimes(), averagePace: 1, logged: map[graph.Place]float64{}}
+func newLearned(promises *shed.Promises) learned {
+	return learned{paces: speed.NewPaces(), times: speed.NewTimes(), promises: promises, averagePace: 1, logged: map[graph.Place]float64{}}
 }
 
 // samplePace takes the progress of a run as evidence of its worker's pace. A gang that is
@@ -133,26 +139,34 @@
 	}
 	l.paces.Restore(record.GetPaces(), now)
 	l.times.Restore(record.GetRunTimes())
-	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()), "run_times", len(record.GetRunTimes()))
+	l.promises.Restore(record.GetPromises())
+	observePromises(l.promises.Open())
+	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()), "run_times", len(record.GetRunTimes()), "promises", l.promises.Open())
 }
 
 // record returns what is to be stored.
 func (l *learned) record(now time.Duration) *flow.Learned {
-	return &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record()}
+	return &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record(), Promises: l.promises.List()}
 }
 
-// addLearned adds the learned record to a transaction that stores progress anyway, if it has
-// changed and there is room. The record needs no condition of its own: only the holder
-// writes it, and the transaction requires the claim.
+// addLearned adds the learned record to a transaction, if it has changed and there is room.
+// Promises are stored at once, also without progress of jobs; other changes wait for
+// learnedWritePeriod and for a transaction that stores progress anyway. The record needs no
+// condition of its own: only the holder writes it, and the transaction requires the claim.
 func (b *batch) addLearned(l *learned, now time.Duration) {
+	if l.promises.TakeChanged() {
+		l.unstoredPromises = true
+		l.changed++
+	}
+	due := l.unstoredPromises || l.changed != l.stored && now >= l.nextWrite && len(b.writes) > 0
 	alone := len(b.writes) == 1 && b.writes[0].job.writeAlone
-	if l.changed == l.stored || now < l.nextWrite || len(b.writes) == 0 || alone || b.txn.Rows() >= store.MaxTxnRows || b.bytes >= maxBatchBytes {
+	if !due || now < l.pausedUntil || alone || b.txn.Rows() >= store.MaxTxnRows || b.bytes >= maxBatchBytes {
 		return
 	}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.record(now))
 	if err != nil || len(value) > maxLearnedBytes {
 		klog.ErrorS(err, "duty: learned record is not written", "bytes", len(value))
-		l.nextWrite = now + learnedRefusedPause
+		l.pausedUntil = now + learnedRefusedPause
 		return
 	}
 	l.nextWrite = now + learnedWritePeriod
@@ -166,11 +180,11 @@
 	switch {
 	case b.learned == 0:
 	case result.refused != nil:
-		l.nextWrite = clock.Monotonic() + learnedRefusedPause
+		l.pausedUntil = clock.Monotonic() + learnedRefusedPause
 		klog.InfoS("duty: transaction with the learned record refused, it is repeated without", "rows", b.txn.Rows(), "bytes", b.bytes, "err", result.refused)
 		return true
 	case result.conflict == nil && !result.cancelled:
-		l.stored = b.learned
+		l.stored, l.unstoredPromises = b.learned, false
 	}
 	return false
 }
--- a/duty/place.go
+++ b/duty/place.go
@@ -20,6 +20,11 @@
 // them had to wait for some. Bursts of urgent units last for some seconds.
 const urgentWaitMemory = 4 * time.Second
 
+// returnedSlack is the least slack with which units count whose job has returned at a promised
+// time and can still be of use. They keep their place before jobs that came later, which units
+// with negative slack do not. It is too short to preempt.
+const returnedSlack = time.Millisecond
+
 // maxStepUnits bounds the units of one step of a job in a decision. The others, which need
 // the same, come next.
 const maxStepUnits = 1000
@@ -40,6 +45,7 @@
 	st.takeBackStarts(free)
 	in := st.buildInput(s, table, free, now)
 	s.guaranteedWorkWaiting.Store(slices.ContainsFunc(in.Requests, func(r plan.Request) bool { return r.Guaranteed }))
+	st.admission.unitsWait = len(in.Requests) > 0
 	if len(in.Requests) == 0 {
 		return
 	}
@@ -50,6 +56,7 @@
 		klog.InfoS("duty: room is short", "waiting_in_time", short.InTime, "waiting_late", short.Late, "waiting_useless", short.Useless,
 			"backlog_ms", short.Backlog.Milliseconds(), "units_placed", len(decision.Starts), "runs_preempted", len(decision.Stops))
 	}
+	st.admission.unitsWait = len(decision.Starts) < len(in.Requests)
 	doubtful := doubtfulJobs(in.Requests)
 	for _, a := range decision.Starts {
 		j := st.jobs[a.Unit.Job.Spec.GetId()]
@@ -285,11 +292,14 @@
 	left := objective - (now - j.submitted)
 	const lateFactor = 3 // a result is of no use after this many times the objective
 	failures, failedAt := j.failures(unit)
+	slack, deadlineSlack := left-tail, lateFactor*objective-(now-j.submitted)-tail
+	if j.returned && deadlineSlack > 0 {
+		slack = max(slack, returnedSlack)
+	}
 	return plan.Request{
 		Failures: failures, FailedOn: failedAt,
-		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: left - tail,
-		DeadlineSlack: lateFactor*objective - (now - j.submitted) - tail,
-		Duration:      st.typicalTimeOf(j, first.Step), Guaranteed: reclaims && j.graph.Task(first) == nil,
+		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: slack, DeadlineSlack: deadlineSlack,
+		Duration: st.typicalTimeOf(j, first.Step), Guaranteed: reclaims && j.graph.Task(first) == nil,
 		Held: st.holds[unitKey{j.graph, first}],
 	}
 }
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -77,6 +77,8 @@
 	// guaranteedWorkWaiting is set while work that a customer's guarantee covers waits to be
 	// placed.
 	guaranteedWorkWaiting atomic.Bool
+	// refusing is set while jobs may have to be refused on arrival.
+	refusing atomic.Bool
 }
 
 // NewScheduler returns a scheduler for a claim. Run starts it, and it ends with ctx.
@@ -148,7 +150,7 @@
 		return nil, fmt.Errorf("reading pages: %w", err)
 	}
 	items = append(items, pages...)
-	if !s.learns() {
+	if !s.learns() && !s.settings.RefuseLate {
 		return items, nil
 	}
 	records, _, err := s.kv.Range(ctx, learnedKey)
@@ -247,6 +249,7 @@
 		st.placeUnits(s, now)
 	}
 	st.advanceJobs()
+	st.updateShortage(s, now)
 	if !st.writing && !st.superseded {
 		s.flush(st, now)
 	}
--- a/duty/state.go
+++ b/duty/state.go
@@ -47,6 +47,7 @@
 	// planInput is the last input of package plan. Its slices are reused.
 	planInput plan.Input
 	learned   learned
+	admission admission
 	// openCache is the result of openJobs, or nil if it has to be built again.
 	openCache []*job
 }
@@ -58,12 +59,13 @@
 }
 
 func newState(now time.Duration) *state {
-	return &state{
+	st := &state{
 		jobs: map[string]*job{}, workers: map[string]*worker{}, byPlace: map[graph.Place]*worker{}, activeByRelay: map[string]map[*graph.Task]*job{},
 		revisions: map[string]int64{}, cancelled: map[string]bool{}, loadedProgress: map[string]store.Item{}, loadedCrashes: map[string]store.Item{}, startedAt: now,
 		loadedPages: map[string]map[int64]store.Item{}, gates: map[string]bool{}, maxUnpagedBytes: maxUnpagedBytes,
-		learned: newLearned(),
 	}
+	st.learned = newLearned(&st.admission.promises)
+	return st
 }
 
 // openJobs returns the jobs that are not settled, in the order in which they were
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -28,7 +28,12 @@
 	decisionHistogram     = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
 	pacedGauge            = newGauge("catkinpoint_duty_paced_workers", "Workers whose run times are known to differ from those of the median worker.")
 	paceHistogram         = newRatioHistogram("catkinpoint_duty_worker_pace", "Learned run time on a worker relative to the median worker, each time that it is fitted.")
-	writeHistogram        = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
+	// admissionRefusalsCounter counts refusals on arrival, also repeated ones of a caller that
+	// returns early.
+	admissionRefusalsCounter = newCounter("catkinpoint_duty_refusals", "Jobs refused on arrival, by queue.")
+	promisesEndedCounter     = newCounter("catkinpoint_duty_ended_promises", "Promises to refused callers that have ended, by how.")
+	promisesGauge            = newGauge("catkinpoint_duty_promises", "Open promises to refused callers.")
+	writeHistogram           = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
 )
 
 func newCounter(name, help string) metric.Int64Counter {
@@ -39,20 +44,22 @@
 	return c
 }
 
-func newHistogram(name, help string) metric.Float64Histogram {
-	h, err := meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"))
+func newGauge(name, help string) metric.Int64Gauge {
+	g, err := meter.Int64Gauge(name, metric.WithDescription(help))
 	if err != nil {
 		otel.Handle(err)
 	}
-	return h
+	return g
 }
 
-func newGauge(name, help string) metric.Int64Gauge {
-	g, err := meter.Int64Gauge(name, metric.WithDescription(help))
+func observePromises(n int) { promisesGauge.Record(context.Background(), int64(n)) }
+
+func newHistogram(name, help string) metric.Float64Histogram {
+	h, err := meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"))
 	if err != nil {
 		otel.Handle(err)
 	}
-	return g
+	return h
 }
 
 func newRatioHistogram(name, help string) metric.Float64Histogram {
--- a/duty/write.go
+++ b/duty/write.go
@@ -71,10 +71,10 @@
 // time.
 func (s *Scheduler) flush(st *state, now time.Duration) {
 	batch := st.collectBatch(s.claim, now)
-	if len(batch.writes) == 0 {
+	batch.addLearned(&st.learned, now)
+	if len(batch.writes) == 0 && batch.learned == 0 {
 		return
 	}
-	batch.addLearned(&st.learned, now)
 	st.writing = true
 	go func() {
 		result := s.commit(batch)
@@ -121,8 +121,12 @@
 }
 
 // tookEffect reports whether an earlier attempt of the transaction was committed,
-// with its revision: then the conflict shows that the store has all its records.
+// with its revision: then the conflict shows that the store has all its records. Without
+// records of jobs, only a lost claim can conflict.
 func (b *batch) tookEffect(conflict *store.ConflictError) (int64, bool) {
+	if len(b.writes) == 0 {
+		return 0, false
+	}
 	revision := int64(0)
 	for _, w := range b.writes {
 		for _, r := range w.records {
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -177,6 +177,9 @@
 	if groups, age := g.knownWorkerGroups(); len(groups) > 0 && !plan.Feasible(groups, job) {
 		return g.logAnswer("submit", id, Answer{Verdict: Busy, RetryAfter: capacityRetryAfter, Reason: tooLarge(age)})
 	}
+	if refusal := g.refusal(ctx, job); refusal != nil {
+		return g.logAnswer("submit", id, *refusal)
+	}
 	return g.logAnswer("submit", id, g.storeJob(ctx, call, job))
 }
 
