where: says too whether a job would be refused on arrival

Cause: refusals are decided by the scheduler since they exist, but the command that explains a decision did not show them. Change: the decision on admission is apart from its log and its promise, so that the command makes it with a copy of the promises.

--- a/duty/admit.go
+++ b/duty/admit.go
@@ -95,27 +95,10 @@
 	return answer, nil
 }
 
-// admit decides on a job. It admits the job whenever a refusal might be wrong.
+// admit decides on a job, makes the promise of a refusal and logs it.
 func (st *state) admit(s *Scheduler, spec *flow.Job, now time.Duration) *flow.AdmissionAnswer {
 	unixMS := time.Now().UnixMilli()
-	table, known := st.admissionTable(s, now)
-	switch {
-	case !known:
-		return &flow.AdmissionAnswer{Admitted: true, Reason: "no forecast"}
-	case st.jobs[spec.GetId()] != nil:
-		return &flow.AdmissionAnswer{Admitted: true, Reason: "known"}
-	case spec.GetRepeats() > 0 || spec.GetStartUnixMs() > unixMS:
-		return &flow.AdmissionAnswer{Admitted: true, Reason: "starts later or repeats"}
-	case st.guaranteeCovers(table, spec):
-		return &flow.AdmissionAnswer{Admitted: true, Reason: "guaranteed"}
-	}
-	st.updateLoads(s, table, now)
-	load := st.admission.loads[spec.GetService()]
-	if load == nil {
-		return &flow.AdmissionAnswer{Admitted: true, Reason: "no forecast"}
-	}
-	steps := st.stepRequests(spec, now)
-	d := shed.Decide(load, shed.Question{Job: spec, Steps: steps, StartsNow: len(steps) > 0 && st.startsNow(steps)}, &st.admission.promises, unixMS)
+	d := st.decideAdmission(s, spec, &st.admission.promises, now, unixMS)
 	if d.Admitted {
 		if d.Promised {
 			klog.InfoS("duty: job returned at its time", "job", spec.GetId(), "queue", spec.GetQueue())
@@ -130,6 +113,29 @@
 	return &flow.AdmissionAnswer{RetryAfterMs: d.RetryAfter.Milliseconds(), Reason: d.Reason}
 }
 
+// decideAdmission decides on a job, given the promises, to which it may add one. It admits the
+// job whenever a refusal might be wrong.
+func (st *state) decideAdmission(s *Scheduler, spec *flow.Job, promises *shed.Promises, now time.Duration, unixMS int64) shed.Decision {
+	table, known := st.admissionTable(s, now)
+	switch {
+	case !known:
+		return shed.Decision{Admitted: true, Reason: "no forecast"}
+	case st.jobs[spec.GetId()] != nil:
+		return shed.Decision{Admitted: true, Reason: "known"}
+	case spec.GetRepeats() > 0 || spec.GetStartUnixMs() > unixMS:
+		return shed.Decision{Admitted: true, Reason: "starts later or repeats"}
+	case st.guaranteeCovers(table, spec):
+		return shed.Decision{Admitted: true, Reason: "guaranteed"}
+	}
+	st.updateLoads(s, table, now)
+	load := st.admission.loads[spec.GetService()]
+	if load == nil {
+		return shed.Decision{Admitted: true, Reason: "no forecast"}
+	}
+	steps := st.stepRequests(spec, now)
+	return shed.Decide(load, shed.Question{Job: spec, Steps: steps, StartsNow: len(steps) > 0 && st.startsNow(steps)}, promises, unixMS)
+}
+
 // admissionTable returns the configuration, and false if jobs may not be refused by it, as it
 // is too old or the workers are not known yet.
 func (st *state) admissionTable(s *Scheduler, now time.Duration) (*route.Table, bool) {
--- a/duty/explain.go
+++ b/duty/explain.go
@@ -8,6 +8,7 @@
 	"catkinpoint/flow"
 	"catkinpoint/graph"
 	"catkinpoint/plan"
+	"catkinpoint/shed"
 )
 
 // ErrNoDecision means that the scheduler decides nothing now, as it has no fresh
@@ -18,7 +19,9 @@
 type Explained struct {
 	Phase   flow.Phase
 	Running int
-	Units   []plan.Explanation
+	// Admission is whether the job would be accepted now, if the scheduler does not know it.
+	Admission shed.Decision
+	Units     []plan.Explanation
 }
 
 // Explain returns what the next decision does with a job that the scheduler knows or, if
@@ -63,6 +66,10 @@
 	if j == nil {
 		return Explained{}, Error.New("job %.64q is not known", id)
 	}
+	explained := Explained{Phase: j.graph.Phase, Running: len(j.graph.Active()), Admission: shed.Decision{Admitted: true}}
+	if spec != nil {
+		explained.Admission = st.decideAdmission(s, spec, st.admission.promises.Clone(), now, time.Now().UnixMilli())
+	}
 	in := st.buildInput(s, table, st.freeRoom(), now)
 	if spec != nil {
 		covered := st.guaranteed(table, j)[j]
@@ -70,5 +77,6 @@
 			in.Requests = append(in.Requests, st.planRequest(j, unit, covered, now))
 		}
 	}
-	return Explained{Phase: j.graph.Phase, Running: len(j.graph.Active()), Units: plan.Explain(in, j.graph)}, nil
+	explained.Units = plan.Explain(in, j.graph)
+	return explained, nil
 }
--- a/gate/where.go
+++ b/gate/where.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return fmt.Errorf("asking the scheduler: %w", err)
 	}
+	if !explained.Admission.Admitted {
+		answer.Refusal, answer.RetryAfterMs = explained.Admission.Reason, explained.Admission.RetryAfter.Milliseconds()
+	}
 	answer.Phase, answer.Running = explained.Phase, int32(explained.Running)
 	for _, e := range explained.Units {
 		answer.Units = append(answer.Units, whereUnit(e))
--- a/shed/promises.go
+++ b/shed/promises.go
@@ -78,6 +78,16 @@
 	return changed
 }
 
+// Clone returns a copy for a decision that is not to change the promises.
+func (p *Promises) Clone() *Promises {
+	copied := &Promises{byID: make(map[string]*promise, len(p.byID)), changed: p.changed}
+	for id, open := range p.byID {
+		one := *open
+		copied.byID[id] = &one
+	}
+	return copied
+}
+
 // Settle ends the promises whose job is known or whose time is over.
 func (p *Promises) Settle(known func(id string) bool, nowUnixMS int64) Ended {
 	var ended Ended
