intake: a connection is not idle before its answer is sent

Cause: after the handler had returned, a connection counted as idle while the HTTP server still had to send the answer. At the largest number of connections idle ones are closed first, and by a reset, which destroys an answer that was not sent or not yet acknowledged.

Change: such a connection counts as being answered until the answer is written, and idle ones are closed in order instead of by a reset.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -86,16 +86,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if h := l.intake.open(func() { reset(raw) }); h != nil {
+		if h := l.intake.open(func(idle bool) { closeRaw(raw, idle) }); h != nil {
 			return &conn{Conn: raw, intake: l.intake, holder: h}, nil
 		}
-		reset(raw)
+		closeRaw(raw, false)
 	}
 }
 
-// reset closes a connection so that the kernel keeps nothing of it.
-func reset(raw net.Conn) {
-	if tcp, ok := raw.(*net.TCPConn); ok {
+// closeRaw closes a connection. If it is not idle, the kernel keeps nothing of it. If it is,
+// its last answer may still be on its way and is not thrown away.
+func closeRaw(raw net.Conn, idle bool) {
+	if tcp, ok := raw.(*net.TCPConn); ok && !idle {
 		_ = tcp.SetLinger(0) // fails if the connection is closed
 	}
 	_ = raw.Close()
@@ -124,7 +125,7 @@
 // for them.
 func (i *Intake) receive(h *Holder, n int64) bool {
 	i.mu.Lock()
-	if h.phase == Idle {
+	if h.phase == Idle || h.phase == Answering && !h.writing {
 		h.enter(clock.Monotonic(), Heading)
 	}
 	h.received += n
@@ -139,11 +140,15 @@
 	c.intake.mu.Lock()
 	before := *c.holder
 	c.holder.enter(clock.Monotonic(), Answering)
+	c.holder.writing = true
 	c.intake.mu.Unlock()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.resources.Stall)) // fails if the connection is closed
 	n, err := c.Conn.Write(p)
 	c.intake.mu.Lock()
-	c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received
+	c.holder.writing = false
+	if c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received; before.phase == Answering {
+		c.holder.enter(clock.Monotonic(), Idle) // the request is over
+	}
 	c.intake.mu.Unlock()
 	return n, err
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -108,7 +108,7 @@
 // open admits a new connection, for which another one may be closed. It waits for room
 // for acceptTime at most, in which further ones wait in the order in which they came, and
 // returns nil if there is none.
-func (i *Intake) open(closeConn func()) *Holder {
+func (i *Intake) open(closeConn func(idle bool)) *Holder {
 	deadline := clock.Monotonic() + acceptTime
 	for {
 		now := clock.Monotonic()
@@ -125,9 +125,10 @@
 			h.close = closeConn
 		}
 		changed := i.changed
+		idle := victim != nil && victim.phase == Idle
 		i.mu.Unlock()
 		if victim != nil {
-			victim.close()
+			victim.close(idle)
 		}
 		if h != nil || refused {
 			return h
@@ -171,9 +172,10 @@
 			i.lastSearch = now
 		}
 		changed := i.changed
+		idle := victim != nil && victim.phase == Idle
 		i.mu.Unlock()
 		if victim != nil {
-			victim.close()
+			victim.close(idle)
 		}
 		wait(changed, min(deadline, now+4*searchPeriod))
 		i.mu.Lock()
@@ -211,12 +213,13 @@
 	h.enter(clock.Monotonic(), phase)
 }
 
-// release ends a request: the connection holds nothing besides itself.
+// release ends a request: the connection holds nothing besides itself. It is not idle
+// before the HTTP server has sent the answer.
 func (i *Intake) release(h *Holder) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.ledger.Release(h)
-	h.enter(clock.Monotonic(), Idle)
+	h.enter(clock.Monotonic(), Answering)
 	i.signal()
 }
 
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -20,7 +20,7 @@
 	Waiting
 	// Serving means that the process works on the request.
 	Serving
-	// Answering means that the process waits until the client takes the answer.
+	// Answering means that the answer is being sent, or is still to be.
 	Answering
 	// Closing means that the answer was sent and the rest of the body is thrown away.
 	Closing
@@ -52,9 +52,10 @@
 	large    int64         // held for a body above smallBytes, bytes
 	// wantsLarge reports whether the connection waits for room for a large body.
 	wantsLarge bool
-	dropped    bool          // is to be closed
-	place      *list.Element // in Ledger.holders
-	close      func()        // closes the connection
+	dropped    bool            // is to be closed
+	writing    bool            // an answer is being written
+	place      *list.Element   // in Ledger.holders
+	close      func(idle bool) // closes the connection
 }
 
 // behind returns how far the connection is behind a steady client. It is negative if the
