intake: those that wait for a large body make room for ordinary requests

Cause: a crowd that waits for room for large bodies held all of the budget with what the kernel keeps for it, and was left alone for 0.25 s each time; an ordinary request found no room among them. At an entry, whose kernel buffers are larger, an ordinary request also counted as more than one and had no part of the last quarter. Seen in the first of 4 runs of platform/siege in series (load of the machine 39 to 54), in TestHostileClientsOfEntry/bodies_whole; the message was not kept.

Change: those that only wait for a large body are closed at once for an ordinary request, and what counts as ordinary follows the size of the kernel's buffers.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -19,8 +19,8 @@
 	// acceptPeriod is the time between two searches for one to close; a client falls behind
 	// without an event that would start a search.
 	acceptPeriod = 5 * time.Millisecond
-	// searchPeriod limits how often it is searched whom to close for bytes, as each
-	// search looks at all connections.
+	// searchPeriod is the time after a search for one to close for bytes that has found
+	// none, as each search looks at all connections.
 	searchPeriod = 5 * time.Millisecond
 	// logPeriod limits the log lines of each kind of decision.
 	logPeriod = time.Second
@@ -48,8 +48,8 @@
 
 	mu         sync.Mutex // guards the fields below and all holders
 	ledger     *Ledger
-	changed    chan struct{} // closed when something is released
-	lastSearch time.Duration
+	changed    chan struct{}       // closed when something is released
+	lastSearch time.Duration       // that has found none
 	logged     map[string]logState // by decision and reason
 }
 
@@ -168,8 +168,9 @@
 			if victim = i.ledger.ForBytes(now, h, large); victim != nil {
 				i.ledger.Drop(victim)
 				i.decided("closed", reason)
+			} else {
+				i.lastSearch = now
 			}
-			i.lastSearch = now
 		}
 		changed := i.changed
 		idle := victim != nil && victim.phase == Idle
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -146,7 +146,7 @@
 // says that they are for a body above smallBytes.
 func (l *Ledger) Hold(h *Holder, bytes int64, large bool) bool {
 	limit := l.limits.Bytes - int64(l.limits.Connections)*connectionBytes
-	if h.sum()+bytes > ordinaryBytes {
+	if h.sum()+bytes > l.limits.Ordinary {
 		limit -= limit / 4
 	}
 	used := l.small + l.large
@@ -202,15 +202,20 @@
 }
 
 // ForBytes returns the connection that is to be closed so that another one may hold more
-// bytes, or nil. large says that these are for a body above smallBytes.
+// bytes, or nil. large says that these are for a body above smallBytes. For others, those
+// that only wait for room for such a body are closed at once: a crowd of them holds as
+// much in the kernel as all ordinary requests may.
 func (l *Ledger) ForBytes(now time.Duration, asking *Holder, large bool) *Holder {
 	var victim *Holder
 	var most float64
 	onlyLarge := large && l.large > l.limits.Large/2
 	for place := l.holders.Front(); place != nil; place = place.Next() {
 		h := place.Value.(*Holder)
-		behind := h.behind(now)
-		if h == asking || h.dropped || behind < patience || onlyLarge && h.large == 0 {
+		behind, needed := h.behind(now), patience
+		if !large && h.phase == Waiting && h.wantsLarge {
+			needed = 0
+		}
+		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 {
 			continue
 		}
 		if score := behind.Seconds() * float64(h.sum()); victim == nil || score > most {
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -177,3 +177,35 @@
 		}
 	}
 }
+
+// TestWaitingForLarge guards against ordinary requests without room while a crowd waits
+// for room for large bodies: what the kernel holds for the crowd fills the budget.
+func TestWaitingForLarge(t *testing.T) {
+	l := NewLedger(LimitsOf(Resources{MemoryMB: 64}))
+	for range 200 {
+		h, _ := l.Open(0)
+		l.Hold(h, servingBytes, false)
+		h.enter(0, Waiting)
+		h.wantsLarge = true
+	}
+	for l.Connections() < 250 { // requests that are served take the rest
+		h, _ := l.Open(0)
+		for l.Hold(h, firstBytes, false) {
+		}
+		h.enter(0, Serving)
+	}
+	ordinary, _ := l.Open(time.Millisecond)
+	if l.Hold(ordinary, servingBytes+bodyFactor*2000, false) {
+		t.Fatal("the crowd leaves room")
+	}
+	for !l.Hold(ordinary, servingBytes+bodyFactor*2000, false) {
+		waiting := l.ForBytes(time.Millisecond, ordinary, false)
+		if waiting == nil {
+			t.Fatal("an ordinary request finds no room")
+		}
+		l.Close(waiting)
+	}
+	if l.ForBytes(time.Millisecond, ordinary, true) != nil {
+		t.Error("one that waits is closed for another large body")
+	}
+}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -44,9 +44,10 @@
 	// for a body of unknown length; the second one is smallBytes.
 	firstBytes = 4 << 10
 	largeBytes = 256 << 10
-	// ordinaryBytes is what a connection with an ordinary request holds at most. Only
-	// those take the last quarter of the budget.
-	ordinaryBytes = 128 << 10
+	// ordinaryBytes is what a connection with an ordinary request holds at most, besides
+	// the connection and the kernel's buffers. Only those take the last quarter of the
+	// budget.
+	ordinaryBytes = 56 << 10
 )
 
 // Limits are the bounds of a Ledger.
@@ -57,6 +58,8 @@
 	Large int64
 	// Connections bounds the number of open connections.
 	Connections int
+	// Ordinary bounds what a connection with an ordinary request holds.
+	Ordinary int64
 }
 
 // Resources are what the process has, and what its settings say.
@@ -106,7 +109,8 @@
 	if r.Connections > 0 {
 		connections = min(connections, r.Connections)
 	}
-	return Limits{Bytes: budget, Large: budget / 3, Connections: int(max(connections, leastConnections))}
+	ordinary := connectionBytes + servingFactor*int64(r.withDefaults().SocketBytes) + ordinaryBytes
+	return Limits{Bytes: budget, Large: budget / 3, Connections: int(max(connections, leastConnections)), Ordinary: ordinary}
 }
 
 // nextReserve returns the length for which room is taken for a body, bytes, when what was
