--- a/intake/intake.go
+++ b/intake/intake.go
@@ -19,8 +19,8 @@
 	// acceptPeriod is the time between two searches for one to close; a client falls behind
 	// without an event that would start a search.
 	acceptPeriod = 5 * time.Millisecond
-	// searchPeriod limits how often it is searched whom to close for bytes, as each
-	// search looks at all connections.
+	// searchPeriod is the time after a search for one to close for bytes that has found
+	// none, as each search looks at all connections.
 	searchPeriod = 5 * time.Millisecond
 	// logPeriod limits the log lines of each kind of decision.
 	logPeriod = time.Second
@@ -48,8 +48,8 @@
 
 	mu         sync.Mutex // guards the fields below and all holders
 	ledger     *Ledger
-	changed    chan struct{} // closed when something is released
-	lastSearch time.Duration
+	changed    chan struct{}       // closed when something is released
+	lastSearch time.Duration       // that has found none
 	logged     map[string]logState // by decision and reason
 }
 
@@ -108,7 +108,7 @@
 // open admits a new connection, for which another one may be closed. It waits for room
 // for acceptTime at most, in which further ones wait in the order in which they came, and
 // returns nil if there is none.
-func (i *Intake) open(closeConn func()) *Holder {
+func (i *Intake) open(closeConn func(idle bool)) *Holder {
 	deadline := clock.Monotonic() + acceptTime
 	for {
 		now := clock.Monotonic()
@@ -125,9 +125,10 @@
 			h.close = closeConn
 		}
 		changed := i.changed
+		idle := victim != nil && victim.phase == Idle
 		i.mu.Unlock()
 		if victim != nil {
-			victim.close()
+			victim.close(idle)
 		}
 		if h != nil || refused {
 			return h
@@ -167,13 +168,15 @@
 			if victim = i.ledger.ForBytes(now, h, large); victim != nil {
 				i.ledger.Drop(victim)
 				i.decided("closed", reason)
+			} else {
+				i.lastSearch = now
 			}
-			i.lastSearch = now
 		}
 		changed := i.changed
+		idle := victim != nil && victim.phase == Idle
 		i.mu.Unlock()
 		if victim != nil {
-			victim.close()
+			victim.close(idle)
 		}
 		wait(changed, min(deadline, now+4*searchPeriod))
 		i.mu.Lock()
@@ -211,12 +214,13 @@
 	h.enter(clock.Monotonic(), phase)
 }
 
-// release ends a request: the connection holds nothing besides itself.
+// release ends a request: the connection holds nothing besides itself. It is not idle
+// before the HTTP server has sent the answer.
 func (i *Intake) release(h *Holder) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.ledger.Release(h)
-	h.enter(clock.Monotonic(), Idle)
+	h.enter(clock.Monotonic(), Answering)
 	i.signal()
 }
 
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -20,7 +20,7 @@
 	Waiting
 	// Serving means that the process works on the request.
 	Serving
-	// Answering means that the process waits until the client takes the answer.
+	// Answering means that the answer is being sent, or is still to be.
 	Answering
 	// Closing means that the answer was sent and the rest of the body is thrown away.
 	Closing
@@ -52,9 +52,10 @@
 	large    int64         // held for a body above smallBytes, bytes
 	// wantsLarge reports whether the connection waits for room for a large body.
 	wantsLarge bool
-	dropped    bool          // is to be closed
-	place      *list.Element // in Ledger.holders
-	close      func()        // closes the connection
+	dropped    bool            // is to be closed
+	writing    bool            // an answer is being written
+	place      *list.Element   // in Ledger.holders
+	close      func(idle bool) // closes the connection
 }
 
 // behind returns how far the connection is behind a steady client. It is negative if the
@@ -145,7 +146,7 @@
 // says that they are for a body above smallBytes.
 func (l *Ledger) Hold(h *Holder, bytes int64, large bool) bool {
 	limit := l.limits.Bytes - int64(l.limits.Connections)*connectionBytes
-	if h.sum()+bytes > ordinaryBytes {
+	if h.sum()+bytes > l.limits.Ordinary {
 		limit -= limit / 4
 	}
 	used := l.small + l.large
@@ -201,15 +202,20 @@
 }
 
 // ForBytes returns the connection that is to be closed so that another one may hold more
-// bytes, or nil. large says that these are for a body above smallBytes.
+// bytes, or nil. large says that these are for a body above smallBytes. For others, those
+// that only wait for room for such a body are closed at once: a crowd of them holds as
+// much in the kernel as all ordinary requests may.
 func (l *Ledger) ForBytes(now time.Duration, asking *Holder, large bool) *Holder {
 	var victim *Holder
 	var most float64
 	onlyLarge := large && l.large > l.limits.Large/2
 	for place := l.holders.Front(); place != nil; place = place.Next() {
 		h := place.Value.(*Holder)
-		behind := h.behind(now)
-		if h == asking || h.dropped || behind < patience || onlyLarge && h.large == 0 {
+		behind, needed := h.behind(now), patience
+		if !large && h.phase == Waiting && h.wantsLarge {
+			needed = 0
+		}
+		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 {
 			continue
 		}
 		if score := behind.Seconds() * float64(h.sum()); victim == nil || score > most {
