duty: a unit on a worker that leaves is stopped only once its progress was seen

Units with a run of which no progress was seen are now left alone, and work done under an earlier holder counts as lost by a stop.

--- a/duty/leaving.go
+++ b/duty/leaving.go
@@ -55,7 +55,9 @@
 }
 
 // leavingUnit describes the unit of a task for the decision. It reports false for a unit that
-// lasts, is being stopped, has a run that is not known yet, or is done.
+// lasts, is being stopped or is done, and for one of which a run has not begun as far as is
+// known: it loses nothing yet, or this holder has not seen its progress. Without that a gang
+// that would have ended within 0.7 s was stopped right after a change of the holder.
 func (st *state) leavingUnit(j *job, ref graph.Ref, now time.Duration) (plan.Leaving, bool) {
 	step := j.graph.Step(ref)
 	if step.GetLongRunning() || j.graph.Ended() {
@@ -68,11 +70,15 @@
 		if m == nil || !m.Active() {
 			continue
 		}
-		if m.Done || r == nil || r.run != m.Run || r.stopOrdered {
+		if m.Done || r == nil || r.run != m.Run || r.stopOrdered || r.begunAt == 0 {
 			return plan.Leaving{}, false
 		}
 		unit.Remaining = max(unit.Remaining, r.remaining(now))
-		unit.Done += st.unsavedWork(j, member, now).Seconds() * cores
+		done := st.unsavedWork(j, member, now)
+		if !unit.Checkpointing { // the work before this holder knew of the run
+			done += r.expectedTime * time.Duration(r.firstPercent) / 100
+		}
+		unit.Done += done.Seconds() * cores
 		unit.Rate += cores
 		if w := st.byPlace[m.Place]; w != nil && w.leaving() {
 			if left := w.leavesAt - now; !found || left < unit.Left {
--- a/duty/leaving_test.go
+++ b/duty/leaving_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"catkinpoint/clock"
 )
 
 // Guards against gangs that work on for nothing after the worker of one member has said that
@@ -16,6 +18,7 @@
 		notice       time.Duration
 		checkpointed bool
 		lasting      bool
+		unseen       bool          // the progress of the runs is not known after the notice
 		stopsBefore  time.Duration // of the time of the notice; 0 if there are no stops
 	}{
 		{name: "gang that needs much longer", on: true, notice: 2 * time.Second, stopsBefore: 2 * time.Second},
@@ -23,6 +26,8 @@
 		{name: "gang with checkpoints", on: true, notice: 2 * time.Second, checkpointed: true, stopsBefore: 1200 * time.Millisecond},
 		{name: "gang that lasts", on: true, notice: 2 * time.Second, lasting: true},
 		{name: "switched off", notice: 2 * time.Second},
+		// The next holder took runs of which it had seen no progress for ones that had not begun.
+		{name: "gang that ends in time, progress not seen", on: true, notice: 7 * time.Second, unseen: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -41,6 +46,13 @@
 					}
 				}
 				leaver.leavesAt, leaver.leavesLate = f.startedAt+5*time.Second+test.notice, 400*time.Millisecond
+				if test.unseen {
+					f.run(fleetTick)
+					for _, r := range f.state.jobs[spec.GetId()].runs {
+						*r = run{run: r.run, stored: true, knownSince: r.knownSince, expectedTime: r.expectedTime}
+					}
+					f.state.saveLeavingWork(clock.Monotonic())
+				}
 				first := time.Duration(0) // time left at the first stop
 				for left := test.notice; left > 0 && first == 0; left -= fleetTick {
 					f.run(fleetTick)
