plan, speed: the margins are for urgent units only; limits and group times computed once

The limit of a unit was computed for each of its fits, and the times of a group with a search over all samples. Change: surePace, with margins, only keeps units that may preempt off slow workers. One result per request and per fit is kept.

--- a/duty/times.go
+++ b/duty/times.go
@@ -18,15 +18,12 @@
 // it is used for the job itself.
 func (st *state) learnTimes(now time.Duration) {
 	l := &st.learned
-	for _, g := range l.paces.Groups() {
+	for _, measured := range l.paces.GroupTimes(now) {
+		g, took := measured.Group, measured.Took
 		j := st.jobs[g.Job]
 		if j == nil {
 			continue
 		}
-		took, ok := l.paces.GroupTime(g, now)
-		if !ok {
-			continue
-		}
 		if j.measured == nil {
 			j.measured = map[int32]time.Duration{}
 		}
--- a/plan/pace.go
+++ b/plan/pace.go
@@ -51,9 +51,17 @@
 	s.uneven = s.slowest > likePace*s.fastPace
 }
 
-// objectivePace returns the largest pace with which the unit surely meets its objective if it
-// starts now, and infinity if it can't meet it even on a worker of pace 1.
+// objectivePace returns the largest pace with which the unit is expected to meet its objective
+// if it starts now, and infinity if it can't meet it even on a worker of pace 1.
 func (r *Request) objectivePace() float64 {
+	if r.Slack < 0 || r.Duration <= 0 {
+		return math.Inf(1)
+	}
+	return 1 + r.Slack.Seconds()/r.Duration.Seconds()
+}
+
+// surePace is like objectivePace, with margins for what is not known.
+func (r *Request) surePace() float64 {
 	if r.Slack < 0 || r.Duration <= 0 {
 		return math.Inf(1)
 	}
@@ -69,7 +77,17 @@
 	if !s.uneven || !r.mayPreempt() || r.Guaranteed && r.ReadyFor > guaranteedPaceWait {
 		return math.Inf(1)
 	}
-	limit := max(r.objectivePace(), s.fastPace*likePace)
+	limit, ok := s.paceLimits[r]
+	if !ok {
+		limit = s.computePaceLimit(r)
+		s.paceLimits[r] = limit
+	}
+	return limit
+}
+
+// computePaceLimit returns the limit of a unit that may preempt.
+func (s *state) computePaceLimit(r *Request) float64 {
+	limit := max(r.surePace(), s.fastPace*likePace)
 	if limit >= s.slowest || s.fastCapacity(r, limit) < int64(len(r.Unit.Tasks)) {
 		return math.Inf(1)
 	}
--- a/plan/state.go
+++ b/plan/state.go
@@ -70,6 +70,8 @@
 	// fastPace, slowest and uneven are set by measurePaces.
 	fastPace, slowest float64
 	uneven            bool
+	// paceLimits caches the results of computePaceLimit.
+	paceLimits map[*Request]float64
 }
 
 // stepOnWorker identifies a step of one occurrence of a job on one worker.
@@ -85,7 +87,7 @@
 	s := &state{
 		input: in, workers: in.Workers, workerIndex: make(map[graph.Place]int, n), free: make([]Resources, n),
 		rackIndex: map[string]int{}, rackOf: make([]int, n), reserved: make([][]reservation, n),
-		runsOn: make([][]int, n), stopping: make([]bool, len(in.Running)), started: map[stepOnWorker]int32{},
+		runsOn: make([][]int, n), stopping: make([]bool, len(in.Running)), started: map[stepOnWorker]int32{}, paceLimits: map[*Request]float64{},
 		allWorkers: make([]int, n), gotTask: make([]bool, n), isolated: make([]bool, n), leftover: make([]Resources, n), stepTasks: make([]int32, n), freeAfter: make([]Resources, n),
 	}
 	for i, w := range s.workers {
--- a/speed/times.go
+++ b/speed/times.go
@@ -144,30 +144,26 @@
 	}
 }
 
-// GroupTime returns the time that a task of a group takes on a typical worker, as the median
-// of the samples of the window, and false if there are none.
-func (p *Paces) GroupTime(group Group, now time.Duration) (time.Duration, bool) {
-	var values []value
-	for i := range p.samples {
-		if s := &p.samples[i]; s.Group == group {
-			values = append(values, value{s.logTime() - math.Log(p.Pace(s.Worker, now)), 1})
-		}
-	}
-	if len(values) == 0 {
-		return 0, false
-	}
-	return time.Duration(math.Exp(weightedMedian(values)) * float64(time.Second)), true
+// GroupTime is the time that a task of a group takes on a typical worker.
+type GroupTime struct {
+	Group Group
+	Took  time.Duration
 }
 
-// Groups returns the groups with samples in the window, in the order of their first samples.
-func (p *Paces) Groups() []Group {
-	var groups []Group
-	seen := map[Group]bool{}
+// GroupTimes returns the times of the groups with samples in the window, as the medians of the
+// samples, in the order of their first samples.
+func (p *Paces) GroupTimes(now time.Duration) []GroupTime {
+	byGroup := map[Group][]value{}
+	var groups []GroupTime
 	for i := range p.samples {
-		if g := p.samples[i].Group; !seen[g] {
-			seen[g] = true
-			groups = append(groups, g)
+		s := &p.samples[i]
+		if byGroup[s.Group] == nil {
+			groups = append(groups, GroupTime{Group: s.Group})
 		}
+		byGroup[s.Group] = append(byGroup[s.Group], value{s.logTime() - math.Log(p.Pace(s.Worker, now)), 1})
+	}
+	for i := range groups {
+		groups[i].Took = time.Duration(math.Exp(weightedMedian(byGroup[groups[i].Group])) * float64(time.Second))
 	}
 	return groups
 }
