plan, duty: workers within a factor of 1.5 count as alike; the wait for slower members of a gang

The remaining time of a gang's members was set by the slowest one also on equal workers. A run that is faster than its gang waits for it, by the paces of both; without paces the remaining time is as before. Paces are rounded in the log.

--- a/duty/learned.go
+++ b/duty/learned.go
@@ -101,11 +101,14 @@
 			continue
 		}
 		l.logged[p] = pace
-		klog.InfoS("duty: worker pace learned", "worker", p.Worker, "pace", pace, "before", last, "weight", l.paces.Weight(p, now))
+		klog.InfoS("duty: worker pace learned", "worker", p.Worker, "pace", twoDecimals(pace), "before", twoDecimals(last), "weight", twoDecimals(l.paces.Weight(p, now)))
 	}
 	pacedGauge.Record(context.Background(), known)
 }
 
+// twoDecimals rounds a number for the log.
+func twoDecimals(x float64) float64 { return math.Round(x*100) / 100 }
+
 // learns reports whether the progress of runs is evaluated.
 func (s *Scheduler) learns() bool { return s.settings.UnevenWorkers || s.settings.LearnRunTimes }
 
--- a/duty/place.go
+++ b/duty/place.go
@@ -66,7 +66,7 @@
 		first := a.Unit.Tasks[0]
 		klog.InfoS("duty: unit placed", "job", a.Unit.Job.Spec.GetId(), "step", first.Step, "index", first.Index, "tasks", len(a.Unit.Tasks),
 			"run", number, "workers", workerNames(a.Places), "expected_ms", j.runs[first].expectedTime.Milliseconds(), "declared_ms", a.Unit.Step.GetEstimateMs(),
-			"pace", j.runs[first].pace, "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
+			"pace", twoDecimals(j.runs[first].pace), "waited_ms", (now - j.submitted).Milliseconds(), "config_age_ms", age.Milliseconds())
 	}
 	if len(decision.Holds) > 0 {
 		st.urgentWaitAt = now
@@ -207,34 +207,10 @@
 		})
 	}
 	sortWorkers(in.Workers)
-	if s.settings.UnevenWorkers {
-		endGangsTogether(in.Running)
-	}
 	st.planInput = in
 	return in
 }
 
-// endGangsTogether sets the remaining time of all members of a gang to that of the slowest,
-// with which it ends.
-func endGangsTogether(running []plan.Running) {
-	type gangKey struct {
-		job              *graph.Job
-		occurrence, step int32
-	}
-	longest := map[gangKey]time.Duration{}
-	for i := range running {
-		if r := &running[i]; r.Job.Step(r.Ref).GetGang() {
-			k := gangKey{r.Job, r.Ref.Occurrence, r.Ref.Step}
-			longest[k] = max(longest[k], r.Remaining)
-		}
-	}
-	for i := range running {
-		if r := &running[i]; r.Job.Step(r.Ref).GetGang() {
-			r.Remaining = longest[gangKey{r.Job, r.Ref.Occurrence, r.Ref.Step}]
-		}
-	}
-}
-
 func capacity(info *flow.Worker) plan.Resources {
 	return plan.Resources{MilliCPU: info.GetCpu(), MemoryMB: info.GetMemoryMb(), Accelerators: info.GetAccelerators()}
 }
--- a/duty/progress.go
+++ b/duty/progress.go
@@ -53,16 +53,29 @@
 
 // remaining returns the expected time to the end of the run. It is extrapolated
 // from the progress of this run if there is enough of it, and is otherwise the
-// rest of the expected time.
+// rest of the expected time. A run that is faster than its gang waits for the others.
 func (r *run) remaining(now time.Duration) time.Duration {
 	if r.begunAt == 0 {
 		return r.expectedTime
 	}
-	left := time.Duration(float64(r.expectedTime) * float64(100-r.percent) / 100)
+	whole := r.ownTime()
+	left := time.Duration(float64(whole) * float64(100-r.percent) / 100)
 	if gained := r.percent - r.firstPercent; gained >= minKnownPercent {
-		left = (r.percentClock - r.begunClock) * time.Duration(100-r.percent) / time.Duration(gained)
+		took := r.percentClock - r.begunClock
+		left = took * time.Duration(100-r.percent) / time.Duration(gained)
+		whole = took * time.Duration(100-r.firstPercent) / time.Duration(gained)
 	}
-	return max(0, left-(now-r.percentAt))
+	wait := time.Duration(float64(whole) * (r.gangFactor() - 1))
+	return max(0, left+wait-(now-r.percentAt))
+}
+
+// gangFactor returns how many times as long as the run's own progress takes until the end of
+// its gang, which ends with its slowest member.
+func (r *run) gangFactor() float64 {
+	if r.ownPace <= 0 || r.pace <= r.ownPace {
+		return 1
+	}
+	return r.pace / r.ownPace
 }
 
 // typicalTime returns the expected run time on a typical worker.
--- a/plan/pace.go
+++ b/plan/pace.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// likePace is the ratio up to which the paces of two workers are alike. A gang on
-	// workers that differ by more holds the faster ones while it waits for the slower.
-	likePace = 1.3
+	// likePace is the ratio up to which the paces of two workers are alike. Learned paces
+	// are off by a fifth in the first seconds, so that workers which differ by a third may
+	// seem to differ by this, and setting such workers aside costs more room than it saves
+	// time.
+	likePace = 1.5
 	// guaranteedPaceWait is how long a guaranteed unit avoids workers for their pace. It is
 	// a fraction of the time in which a guarantee must take effect.
 	guaranteedPaceWait = time.Second
--- a/plan/pace_test.go
+++ b/plan/pace_test.go
@@ -1,12 +1,15 @@
 package plan
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
 // unevenWorkers returns six workers of one rack, of which the last two are slow.
@@ -107,3 +110,43 @@
 		}
 	}
 }
+
+// Guards against urgent gangs that are late for the pace of their workers. A third of the
+// workers takes 2.4 times as long, and urgent gangs and jobs with time to spare fill half of the
+// room, as on tocynglas-sched-grown.
+func TestReplayOnUnevenWorkers(t *testing.T) {
+	truth := func(p graph.Place) float64 {
+		number := 0
+		if _, err := fmt.Sscanf(p.Worker, "w%d", &number); err == nil && number%3 == 0 {
+			return 2.4
+		}
+		return 1
+	}
+	run := func(known bool) replayResult {
+		random := rand.New(rand.NewPCG(5, 6))
+		workers := newWorkers(4, 3)
+		for i := range workers {
+			if workers[i].Pace = 1; known {
+				workers[i].Pace = truth(workers[i].Place)
+			}
+		}
+		var load []arrival
+		for n := range 60 {
+			at := time.Duration(random.IntN(60000)) * time.Millisecond
+			j := newJob(fmt.Sprintf("%016x", n), 0, &flow.Step{Count: 1 + random.Int32N(4), Cpu: 7500, MemoryMb: 39000, Accelerators: 4, EstimateMs: 2000, Gang: true})
+			factor, target := 1.5, 600*time.Millisecond
+			if n%2 == 0 {
+				j = newJob(fmt.Sprintf("%016x", n), 1, &flow.Step{Count: 1 + random.Int32N(3), Cpu: 26000, MemoryMb: 110000, Accelerators: 4, EstimateMs: 6000, Gang: true})
+				factor, target = 3, 1500*time.Millisecond
+			}
+			runTime := time.Duration(j.Spec.GetSteps()[0].GetEstimateMs()) * time.Millisecond
+			load = append(load, arrival{at: at, job: withObjective(j, factor, target), runTime: runTime})
+		}
+		return replayAtPace(workers, truth, load, 150*time.Second)
+	}
+	unknown, known := run(false), run(true)
+	t.Logf("urgent jobs late: %d if paces are not known, %d if they are; others late: %d and %d", unknown.late[0], known.late[0], unknown.late[1], known.late[1])
+	if known.late[0] > 3 || known.late[0] >= unknown.late[0] || known.late[1] > unknown.late[1]+2 {
+		t.Errorf("late are %v with known paces and %v without", known.late, unknown.late)
+	}
+}
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -40,11 +40,18 @@
 	need      Resources
 	startedAt time.Duration
 	stopAt    time.Duration // 0: not stopped
+	pace      float64
 }
 
 // replay simulates a load for the given duration on workers that obey every start
 // and stop, and calls Decide every replayTick.
 func replay(workers []Worker, load []arrival, duration time.Duration) replayResult {
+	return replayAtPace(workers, func(graph.Place) float64 { return 1 }, load, duration)
+}
+
+// replayAtPace is like replay, on workers with a pace, which Decide knows only if it is in
+// workers too. A gang takes as long as its slowest member.
+func replayAtPace(workers []Worker, pace func(graph.Place) float64, load []arrival, duration time.Duration) replayResult {
 	out := replayResult{onTime: map[int32]int{}, late: map[int32]int{}}
 	var running []*replayRun
 	readySince := map[*graph.Job]map[graph.Ref]time.Duration{}
@@ -55,7 +62,7 @@
 		for _, r := range running {
 			stopped := r.stopAt > 0 && now >= r.stopAt
 			switch {
-			case !stopped && now < r.startedAt+r.arrival.runTime:
+			case !stopped && now < r.startedAt+time.Duration(r.pace*float64(r.arrival.runTime)):
 				next = append(next, r)
 				continue
 			case stopped:
@@ -132,10 +139,14 @@
 				if load[i].job != start.Unit.Job {
 					continue
 				}
+				slowest := 1.0
+				for _, p := range start.Places {
+					slowest = max(slowest, pace(p))
+				}
 				for n, ref := range start.Unit.Tasks {
 					step := start.Unit.Step
 					running = append(running, &replayRun{
-						arrival: &load[i], ref: ref, run: run, place: start.Places[n], startedAt: now,
+						arrival: &load[i], ref: ref, run: run, place: start.Places[n], startedAt: now, pace: slowest,
 						need: Resources{MilliCPU: step.GetCpu(), MemoryMB: step.GetMemoryMb(), Accelerators: step.GetAccelerators()},
 					})
 				}
