--- a/plan/order_test.go
+++ b/plan/order_test.go
@@ -59,7 +59,7 @@
 		sum := replayResult{onTime: map[int32]int{}, late: map[int32]int{}, useless: map[int32]int{}, unended: map[int32]int{}}
 		for seed := range uint64(2) {
 			load := overload(seed, 4)
-			out := replayWith(newWorkers(4, 5), load, 50*time.Second, func(in *Input) { in.OrderByCost = n == 1 })
+			out := replayWith(newWorkers(4, 5), load, 50*time.Second, replayOptions{change: func(in *Input) { in.OrderByCost = n == 1 }})
 			for p := range int32(3) {
 				sum.onTime[p] += out.onTime[p]
 				sum.late[p] += out.late[p] - out.useless[p]
--- a/plan/pace.go
+++ b/plan/pace.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// likePace is the ratio up to which the paces of two workers are alike. A gang on
-	// workers that differ by more holds the faster ones while it waits for the slower.
-	likePace = 1.3
+	// likePace is the ratio up to which the paces of two workers are alike. Learned paces
+	// are off by a fifth in the first seconds, so that workers which differ by a third may
+	// seem to differ by this, and setting such workers aside costs more room than it saves
+	// time.
+	likePace = 1.5
 	// guaranteedPaceWait is how long a guaranteed unit avoids workers for their pace. It is
 	// a fraction of the time in which a guarantee must take effect.
 	guaranteedPaceWait = time.Second
@@ -51,9 +53,17 @@
 	s.uneven = s.slowest > likePace*s.fastPace
 }
 
-// objectivePace returns the largest pace with which the unit surely meets its objective if it
-// starts now, and infinity if it can't meet it even on a worker of pace 1.
+// objectivePace returns the largest pace with which the unit is expected to meet its objective
+// if it starts now, and infinity if it can't meet it even on a worker of pace 1.
 func (r *Request) objectivePace() float64 {
+	if r.Slack < 0 || r.Duration <= 0 {
+		return math.Inf(1)
+	}
+	return 1 + r.Slack.Seconds()/r.Duration.Seconds()
+}
+
+// surePace is like objectivePace, with margins for what is not known.
+func (r *Request) surePace() float64 {
 	if r.Slack < 0 || r.Duration <= 0 {
 		return math.Inf(1)
 	}
@@ -69,7 +79,17 @@
 	if !s.uneven || !r.mayPreempt() || r.Guaranteed && r.ReadyFor > guaranteedPaceWait {
 		return math.Inf(1)
 	}
-	limit := max(r.objectivePace(), s.fastPace*likePace)
+	limit, ok := s.paceLimits[r]
+	if !ok {
+		limit = s.computePaceLimit(r)
+		s.paceLimits[r] = limit
+	}
+	return limit
+}
+
+// computePaceLimit returns the limit of a unit that may preempt.
+func (s *state) computePaceLimit(r *Request) float64 {
+	limit := max(r.surePace(), s.fastPace*likePace)
 	if limit >= s.slowest || s.fastCapacity(r, limit) < int64(len(r.Unit.Tasks)) {
 		return math.Inf(1)
 	}
--- a/plan/replay_test.go
+++ b/plan/replay_test.go
@@ -44,17 +44,30 @@
 	need      Resources
 	startedAt time.Duration
 	stopAt    time.Duration // 0: not stopped
+	pace      float64
 }
 
 // replay simulates a load for the given duration on workers that obey every start
 // and stop, and calls Decide every replayTick.
 func replay(workers []Worker, load []arrival, duration time.Duration) replayResult {
-	return replayWith(workers, load, duration, nil)
+	return replayWith(workers, load, duration, replayOptions{})
 }
 
-// replayWith is like replay, with a call of change on the input of each decision unless
-// that is nil.
-func replayWith(workers []Worker, load []arrival, duration time.Duration, change func(*Input)) replayResult {
+// replayOptions change a replay from that on equal workers.
+type replayOptions struct {
+	// pace is the pace of each worker, which Decide knows only if it is in the workers too; a
+	// gang takes as long as its slowest member. Without it all have the pace 1.
+	pace func(graph.Place) float64
+	// change is called on the input of each decision.
+	change func(*Input)
+}
+
+// replayWith is like replay, with options.
+func replayWith(workers []Worker, load []arrival, duration time.Duration, options replayOptions) replayResult {
+	pace, change := options.pace, options.change
+	if pace == nil {
+		pace = func(graph.Place) float64 { return 1 }
+	}
 	out := replayResult{onTime: map[int32]int{}, late: map[int32]int{}, useless: map[int32]int{}, unended: map[int32]int{}}
 	var running []*replayRun
 	readySince := map[*graph.Job]map[graph.Ref]time.Duration{}
@@ -65,7 +78,7 @@
 		for _, r := range running {
 			stopped := r.stopAt > 0 && now >= r.stopAt
 			switch {
-			case !stopped && now < r.startedAt+r.arrival.runTime:
+			case !stopped && now < r.startedAt+time.Duration(r.pace*float64(r.arrival.runTime)):
 				next = append(next, r)
 				continue
 			case stopped:
@@ -152,10 +165,14 @@
 				if load[i].job != start.Unit.Job {
 					continue
 				}
+				slowest := 1.0
+				for _, p := range start.Places {
+					slowest = max(slowest, pace(p))
+				}
 				for n, ref := range start.Unit.Tasks {
 					step := start.Unit.Step
 					running = append(running, &replayRun{
-						arrival: &load[i], ref: ref, run: run, place: start.Places[n], startedAt: now,
+						arrival: &load[i], ref: ref, run: run, place: start.Places[n], startedAt: now, pace: slowest,
 						need: Resources{MilliCPU: step.GetCpu(), MemoryMB: step.GetMemoryMb(), Accelerators: step.GetAccelerators()},
 					})
 				}
