plan, duty: stops by cost in a shortage; a shortage by the backlog

A stop in a shortage was chosen by lost work alone, so that runs of jobs that would become late were stopped before runs of jobs that are of no use any more. The cost is now lost work and the share of the job's worth that a new wait loses.

It is now a backlog that is longer than the time that waiting units have left in the mean. Reservations 24, not 8, and the racks set aside for urgent units are open only to gangs that would be late after the backlog.

--- a/duty/place.go
+++ b/duty/place.go
@@ -46,6 +46,9 @@
 	began := time.Now()
 	decision := plan.Decide(in)
 	observe(decisionHistogram, time.Since(began))
+	if short := decision.Shortage; short != nil {
+		observe(backlogHistogram, short.Backlog)
+	}
 	if short := decision.Shortage; short != nil && len(decision.Starts)+len(decision.Stops) > 0 {
 		klog.InfoS("duty: room is short", "waiting_in_time", short.InTime, "waiting_late", short.Late, "waiting_useless", short.Useless,
 			"backlog_ms", short.Backlog.Milliseconds(), "units_placed", len(decision.Starts), "runs_preempted", len(decision.Stops))
--- a/duty/stats.go
+++ b/duty/stats.go
@@ -25,6 +25,7 @@
 	failuresCounter       = newCounter("catkinpoint_duty_failed_runs", "Runs that a worker listed as failed, by whether they count as an attempt.")
 	contradictionsCounter = newCounter("catkinpoint_duty_contradictions", "Runs that a worker listed after they had been taken as over, by how.")
 	decisionHistogram     = newHistogram("catkinpoint_duty_decision_seconds", "Time of one placement decision.")
+	backlogHistogram      = newHistogram("catkinpoint_duty_backlog_seconds", "Time that all workers need for what runs and waits and can still be of use, for each decision in a shortage.")
 	writeHistogram        = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
 )
 
--- a/plan/doc.go
+++ b/plan/doc.go
@@ -27,4 +27,7 @@
 //   - Victims are chosen worker by worker: each task of the preempting unit takes
 //     the worker on which the stops cost least (urgent gangs of wide tasks on
 //     workers that are full of small tasks).
+//   - With Input.OrderByCost, while the workers cannot do in time all that waits, units
+//     wait and runs are stopped whose delay costs callers least (four times as many
+//     arrivals as there is room for); see costOrder. At all other times it changes nothing.
 package plan
--- a/plan/order.go
+++ b/plan/order.go
@@ -23,7 +23,11 @@
 
 // maxShortReservations is maxReservations in a shortage. It is higher because a unit whose
 // delay costs much is often a wide gang, which never starts without one.
-const maxShortReservations = 8
+const maxShortReservations = 24
+
+// uselessWorkWeight is the weight of the lost work of a job that is of no use any more,
+// relative to that of others. It is not 0, as the job must still be run to its end.
+const uselessWorkWeight = 0.25
 
 // Shortage says what waits while room is short, for the log.
 type Shortage struct {
@@ -80,10 +84,11 @@
 }
 
 // sharesUrgentRacks reports whether a unit may use the racks that are set aside for urgent
-// units. Only these have whole workers free in a shortage, so that a gang which stays off
-// them waits past all use, while small tasks fit elsewhere too.
+// units: a gang that would be late if it waited until the backlog is done. Only these racks
+// have whole workers free in a shortage, so that a gang which stays off them waits past all
+// use, while small tasks fit elsewhere too.
 func (o *costOrder) sharesUrgentRacks(r *Request) bool {
-	return o != nil && r.Unit.Step.GetGang() && r.useful()
+	return o != nil && r.Unit.Step.GetGang() && r.useful() && r.Slack < o.shortage.Backlog
 }
 
 // rank returns what is lost for each core-equivalent second of the waiting work of the
@@ -103,13 +108,45 @@
 	if r.Unit.Step.GetLongRunning() {
 		return 1 // it earns from its start on
 	}
-	lost := func(slack time.Duration) float64 {
-		if slack <= 0 {
-			return 0
-		}
-		return math.Exp(-slack.Seconds() / o.shortage.Backlog.Seconds())
+	share := 0.0
+	if r.Slack > 0 {
+		share += (1 - LateShare) * o.tooLate(r.Slack)
+	}
+	if r.DeadlineSlack > 0 {
+		share += LateShare * o.tooLate(r.DeadlineSlack)
 	}
-	return (1-LateShare)*lost(r.Slack) + LateShare*lost(r.DeadlineSlack)
+	return share
+}
+
+// tooLate returns the share of waiting units that start only after the given slack.
+func (o *costOrder) tooLate(slack time.Duration) float64 {
+	return math.Exp(-max(slack, 0).Seconds() / o.shortage.Backlog.Seconds())
+}
+
+// stopCost returns the cost of stopping a run in a shortage, in core-equivalent seconds: the
+// work that is lost, and the work of the whole run for the share of the job's worth that
+// is lost because the run waits anew. Compared with a run of priority 1, it weighs as much
+// more or less as the worth of its job does by priority; an urgent run, which only
+// guaranteed units stop, as much as without a shortage. The lost work of a job that is of
+// no use any more weighs little: it is only done later.
+func (o *costOrder) stopCost(run *Running) float64 {
+	lost := run.Need.CoreEquivalents() * run.Unsaved.Seconds()
+	share := 0.0
+	useful := run.SlackAfterStop + (LateFactor-1)*time.Duration(graph.ObjectiveMS(run.Job.Spec))*time.Millisecond
+	if run.SlackAfterStop+run.Unsaved > 0 {
+		share += (1 - LateShare) * o.tooLate(run.SlackAfterStop)
+	}
+	if useful+run.Unsaved > 0 {
+		share += LateShare * o.tooLate(useful)
+	}
+	if share == 0 {
+		return uselessWorkWeight * lost
+	}
+	weight := math.Pow(priorityRatio, 1-float64(run.Job.Spec.GetPriority()))
+	if run.Job.Spec.GetPriority() == 0 {
+		weight = 1 + urgentStopCost
+	}
+	return lost + weight*share*run.Need.CoreEquivalents()*run.ExpectedDuration.Seconds()
 }
 
 // class returns the precedence of a request, the lowest first: guaranteed units, the
@@ -191,14 +228,18 @@
 	return found
 }
 
-// findShortage reports what waits if the workers of a service cannot do all the waiting
-// work of use in time, even one after another by deadline and without any loss by
-// packing, and nil if they can. A unit that can still meet its objective is to start in
-// time for that, and one that is late in time to be of use.
+// findShortage reports what waits if the backlog of a service's workers is longer than the
+// time that its waiting units have left to meet their objectives, and nil if it is not. The
+// time left is the mean over the units of lower priorities whose result can still be of
+// use, by their work, and 0 for one that is late. Then most of them end late even if
+// nothing is lost by packing, and going by deadline makes one after another late. Urgent
+// units add to the backlog only: short bursts of them are served by stops.
 func findShortage(in *Input) *Shortage {
-	type demand struct {
-		latest time.Duration // time from now at which the unit has to end
-		work   float64       // seconds of all workers of the service
+	// Work is in seconds of all workers of the service.
+	type load struct {
+		backlog  float64
+		waiting  float64 // work of the units of lower priorities that count
+		timeLeft float64 // sum of their work times the seconds they have left
 	}
 	capacity := map[string]Resources{}
 	serviceOf := map[graph.Place]string{}
@@ -209,41 +250,43 @@
 			serviceOf[w.Place] = w.Service
 		}
 	}
-	backlog := map[string]float64{}
+	loads := map[string]load{}
 	for i := range in.Running {
 		run := &in.Running[i]
 		if service, ok := serviceOf[run.Place]; ok && !run.Stopping {
-			backlog[service] += run.Need.shareOf(capacity[service]) * max(run.Remaining, minRemaining).Seconds()
+			l := loads[service]
+			l.backlog += run.Need.shareOf(capacity[service]) * max(run.Remaining, minRemaining).Seconds()
+			loads[service] = l
 		}
 	}
 	found := &Shortage{}
-	demands := map[string][]demand{}
 	for i := range in.Requests {
 		r := &in.Requests[i]
-		slack := r.Slack
 		switch {
 		case !r.useful():
 			found.Useless++
 			continue
-		case slack > 0:
+		case r.Slack > 0:
 			found.InTime++
 		default:
 			found.Late++
-			slack = r.DeadlineSlack
 		}
 		service := r.Unit.Job.Spec.GetService()
+		l := loads[service]
 		work := r.Need.shareOf(capacity[service]) * r.Duration.Seconds() * float64(len(r.Unit.Tasks))
-		demands[service] = append(demands[service], demand{slack + r.Duration, work})
+		l.backlog += work
+		if r.priority() > 0 {
+			l.waiting += work
+			if r.Slack > 0 {
+				l.timeLeft += work * (r.Slack + r.Duration).Seconds()
+			}
+		}
+		loads[service] = l
 	}
 	short := false
-	for service, list := range demands {
-		slices.SortFunc(list, func(a, b demand) int { return cmp.Compare(a.latest, b.latest) })
-		total := backlog[service]
-		for _, d := range list {
-			total += d.work
-			short = short || total > d.latest.Seconds()
-		}
-		found.Backlog = max(found.Backlog, time.Duration(min(total, maxBacklog.Seconds())*float64(time.Second)))
+	for _, l := range loads {
+		short = short || l.waiting > 0 && l.backlog > l.timeLeft/l.waiting
+		found.Backlog = max(found.Backlog, time.Duration(min(l.backlog, maxBacklog.Seconds())*float64(time.Second)))
 	}
 	if !short {
 		return nil
--- a/plan/order_test.go
+++ b/plan/order_test.go
@@ -123,7 +123,7 @@
 		late := withObjective(newJob("0000000000000001", 2, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000}), 1, time.Second)
 		in.Requests = readyRequests(late, func(r *Request) { r.Slack, r.DeadlineSlack, r.ReadyFor = -wait, -wait, wait })
 		for n := range 20 {
-			j := withObjective(newJob(fmt.Sprintf("%016x", 16+n), 0, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000}), 1, time.Second)
+			j := withObjective(newJob(fmt.Sprintf("%016x", 16+n), 1, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000}), 1, time.Second)
 			in.Requests = append(in.Requests, readyRequests(j, func(r *Request) { r.Slack, r.Guaranteed = time.Second, guaranteed && n == 0 })...)
 		}
 		return Decide(in)
@@ -165,3 +165,35 @@
 		t.Errorf("starts %+v; want two units of the job that has begun", d.Starts)
 	}
 }
+
+// Guards against stops that lose little work but much worth: in a shortage the run of a job
+// that is of no use any more is stopped before that of one which would become late, and a
+// run near its end is stopped last.
+func TestStopsByCostInShortage(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first func(*Running) // the other run is of use, in time, and has run for 2 s
+		want  string
+	}{
+		{"of no use any more", func(r *Running) { r.Unsaved, r.SlackAfterStop = 5*time.Second, -time.Minute }, "w1"},
+		{"would become late", func(r *Running) { r.Unsaved, r.SlackAfterStop = time.Second, -500*time.Millisecond }, "w2"},
+		{"nearly done", func(r *Running) { r.Unsaved, r.Remaining = 11*time.Second, time.Second }, "w2"},
+	} {
+		workers := []Worker{newWorker(1, "r1"), newWorker(2, "r1")}
+		in := Input{OrderByCost: true, Running: []Running{
+			newRunning(&workers[0], "0000000000000001", 2, c.first),
+			newRunning(&workers[1], "0000000000000002", 2, func(r *Running) { r.Unsaved = 2 * time.Second }),
+		}}
+		in.Workers = workers
+		for _, run := range in.Running {
+			withObjective(run.Job, 1, 15*time.Second)
+		}
+		urgent := newJob("00000000000000ff", 0, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+		in.Requests = readyRequests(urgent, func(r *Request) { r.Slack = time.Second })
+		waiting := newJob("00000000000000fe", 2, &flow.Step{Count: 9, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+		in.Requests = append(in.Requests, readyRequests(waiting, nil)...)
+		if d := Decide(in); d.Shortage == nil || len(d.Stops) != 1 || d.Stops[0].Place.Worker != c.want {
+			t.Errorf("%s: shortage %v, stops %+v; want the run on %s", c.name, d.Shortage, d.Stops, c.want)
+		}
+	}
+}
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -198,6 +198,9 @@
 // lost and, if the job would miss its objective only because of the stop, the
 // work of the whole run in addition. An urgent run costs urgentStopCost more.
 func (s *state) stopCost(run *Running) float64 {
+	if s.order != nil {
+		return s.order.stopCost(run)
+	}
 	cost := run.Need.CoreEquivalents() * run.Unsaved.Seconds()
 	if run.SlackAfterStop < minSlackAfterStop && run.SlackAfterStop+run.Unsaved > 0 {
 		cost += run.Need.CoreEquivalents() * run.ExpectedDuration.Seconds()
