--- a/duty/stats.go
+++ b/duty/stats.go
@@ -34,6 +34,7 @@
 	promisesEndedCounter     = newCounter("catkinpoint_duty_ended_promises", "Promises to refused callers that have ended, by how.")
 	promisesGauge            = newGauge("catkinpoint_duty_promises", "Open promises to refused callers.")
 	writeHistogram           = newHistogram("catkinpoint_duty_write_seconds", "Time until a write of progress was confirmed.")
+	backlogHistogram         = newHistogram("catkinpoint_duty_backlog_seconds", "Time that all workers need for what runs and waits and can still be of use, for each decision in a shortage.")
 )
 
 func newCounter(name, help string) metric.Int64Counter {
