duty: returned jobs keep their place for 5 s

Cause: a job that had returned at its promised time kept its place for as long as it could be of use, and took room from others when the forecast had been wrong.

--- a/duty/place.go
+++ b/duty/place.go
@@ -22,8 +22,13 @@
 
 // returnedSlack is the least slack with which units count whose job has returned at a promised
 // time and can still be of use. They keep their place before jobs that came later, which units
-// with negative slack do not. It is too short to preempt.
-const returnedSlack = time.Millisecond
+// with negative slack do not. It is too short to preempt. They keep it for returnedKeepTime, as
+// room was expected at the promised time: in 20 plays of a burst, 1% fewer jobs were of use if
+// they kept it for as long as they could be of use.
+const (
+	returnedSlack    = time.Millisecond
+	returnedKeepTime = 5 * time.Second
+)
 
 // maxStepUnits bounds the units of one step of a job in a decision. The others, which need
 // the same, come next.
@@ -245,7 +250,7 @@
 	const lateFactor = 3 // a result is of no use after this many times the objective
 	failures, failedAt := j.failures(unit)
 	slack, deadlineSlack := left-tail, lateFactor*objective-(now-j.submitted)-tail
-	if j.returned && deadlineSlack > 0 {
+	if j.returned && deadlineSlack > 0 && now-j.submitted < returnedKeepTime {
 		slack = max(slack, returnedSlack)
 	}
 	return plan.Request{
