duty: returned jobs are ordered by their slack, as others

Cause: returned jobs that were placed before all others of their priority took room from those that had been accepted before. Change: no exception in the order. A returned job has its objective counted from its return and starts before who comes anew with as much slack.

--- a/duty/admit.go
+++ b/duty/admit.go
@@ -143,17 +143,13 @@
 	return table, s.settings.RefuseLate && table != nil && ok && age <= s.settings.ConfigAge && now-st.startedAt >= admissionSettleTime
 }
 
-// settlePromises ends promises that are kept or over. A job that has returned at its time keeps
-// its place; see planRequest.
+// settlePromises ends promises that are kept or over.
 func (st *state) settlePromises() {
 	promises := &st.admission.promises
 	ended := promises.Settle(func(id string) bool { return st.jobs[id] != nil }, time.Now().UnixMilli())
 	if len(ended.Kept)+len(ended.Expired) == 0 {
 		return
 	}
-	for _, id := range ended.Kept {
-		st.jobs[id].returned = true
-	}
 	count(promisesEndedCounter, int64(len(ended.Kept)), "how", "kept")
 	count(promisesEndedCounter, int64(len(ended.Expired)), "how", "expired")
 	observePromises(promises.Open())
--- a/duty/job.go
+++ b/duty/job.go
@@ -35,9 +35,6 @@
 	writeAlone, refused bool
 	refusedUntil        time.Duration
 
-	// returned is set if the job came at the time that was promised when it was refused.
-	returned bool
-
 	runs map[graph.Ref]*run // by task
 	// readySince is when a unit became ready, by the first task of the unit.
 	readySince map[graph.Ref]time.Duration
--- a/duty/place.go
+++ b/duty/place.go
@@ -20,16 +20,6 @@
 // them had to wait for some. Bursts of urgent units last for some seconds.
 const urgentWaitMemory = 4 * time.Second
 
-// returnedSlack is the least slack with which units count whose job has returned at a promised
-// time and can still be of use. They keep their place before jobs that came later, which units
-// with negative slack do not. It is too short to preempt. They keep it for returnedKeepTime, as
-// room was expected at the promised time: in 20 plays of a burst, 1% fewer jobs were of use if
-// they kept it for as long as they could be of use.
-const (
-	returnedSlack    = time.Millisecond
-	returnedKeepTime = 5 * time.Second
-)
-
 // maxStepUnits bounds the units of one step of a job in a decision. The others, which need
 // the same, come next.
 const maxStepUnits = 1000
@@ -249,14 +239,10 @@
 	tail := time.Duration(graph.CriticalPathFromMS(j.graph.Spec, first.Step)) * time.Millisecond
 	const lateFactor = 3 // a result is of no use after this many times the objective
 	failures, failedAt := j.failures(unit)
-	slack, deadlineSlack := left-tail, lateFactor*objective-(now-j.submitted)-tail
-	if j.returned && deadlineSlack > 0 && now-j.submitted < returnedKeepTime {
-		slack = max(slack, returnedSlack)
-	}
 	return plan.Request{
 		Failures: failures, FailedOn: failedAt,
-		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: slack,
-		DeadlineSlack: deadlineSlack,
+		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: left - tail,
+		DeadlineSlack: lateFactor*objective - (now - j.submitted) - tail,
 		Duration:      time.Duration(unit.Step.GetEstimateMs()) * time.Millisecond, Guaranteed: reclaims && j.graph.Task(first) == nil,
 		Held: st.holds[unitKey{j.graph, first}],
 	}
