--- a/duty/doc.go
+++ b/duty/doc.go
@@ -15,6 +15,6 @@
 // A unit, which is a gang or a single task, is placed as a whole. A job is urgent if
 // its priority is 0, and so are its units and runs.
 //
-// Package plan decides on placement and preemption, and package graph on how
-// the end of a run affects its job.
+// Package plan decides on placement and preemption, package shed on the refusal of jobs,
+// and package graph on how the end of a run affects its job.
 package duty
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -10,6 +10,10 @@
 // a question for the state of a job waits for a moment for the job to end, as callers
 // ask when they expect that.
 //
+// While the scheduler has told that room is short, a gate asks it before it stores a job, and
+// refuses the job if the scheduler does; see docs/design/refusals.md. Without an answer it
+// stores the job.
+//
 // One of the gates also runs the scheduler of package duty. It holds the claim,
 // a leased key of the store that only one process can have at a time.
 package gate
