--- a/plan/pace.go
+++ b/plan/pace.go
@@ -7,11 +7,13 @@
 )
 
 const (
-	// likePace is the ratio up to which the paces of two workers are alike. Learned paces
-	// are off by a fifth in the first seconds, so that workers which differ by a third may
-	// seem to differ by this, and setting such workers aside costs more room than it saves
-	// time.
-	likePace = 1.5
+	// likePace is the ratio up to which the paces of two workers are alike. A gang on
+	// workers that differ by more holds the faster ones while it waits for the slower.
+	likePace = 1.3
+	// unevenPace is the ratio of the slowest to a fast worker up to which paces are not used
+	// at all. Workers that differ by a third may seem to differ by this while little is
+	// known, and setting such workers aside costs more room than it saves time.
+	unevenPace = 1.5
 	// guaranteedPaceWait is how long a guaranteed unit avoids workers for their pace. It is
 	// a fraction of the time in which a guarantee must take effect.
 	guaranteedPaceWait = time.Second
@@ -37,7 +39,7 @@
 }
 
 // measurePaces sets the pace of a fast worker, which is the lower quartile, and that of the
-// slowest one, and whether they differ by more than likePace.
+// slowest one, and whether they differ by more than unevenPace.
 func (s *state) measurePaces() {
 	var paces []float64
 	for w := range s.workers {
@@ -50,7 +52,7 @@
 	}
 	slices.Sort(paces)
 	s.fastPace, s.slowest = paces[len(paces)/4], paces[len(paces)-1]
-	s.uneven = s.slowest > likePace*s.fastPace
+	s.uneven = s.slowest > unevenPace*s.fastPace
 }
 
 // objectivePace returns the largest pace with which the unit is expected to meet its objective
