plan: a shortage by the time left to half of the waiting work

Half of the waiting work of the lower priorities now has to have less time left than the backlog lasts.

--- a/plan/order.go
+++ b/plan/order.go
@@ -229,17 +229,17 @@
 }
 
 // findShortage reports what waits if the backlog of a service's workers is longer than the
-// time that its waiting units have left to meet their objectives, and nil if it is not. The
-// time left is the mean over the units of lower priorities whose result can still be of
-// use, by their work, and 0 for one that is late. Then most of them end late even if
-// nothing is lost by packing, and going by deadline makes one after another late. Urgent
-// units add to the backlog only: short bursts of them are served by stops.
+// time that its waiting units have left to meet their objectives, and nil if it is not: for
+// half of the waiting work of the lower priorities that can still be of use. Then much of
+// it ends late even if nothing is lost by packing, and going by deadline makes one job after
+// another late. It is half of the work and not the mean time, as a few jobs have minutes
+// left. Urgent units add to the backlog only: short bursts of them are served by stops.
 func findShortage(in *Input) *Shortage {
 	// Work is in seconds of all workers of the service.
+	type waiting struct{ work, timeLeft float64 }
 	type load struct {
-		backlog  float64
-		waiting  float64 // work of the units of lower priorities that count
-		timeLeft float64 // sum of their work times the seconds they have left
+		backlog float64
+		lower   []waiting // units of lower priorities; one that is late has no time left
 	}
 	capacity := map[string]Resources{}
 	serviceOf := map[graph.Place]string{}
@@ -276,16 +276,24 @@
 		work := r.Need.shareOf(capacity[service]) * r.Duration.Seconds() * float64(len(r.Unit.Tasks))
 		l.backlog += work
 		if r.priority() > 0 {
-			l.waiting += work
+			left := 0.0
 			if r.Slack > 0 {
-				l.timeLeft += work * (r.Slack + r.Duration).Seconds()
+				left = (r.Slack + r.Duration).Seconds()
 			}
+			l.lower = append(l.lower, waiting{work, left})
 		}
 		loads[service] = l
 	}
 	short := false
 	for _, l := range loads {
-		short = short || l.waiting > 0 && l.backlog > l.timeLeft/l.waiting
+		late, all := 0.0, 0.0
+		for _, w := range l.lower {
+			all += w.work
+			if w.timeLeft < l.backlog {
+				late += w.work
+			}
+		}
+		short = short || late > 0 && late >= all/2
 		found.Backlog = max(found.Backlog, time.Duration(min(l.backlog, maxBacklog.Seconds())*float64(time.Second)))
 	}
 	if !short {
--- a/plan/order_test.go
+++ b/plan/order_test.go
@@ -197,3 +197,29 @@
 		}
 	}
 }
+
+// Guards against a shortage that is seen late, as a few jobs have minutes left, or seen in a
+// burst of urgent units or of work that has the time to wait.
+func TestFindShortage(t *testing.T) {
+	request := func(priority int32, count int32, slack time.Duration) Request {
+		j := newJob("0000000000000001", priority, &flow.Step{Count: count, Gang: true, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+		return readyRequests(j, func(r *Request) { r.Slack, r.DeadlineSlack = slack, slack+10*time.Second })[0]
+	}
+	for _, c := range []struct {
+		name     string
+		requests []Request
+		want     bool
+	}{
+		{"nothing waits", nil, false},
+		{"time for all", []Request{request(1, 3, 30*time.Second), request(2, 3, 40*time.Second)}, false},
+		{"no time for most", []Request{request(1, 3, 5*time.Second), request(2, 3, 8*time.Second)}, true},
+		{"a job with minutes left", []Request{request(1, 3, 5*time.Second), request(2, 2, 10*time.Minute)}, true},
+		{"urgent units only", []Request{request(0, 3, time.Second), request(0, 3, time.Second)}, false},
+		{"late but of use", []Request{request(1, 3, -time.Second)}, true},
+		{"of no use any more", []Request{request(1, 3, -time.Minute)}, false},
+	} {
+		if got := findShortage(&Input{Workers: newWorkers(1, 2), Requests: c.requests}); (got != nil) != c.want {
+			t.Errorf("%s: shortage %+v, want one: %v", c.name, got, c.want)
+		}
+	}
+}
