intake: the end of a body is io.EOF itself

Cause: a read at the end of a body returned errors.Join(nil, io.EOF), which is not equal to io.EOF. A request without a body is at its end at the first read, so io.ReadAll failed for it: an entry answered a job with an empty body with 400.

Change: such a read returns io.EOF, and one after a failure the failure.

Why: readers compare the error with io.EOF, as io.Reader demands.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -120,8 +120,11 @@
 
 // Read implements io.Reader. Its error is ErrBusy if there is no room.
 func (b *body) Read(p []byte) (int, error) {
-	if b.failed != nil || b.ended {
-		return 0, errors.Join(b.failed, eofIf(b.failed == nil))
+	if b.failed != nil {
+		return 0, b.failed
+	}
+	if b.ended {
+		return 0, io.EOF // not wrapped, as readers compare it
 	}
 	n, err := b.read(p)
 	switch {
@@ -135,14 +138,6 @@
 	return n, err
 }
 
-// eofIf returns io.EOF if at the end.
-func eofIf(end bool) error {
-	if end {
-		return io.EOF
-	}
-	return nil
-}
-
 // read reads once, after it has taken room.
 func (b *body) read(p []byte) (int, error) {
 	if !b.begun {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -47,6 +47,7 @@
 	}{
 		{"read", "Other: 1\r\nAuthorization: k\r\nContent-Length: 5\r\n", "hello", "200", false},
 		{"chunked", "Authorization: k\r\nTransfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n", "200", false},
+		{"no body", "Authorization: k\r\nContent-Length: 0\r\n", "", "200", false},
 		{"small and unread", "Content-Length: 5\r\n", "hello", "401", false},
 		{"large and unread", "Content-Length: 200000\r\n", strings.Repeat("x", 1000), "401", true},
 		{"chunked and unread", "Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n", "401", true},
