intake: headers without room are not answered 400

Cause: for errDropped of conn.Read the HTTP server answered 400 Bad Request before it closed the connection. A caller takes that for the verdict on its request and gives the job up, though there only was no room for its headers.

Change: the error is a net.OpError of a read, after which the HTTP server closes the connection without an answer.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -116,7 +116,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.intake.receive(c.holder, int64(n)) {
-		return 0, errDropped
+		// The HTTP server closes the connection after such an error. After others it
+		// answers 400, and the caller would give its request up as invalid.
+		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Addr: c.RemoteAddr(), Err: errDropped}
 	}
 	return n, err
 }
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -87,3 +87,21 @@
 		})
 	}
 }
+
+// TestHeadersWithoutRoom guards against a caller that takes its valid request for an
+// invalid one, as it was answered 400 when there was no room for its headers.
+func TestHeadersWithoutRoom(t *testing.T) {
+	i, addr := serve(t)
+	i.mu.Lock()
+	i.ledger.small = i.ledger.limits.Bytes // requests that are being served
+	i.mu.Unlock()
+	raw, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	fmt.Fprint(raw, "POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if answer, _ := io.ReadAll(raw); len(answer) > 0 {
+		t.Errorf("answer %q", answer)
+	}
+}
