intake: a long answer has a deadline for each of its parts

Cause: one write deadline held for all of a write, and the HTTP server passes the result of a job, megabytes long, in a single one. A client that read steadily was cut off after caller_stall: in TestSlowReader (stall of 0.4 s) after 900608 of 2097152 bytes.

Change: conn.Write writes parts of 16 kB, each with a deadline of its own.

Why: without shortage only a client that takes no part of an answer for caller_stall is closed.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -23,6 +23,9 @@
 	lingerTime = 500 * time.Millisecond
 	// lingerBytes limits what is thrown away, bytes.
 	lingerBytes = 1 << 20
+	// writeBytes is the part of an answer that the client must take in the time of a
+	// stall. Results are megabytes long.
+	writeBytes = 16 << 10
 )
 
 // Listen opens a TCP listener for clients, whose connections are admitted by i.
@@ -144,8 +147,7 @@
 	c.holder.enter(clock.Monotonic(), Answering)
 	c.holder.writing = true
 	c.intake.mu.Unlock()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.resources.Stall)) // fails if the connection is closed
-	n, err := c.Conn.Write(p)
+	n, err := c.writeParts(p)
 	c.intake.mu.Lock()
 	c.holder.writing = false
 	if c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received; before.phase == Answering {
@@ -155,6 +157,21 @@
 	return n, err
 }
 
+// writeParts writes p in parts, each with a deadline of its own, so that a client that reads
+// steadily gets an answer of any length.
+func (c *conn) writeParts(p []byte) (int, error) {
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writeBytes)]
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.resources.Stall)) // fails if the connection is closed
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // CloseWrite shuts the connection down for sending.
 func (c *conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -105,3 +105,38 @@
 		t.Errorf("answer %q", answer)
 	}
 }
+
+// TestSlowReader guards against an answer that is cut off though its reader makes steady
+// progress, because one deadline holds for all of a long write.
+func TestSlowReader(t *testing.T) {
+	const size = 2 << 20
+	i := New(Resources{Stall: 400 * time.Millisecond, SocketBytes: 64 << 10})
+	listener, err := i.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := i.Server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size)) // the reader checks the length
+	}), ServerOptions{})
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	_ = raw.(*net.TCPConn).SetReadBuffer(64 << 10) // the kernel would take all otherwise
+	fmt.Fprint(raw, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	received := int64(0)
+	for {
+		n, err := io.CopyN(io.Discard, raw, 32<<10)
+		received += n
+		if err != nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if received < size {
+		t.Errorf("%d of %d bytes were received", received, size)
+	}
+}
