intake: a closed connection holds nothing

Cause: the HTTP server closes idle connections from another goroutine, when it shuts down or ends keep-alive. A read that came back at that moment took room for headers after the connection had been removed, and nothing released it.

Change: Ledger.Hold refuses a closed connection, and Intake.hold does not wait for one.

Why: the sum of what is held must return to zero with the connections.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -153,7 +153,7 @@
 	}()
 	for {
 		now := clock.Monotonic()
-		if h.dropped {
+		if h.dropped || h.closed {
 			return false
 		}
 		if i.ledger.Hold(h, bytes, large) {
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -54,6 +54,7 @@
 	wantsLarge bool
 	dropped    bool            // is to be closed
 	writing    bool            // an answer is being written
+	closed     bool            // is not in Ledger.holders
 	place      *list.Element   // in Ledger.holders
 	close      func(idle bool) // closes the connection
 }
@@ -131,6 +132,7 @@
 func (l *Ledger) Close(h *Holder) {
 	l.Release(h)
 	l.holders.Remove(h.place)
+	h.closed = true
 	if h.dropped {
 		l.dropped--
 	}
@@ -145,6 +147,9 @@
 // Hold reports whether the connection may hold more bytes, and counts them if so. large
 // says that they are for a body above smallBytes.
 func (l *Ledger) Hold(h *Holder, bytes int64, large bool) bool {
+	if h.closed {
+		return false // what it holds would never be released
+	}
 	limit := l.limits.Bytes - int64(l.limits.Connections)*connectionBytes
 	if h.sum()+bytes > l.limits.Ordinary {
 		limit -= limit / 4
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -209,3 +209,14 @@
 		t.Error("one that waits is closed for another large body")
 	}
 }
+
+// TestHoldAfterClose guards against room that is never given back: the HTTP server closes
+// idle connections while another goroutine may be reading from them.
+func TestHoldAfterClose(t *testing.T) {
+	l := NewLedger(testLimits)
+	h, _ := l.Open(0)
+	l.Close(h)
+	if l.Hold(h, servingBytes, false) || l.Held() != 0 {
+		t.Errorf("%d bytes are held for a closed connection", l.Held())
+	}
+}
