intake: the largest chunked body needs no fourth step of room

Cause: a chunked body of 262,144 bytes had used its third step up when its end was still to be read, and took room for 512 kB. A few such bodies fill the part of large bodies with their third steps and wait for each other then.

Change: the third step is a byte longer than the largest legal body.

Why: a body inside the limits takes the same room chunked or not.

--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -220,3 +220,16 @@
 		t.Errorf("%d bytes are held for a closed connection", l.Held())
 	}
 }
+
+// TestLargestChunkedBody guards against a legal body that takes a second large step only to
+// see its end: bodies that hold the first step wait for each other then.
+func TestLargestChunkedBody(t *testing.T) {
+	const legalBytes = 262144
+	taken := int64(0)
+	for taken <= legalBytes {
+		taken = nextReserve(taken, -1)
+	}
+	if taken > legalBytes+1 {
+		t.Errorf("room for %d bytes is taken", taken)
+	}
+}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -41,9 +41,10 @@
 	// smaller.
 	smallBytes = 20 << 10
 	// firstBytes and largeBytes are the first and the third step in which room is taken
-	// for a body of unknown length; the second one is smallBytes.
+	// for a body of unknown length; the second one is smallBytes. The third one is a byte
+	// longer than the largest legal body, so that its end is seen without a fourth one.
 	firstBytes = 4 << 10
-	largeBytes = 256 << 10
+	largeBytes = 256<<10 + 1
 	// ordinaryBytes is what a connection with an ordinary request holds at most, besides
 	// the connection and the kernel's buffers. Only those take the last quarter of the
 	// budget.
