intake: those that wait alike do not close each other

Cause: a request that waited for room for 0.25 s was closed for another one that waited for the same. It was reset instead of served or answered 503.

Change: one that waits is not closed for one that waits for room of the same kind and holds as much or more.

Why: neither of two such requests is slower, and closing one of them leaves the same lack of room.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -206,6 +206,12 @@
 	return 1
 }
 
+// waitsLike reports whether the connection waits for room as the asking one does and holds
+// no more than that: it is not slower, and closing it leaves the same lack of room.
+func (h *Holder) waitsLike(asking *Holder, large bool) bool {
+	return asking != nil && h.phase == Waiting && h.wantsLarge == large && h.sum() <= asking.sum()
+}
+
 // ForBytes returns the connection that is to be closed so that another one may hold more
 // bytes, or nil. large says that these are for a body above smallBytes. For others, those
 // that only wait for room for such a body are closed at once: a crowd of them holds as
@@ -220,7 +226,7 @@
 		if !large && h.phase == Waiting && h.wantsLarge {
 			needed = 0
 		}
-		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 {
+		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 || h.waitsLike(asking, large) {
 			continue
 		}
 		if score := behind.Seconds() * float64(h.sum()); victim == nil || score > most {
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -233,3 +233,24 @@
 		t.Errorf("room for %d bytes is taken", taken)
 	}
 }
+
+// TestWaitingAlike guards against honest callers that are closed while they wait: a hundred
+// come at once, hold the same, and each would close the others after patience.
+func TestWaitingAlike(t *testing.T) {
+	l := NewLedger(testLimits)
+	for range 20 {
+		h, _ := l.Open(0)
+		l.Hold(h, servingBytes, false)
+		h.enter(0, Waiting)
+	}
+	asking, _ := l.Open(0)
+	l.Hold(asking, servingBytes, false)
+	asking.enter(0, Waiting)
+	if l.ForBytes(waitTime, asking, false) != nil {
+		t.Error("one that waits is closed for another one that holds the same")
+	}
+	l.Hold(l.holders.Front().Value.(*Holder), bodyFactor*firstBytes, false)
+	if l.ForBytes(waitTime, asking, false) == nil {
+		t.Error("one that waits and holds more is not closed")
+	}
+}
