intake: only ordinary requests close those that wait for a large body at once

Cause: any request for room that was not for a large body closed those that waited for a large one at once. A body of unknown length asks so for its second step: of honest callers with large chunked bodies, some closed the others.

Why: the large bodies have room soon if their requests are served.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -145,7 +145,7 @@
 	before := *h
 	start := deadline - waitTime
 	h.enter(start, Waiting)
-	h.wantsLarge = large
+	h.wantsLarge, h.wants = large, bytes
 	defer func() {
 		// The time in which the client could not go on is not its own.
 		h.phase, h.since, h.received = before.phase, before.since+clock.Monotonic()-start, before.received
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -52,6 +52,7 @@
 	large    int64         // held for a body above smallBytes, bytes
 	// wantsLarge reports whether the connection waits for room for a large body.
 	wantsLarge bool
+	wants      int64           // bytes for which it waits, or has waited last
 	dropped    bool            // is to be closed
 	writing    bool            // an answer is being written
 	closed     bool            // is not in Ledger.holders
@@ -213,17 +214,18 @@
 }
 
 // ForBytes returns the connection that is to be closed so that another one may hold more
-// bytes, or nil. large says that these are for a body above smallBytes. For others, those
-// that only wait for room for such a body are closed at once: a crowd of them holds as
+// bytes, or nil. large says that these are for a body above smallBytes. For an ordinary
+// request, those that only wait for room for such a body are closed at once: a crowd of them holds as
 // much in the kernel as all ordinary requests may.
 func (l *Ledger) ForBytes(now time.Duration, asking *Holder, large bool) *Holder {
 	var victim *Holder
 	var most float64
 	onlyLarge := large && l.large > l.limits.Large/2
+	ordinary := !large && (asking == nil || asking.sum()+asking.wants <= l.limits.Ordinary)
 	for place := l.holders.Front(); place != nil; place = place.Next() {
 		h := place.Value.(*Holder)
 		behind, needed := h.behind(now), patience
-		if !large && h.phase == Waiting && h.wantsLarge {
+		if ordinary && h.phase == Waiting && h.wantsLarge {
 			needed = 0
 		}
 		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 || h.waitsLike(asking, large) {
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -254,3 +254,23 @@
 		t.Error("one that waits and holds more is not closed")
 	}
 }
+
+// TestLargeForOrdinaryOnly guards against honest callers with large bodies that are closed
+// at once while they wait, as a body of unknown length takes its next step.
+func TestLargeForOrdinaryOnly(t *testing.T) {
+	l := NewLedger(testLimits)
+	h, _ := l.Open(0)
+	h.enter(0, Waiting)
+	h.wantsLarge = true
+	asking, _ := l.Open(0)
+	l.Hold(asking, servingBytes, false)
+	for _, c := range []struct {
+		bytes  int64
+		closes bool
+	}{{bodyFactor * firstBytes, true}, {bodyFactor * smallBytes, false}} {
+		asking.wants = c.bytes
+		if victim := l.ForBytes(time.Millisecond, asking, false); (victim != nil) != c.closes {
+			t.Errorf("for %d bytes: closed %v", c.bytes, victim != nil)
+		}
+	}
+}
