intake: the end of a write does not undo the phase of a read

Cause: the HTTP server reads the first byte of the next request while it sends an answer. If that byte waited for room of headers when the write began, the end of the write brought the phase Waiting back after the wait was over. The headers of the next request were not counted then, up to 20 bytes for each of 16 kB.

Change: conn.Write restores the earlier phase only if no other one has begun.

Why: whatever is read is to be admitted before.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -150,8 +150,12 @@
 	n, err := c.writeParts(p)
 	c.intake.mu.Lock()
 	c.holder.writing = false
-	if c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received; before.phase == Answering {
+	switch {
+	case c.holder.phase != Answering: // a read has begun another phase
+	case before.phase == Answering:
 		c.holder.enter(clock.Monotonic(), Idle) // the request is over
+	default:
+		c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received
 	}
 	c.intake.mu.Unlock()
 	return n, err
