verbs: a gate ends after SIGTERM though a client has stopped in a body

Cause: shutDownGate returned without closing the server for readiness checks if requests were in progress at the end, and Gate.Run waited for that server for ever. A body that stops shortly before or after SIGTERM is in progress for caller_stall, 5 s, and the default drain time ends its wait after 4.8 s.

Change: both servers are closed on each path. The error stays.

Why: one hostile client must not keep a stopping gate.

--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -143,10 +143,13 @@
 	clock.Sleep(ctx, time.Duration(acceptShare*float64(drain)))
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(shutdownShare*float64(drain))-(clock.Monotonic()-start))
 	defer cancel()
+	// Closing fails only if a listener is closed already. The readiness check has failed
+	// since g.Leave.
+	defer func() { _ = ready.Close() }()
 	if err := callers.Shutdown(ctx); err != nil {
+		_ = callers.Close()
 		return fmt.Errorf("shutting down the server for callers: %w", err)
 	}
-	_ = ready.Close() // its readiness check has failed since g.Leave
 	return nil
 }
 
