intake: a panic of the handler closes a connection with an unread body

Cause: after a panic the HTTP server reads the rest of the body before it closes the connection. Without an answer no deadline was set, so that a client which had stopped kept its connection for ever.

Change: the reads end with the handler if the body was not read to its end.

Why: each way out of a handler must give the connection back.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -65,6 +65,7 @@
 			http.Error(response, ErrBusy.Error(), http.StatusServiceUnavailable)
 			return
 		}
+		defer body.endReads()
 		admitted := r.WithContext(r.Context())
 		admitted.Body = body
 		next.ServeHTTP(response, admitted)
@@ -179,6 +180,14 @@
 	return b.conn.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// endReads ends all reads of the HTTP server from a body that was not read to its end. After
+// a panic of the handler it would wait for the rest without a deadline.
+func (b *body) endReads() {
+	if !b.ended {
+		_ = b.conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	}
+}
+
 // reserve takes room for the next part of the body.
 func (b *body) reserve() bool {
 	h := b.conn.holder
@@ -240,7 +249,7 @@
 	}
 	b.conn.unread.Store(true)
 	r.Header().Set("Connection", "close")
-	_ = b.conn.Conn.SetReadDeadline(time.Unix(1, 0)) // ends all reads of the HTTP server
+	b.endReads()
 }
 
 // stopped counts a connection that is closed because its client has made no progress.
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -140,3 +141,27 @@
 		t.Errorf("%d of %d bytes were received", received, size)
 	}
 }
+
+// TestPanicWithUnreadBody guards against a connection that stays open after its handler has
+// failed: the HTTP server reads the rest of the body first, without a deadline.
+func TestPanicWithUnreadBody(t *testing.T) {
+	i := New(Resources{})
+	listener, err := i.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := i.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), ServerOptions{})
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	fmt.Fprint(raw, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nhello")
+	_ = raw.SetReadDeadline(time.Now().Add(2 * time.Second)) // seen as a timeout below
+	var timeout net.Error
+	if _, err := raw.Read(make([]byte, 1)); errors.As(err, &timeout) && timeout.Timeout() {
+		t.Error("the connection stays open")
+	}
+}
