--- a/intake/conn.go
+++ b/intake/conn.go
@@ -23,6 +23,9 @@
 	lingerTime = 500 * time.Millisecond
 	// lingerBytes limits what is thrown away, bytes.
 	lingerBytes = 1 << 20
+	// writeBytes is the part of an answer that the client must take in the time of a
+	// stall. Results are megabytes long.
+	writeBytes = 16 << 10
 )
 
 // Listen opens a TCP listener for clients, whose connections are admitted by i.
@@ -116,7 +119,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.intake.receive(c.holder, int64(n)) {
-		return 0, errDropped
+		// The HTTP server closes the connection after such an error. After others it
+		// answers 400, and the caller would give its request up as invalid.
+		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Addr: c.RemoteAddr(), Err: errDropped}
 	}
 	return n, err
 }
@@ -142,17 +147,35 @@
 	c.holder.enter(clock.Monotonic(), Answering)
 	c.holder.writing = true
 	c.intake.mu.Unlock()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.resources.Stall)) // fails if the connection is closed
-	n, err := c.Conn.Write(p)
+	n, err := c.writeParts(p)
 	c.intake.mu.Lock()
 	c.holder.writing = false
-	if c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received; before.phase == Answering {
+	switch {
+	case c.holder.phase != Answering: // a read has begun another phase
+	case before.phase == Answering:
 		c.holder.enter(clock.Monotonic(), Idle) // the request is over
+	default:
+		c.holder.phase, c.holder.since, c.holder.received = before.phase, before.since, before.received
 	}
 	c.intake.mu.Unlock()
 	return n, err
 }
 
+// writeParts writes p in parts, each with a deadline of its own, so that a client that reads
+// steadily gets an answer of any length.
+func (c *conn) writeParts(p []byte) (int, error) {
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writeBytes)]
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.intake.resources.Stall)) // fails if the connection is closed
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // CloseWrite shuts the connection down for sending.
 func (c *conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -65,6 +65,7 @@
 			http.Error(response, ErrBusy.Error(), http.StatusServiceUnavailable)
 			return
 		}
+		defer body.endReads()
 		admitted := r.WithContext(r.Context())
 		admitted.Body = body
 		next.ServeHTTP(response, admitted)
@@ -120,8 +121,11 @@
 
 // Read implements io.Reader. Its error is ErrBusy if there is no room.
 func (b *body) Read(p []byte) (int, error) {
-	if b.failed != nil || b.ended {
-		return 0, errors.Join(b.failed, eofIf(b.failed == nil))
+	if b.failed != nil {
+		return 0, b.failed
+	}
+	if b.ended {
+		return 0, io.EOF // not wrapped, as readers compare it
 	}
 	n, err := b.read(p)
 	switch {
@@ -135,14 +139,6 @@
 	return n, err
 }
 
-// eofIf returns io.EOF if at the end.
-func eofIf(end bool) error {
-	if end {
-		return io.EOF
-	}
-	return nil
-}
-
 // read reads once, after it has taken room.
 func (b *body) read(p []byte) (int, error) {
 	if !b.begun {
@@ -184,6 +180,14 @@
 	return b.conn.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// endReads ends all reads of the HTTP server from a body that was not read to its end. After
+// a panic of the handler it would wait for the rest without a deadline.
+func (b *body) endReads() {
+	if !b.ended {
+		_ = b.conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	}
+}
+
 // reserve takes room for the next part of the body.
 func (b *body) reserve() bool {
 	h := b.conn.holder
@@ -245,7 +249,7 @@
 	}
 	b.conn.unread.Store(true)
 	r.Header().Set("Connection", "close")
-	_ = b.conn.Conn.SetReadDeadline(time.Unix(1, 0)) // ends all reads of the HTTP server
+	b.endReads()
 }
 
 // stopped counts a connection that is closed because its client has made no progress.
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -47,6 +48,7 @@
 	}{
 		{"read", "Other: 1\r\nAuthorization: k\r\nContent-Length: 5\r\n", "hello", "200", false},
 		{"chunked", "Authorization: k\r\nTransfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n", "200", false},
+		{"no body", "Authorization: k\r\nContent-Length: 0\r\n", "", "200", false},
 		{"small and unread", "Content-Length: 5\r\n", "hello", "401", false},
 		{"large and unread", "Content-Length: 200000\r\n", strings.Repeat("x", 1000), "401", true},
 		{"chunked and unread", "Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n", "401", true},
@@ -86,3 +88,80 @@
 		})
 	}
 }
+
+// TestHeadersWithoutRoom guards against a caller that takes its valid request for an
+// invalid one, as it was answered 400 when there was no room for its headers.
+func TestHeadersWithoutRoom(t *testing.T) {
+	i, addr := serve(t)
+	i.mu.Lock()
+	i.ledger.small = i.ledger.limits.Bytes // requests that are being served
+	i.mu.Unlock()
+	raw, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	fmt.Fprint(raw, "POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if answer, _ := io.ReadAll(raw); len(answer) > 0 {
+		t.Errorf("answer %q", answer)
+	}
+}
+
+// TestSlowReader guards against an answer that is cut off though its reader makes steady
+// progress, because one deadline holds for all of a long write.
+func TestSlowReader(t *testing.T) {
+	const size = 2 << 20
+	i := New(Resources{Stall: 400 * time.Millisecond, SocketBytes: 64 << 10})
+	listener, err := i.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := i.Server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size)) // the reader checks the length
+	}), ServerOptions{})
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	_ = raw.(*net.TCPConn).SetReadBuffer(64 << 10) // the kernel would take all otherwise
+	fmt.Fprint(raw, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	received := int64(0)
+	for {
+		n, err := io.CopyN(io.Discard, raw, 32<<10)
+		received += n
+		if err != nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if received < size {
+		t.Errorf("%d of %d bytes were received", received, size)
+	}
+}
+
+// TestPanicWithUnreadBody guards against a connection that stays open after its handler has
+// failed: the HTTP server reads the rest of the body first, without a deadline.
+func TestPanicWithUnreadBody(t *testing.T) {
+	i := New(Resources{})
+	listener, err := i.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := i.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), ServerOptions{})
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	fmt.Fprint(raw, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nhello")
+	_ = raw.SetReadDeadline(time.Now().Add(2 * time.Second)) // seen as a timeout below
+	var timeout net.Error
+	if _, err := raw.Read(make([]byte, 1)); errors.As(err, &timeout) && timeout.Timeout() {
+		t.Error("the connection stays open")
+	}
+}
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -52,8 +52,10 @@
 	large    int64         // held for a body above smallBytes, bytes
 	// wantsLarge reports whether the connection waits for room for a large body.
 	wantsLarge bool
+	wants      int64           // bytes for which it waits, or has waited last
 	dropped    bool            // is to be closed
 	writing    bool            // an answer is being written
+	closed     bool            // is not in Ledger.holders
 	place      *list.Element   // in Ledger.holders
 	close      func(idle bool) // closes the connection
 }
@@ -131,6 +133,7 @@
 func (l *Ledger) Close(h *Holder) {
 	l.Release(h)
 	l.holders.Remove(h.place)
+	h.closed = true
 	if h.dropped {
 		l.dropped--
 	}
@@ -145,6 +148,9 @@
 // Hold reports whether the connection may hold more bytes, and counts them if so. large
 // says that they are for a body above smallBytes.
 func (l *Ledger) Hold(h *Holder, bytes int64, large bool) bool {
+	if h.closed {
+		return false // what it holds would never be released
+	}
 	limit := l.limits.Bytes - int64(l.limits.Connections)*connectionBytes
 	if h.sum()+bytes > l.limits.Ordinary {
 		limit -= limit / 4
@@ -201,21 +207,28 @@
 	return 1
 }
 
+// waitsLike reports whether the connection waits for room as the asking one does and holds
+// no more than that: it is not slower, and closing it leaves the same lack of room.
+func (h *Holder) waitsLike(asking *Holder, large bool) bool {
+	return asking != nil && h.phase == Waiting && h.wantsLarge == large && h.sum() <= asking.sum()
+}
+
 // ForBytes returns the connection that is to be closed so that another one may hold more
-// bytes, or nil. large says that these are for a body above smallBytes. For others, those
-// that only wait for room for such a body are closed at once: a crowd of them holds as
+// bytes, or nil. large says that these are for a body above smallBytes. For an ordinary
+// request, those that only wait for room for such a body are closed at once: a crowd of them holds as
 // much in the kernel as all ordinary requests may.
 func (l *Ledger) ForBytes(now time.Duration, asking *Holder, large bool) *Holder {
 	var victim *Holder
 	var most float64
 	onlyLarge := large && l.large > l.limits.Large/2
+	ordinary := !large && (asking == nil || asking.sum()+asking.wants <= l.limits.Ordinary)
 	for place := l.holders.Front(); place != nil; place = place.Next() {
 		h := place.Value.(*Holder)
 		behind, needed := h.behind(now), patience
-		if !large && h.phase == Waiting && h.wantsLarge {
+		if ordinary && h.phase == Waiting && h.wantsLarge {
 			needed = 0
 		}
-		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 {
+		if h == asking || h.dropped || behind < needed || onlyLarge && h.large == 0 || h.waitsLike(asking, large) {
 			continue
 		}
 		if score := behind.Seconds() * float64(h.sum()); victim == nil || score > most {
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -209,3 +209,68 @@
 		t.Error("one that waits is closed for another large body")
 	}
 }
+
+// TestHoldAfterClose guards against room that is never given back: the HTTP server closes
+// idle connections while another goroutine may be reading from them.
+func TestHoldAfterClose(t *testing.T) {
+	l := NewLedger(testLimits)
+	h, _ := l.Open(0)
+	l.Close(h)
+	if l.Hold(h, servingBytes, false) || l.Held() != 0 {
+		t.Errorf("%d bytes are held for a closed connection", l.Held())
+	}
+}
+
+// TestLargestChunkedBody guards against a legal body that takes a second large step only to
+// see its end: bodies that hold the first step wait for each other then.
+func TestLargestChunkedBody(t *testing.T) {
+	const legalBytes = 262144
+	taken := int64(0)
+	for taken <= legalBytes {
+		taken = nextReserve(taken, -1)
+	}
+	if taken > legalBytes+1 {
+		t.Errorf("room for %d bytes is taken", taken)
+	}
+}
+
+// TestWaitingAlike guards against honest callers that are closed while they wait: a hundred
+// come at once, hold the same, and each would close the others after patience.
+func TestWaitingAlike(t *testing.T) {
+	l := NewLedger(testLimits)
+	for range 20 {
+		h, _ := l.Open(0)
+		l.Hold(h, servingBytes, false)
+		h.enter(0, Waiting)
+	}
+	asking, _ := l.Open(0)
+	l.Hold(asking, servingBytes, false)
+	asking.enter(0, Waiting)
+	if l.ForBytes(waitTime, asking, false) != nil {
+		t.Error("one that waits is closed for another one that holds the same")
+	}
+	l.Hold(l.holders.Front().Value.(*Holder), bodyFactor*firstBytes, false)
+	if l.ForBytes(waitTime, asking, false) == nil {
+		t.Error("one that waits and holds more is not closed")
+	}
+}
+
+// TestLargeForOrdinaryOnly guards against honest callers with large bodies that are closed
+// at once while they wait, as a body of unknown length takes its next step.
+func TestLargeForOrdinaryOnly(t *testing.T) {
+	l := NewLedger(testLimits)
+	h, _ := l.Open(0)
+	h.enter(0, Waiting)
+	h.wantsLarge = true
+	asking, _ := l.Open(0)
+	l.Hold(asking, servingBytes, false)
+	for _, c := range []struct {
+		bytes  int64
+		closes bool
+	}{{bodyFactor * firstBytes, true}, {bodyFactor * smallBytes, false}} {
+		asking.wants = c.bytes
+		if victim := l.ForBytes(time.Millisecond, asking, false); (victim != nil) != c.closes {
+			t.Errorf("for %d bytes: closed %v", c.bytes, victim != nil)
+		}
+	}
+}
