speed: idle workers keep their estimates within a window

Cause: each fit fits the workers with samples from the prior, but subtracted the median from the present estimates of all. While the median moves, as when new workers join, the estimates of workers without samples moved once more in each fit of a window. Change: each fit starts from the prior for all workers. Why: idle workers stay as comparable with the others as before the window.

--- a/speed/fit.go
+++ b/speed/fit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -47,6 +48,8 @@
 // fitSamples sets the present estimates from the prior and the samples of the window.
 func (p *Paces) fitSamples(now time.Duration) {
 	f := p.newFitting()
+	// All estimates are in the frame of the prior until normalise moves them.
+	p.present = maps.Clone(p.prior)
 	order := make([]graph.Place, 0, len(f.byWorker))
 	for w := range f.byWorker {
 		order = append(order, w)
--- a/speed/pace_test.go
+++ b/speed/pace_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"catkinpoint/flow"
 	"catkinpoint/graph"
 )
 
@@ -144,3 +145,27 @@
 		t.Errorf("paces of a worker that restarted are %.2f and %.2f; want 1", a, b)
 	}
 }
+
+// Guards against estimates of workers without samples that move again with each fit of a window
+// (new workers shift the median while others are idle).
+func TestPacesWithoutSamplesStay(t *testing.T) {
+	p := NewPaces()
+	var list []*flow.WorkerPace
+	for w, logTime := range []float64{-0.5, -0.5, -0.5, 0, 0.5, 0.5} {
+		place := placeOf(w)
+		list = append(list, &flow.WorkerPace{Relay: place.Relay, Worker: place.Worker, BornMs: place.StartUnixMS, LogTime: logTime, Weight: 10})
+	}
+	p.Restore(list, 0)
+	for second := range time.Duration(5) {
+		now := (second + 1) * time.Second
+		for _, w := range []int{0, 1, 2, 6, 7} {
+			p.Add(Sample{Group: Group{Job: "j", Gang: true}, Worker: placeOf(w), Elapsed: time.Second, Percent: 20, At: now})
+		}
+		p.Fit(now)
+	}
+	for w, want := range map[int]float64{3: math.Exp(0.5), 4: math.Exp(1), 5: math.Exp(1)} {
+		if pace := p.Pace(placeOf(w), 5*time.Second); math.Abs(math.Log(pace/want)) > 0.05 {
+			t.Errorf("pace of worker %d without samples is %.2f; want %.2f", w, pace, want)
+		}
+	}
+}
