speed: the stretch of a sample is bounded

Cause: each second of a stretch was counted as evidence in a map. Why: a worker's clock must not hold up the holder.

--- a/speed/fit.go
+++ b/speed/fit.go
@@ -113,8 +113,8 @@
 				seen[s.Worker] = map[int64]bool{}
 				f.worker[s.Worker] = p.prior[s.Worker].logTime
 			}
-			// A sample is evidence of each second of its stretch.
-			for second := int64((s.At - s.Elapsed) / time.Second); second <= int64(s.At/time.Second); second++ {
+			// A sample is evidence of each second of its stretch, up to the weight that counts.
+			for second := int64((s.At - min(s.Elapsed, maxWeight*time.Second)) / time.Second); second <= int64(s.At/time.Second); second++ {
 				seen[s.Worker][second] = true
 			}
 			f.byWorker[s.Worker] = append(f.byWorker[s.Worker], i)
--- a/speed/pace.go
+++ b/speed/pace.go
@@ -45,6 +45,9 @@
 	// minSpread is the least standard deviation between workers for which estimates are
 	// not shrunk to nothing.
 	minSpread = 0.03
+	// maxStretch bounds the stretch of a sample. Lists come several times a second, so that a
+	// longer one shows a clock that has jumped.
+	maxStretch = 24 * time.Hour
 	// maxSamples bounds the samples of a window.
 	maxSamples = 8192
 )
@@ -103,9 +106,9 @@
 	return &Paces{prior: map[graph.Place]estimate{}, present: map[graph.Place]estimate{}, gangNoise: 0.1, stepNoise: 0.3}
 }
 
-// Add adds a sample.
+// Add adds a sample. One whose stretch is empty or longer than maxStretch is ignored.
 func (p *Paces) Add(s Sample) {
-	if s.Elapsed <= 0 || len(p.samples) >= maxSamples {
+	if s.Elapsed <= 0 || s.Elapsed > maxStretch || len(p.samples) >= maxSamples {
 		return
 	}
 	p.samples = append(p.samples, s)
--- a/speed/pace_test.go
+++ b/speed/pace_test.go
@@ -169,3 +169,25 @@
 		}
 	}
 }
+
+// Guards against a fit whose cost and evidence grow with the length of a stretch, and a time
+// that overflows (a clock that jumps by years, or a run that is not listed for long).
+func TestLongStretches(t *testing.T) {
+	p := NewPaces()
+	for w, elapsed := range []time.Duration{time.Second, 10 * time.Hour, math.MaxInt64} {
+		p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(w), Elapsed: elapsed, Percent: float64(20 - 10*w), At: time.Minute})
+	}
+	f := p.newFitting()
+	for w := range 3 {
+		if seconds := f.seconds[placeOf(w)]; seconds > maxWeight+1 {
+			t.Errorf("the sample of worker %d counts as %.0f s of evidence", w, seconds)
+		}
+	}
+	p = NewPaces()
+	p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(0), Elapsed: math.MaxInt64, Percent: 8, At: time.Minute})
+	for _, g := range p.GroupTimes(time.Minute) {
+		if g.Took <= 0 {
+			t.Errorf("the time of the group is %v", g.Took)
+		}
+	}
+}
