speed: tasks with too little progress are not measured

Cause: a run of an hour progresses by 0 or 1 percent in a stretch of 3 s. Progress of 0 counts as 0.5 percent, so that with learn_run_times each task of more than 10 minutes, and each run that stood still, was measured as one of 600 s. Its objective, its slack and the run times of its queue followed. Change: a group whose samples show less than 2 percent on average is not measured, and counts as expected from earlier jobs or as declared. Why: below that the rounding of percentages is more than the progress.

--- a/speed/times.go
+++ b/speed/times.go
@@ -150,10 +150,15 @@
 	Took  time.Duration
 }
 
+// minMeasured is the mean progress of a group's samples, in percent, from which its time is
+// more than the rounding of percentages.
+const minMeasured = 2
+
 // GroupTimes returns the times of the groups with samples in the window, as the medians of the
-// samples, in the order of their first samples.
+// samples, in the order of their first samples. Groups whose samples show too little progress
+// are left out (tasks of more than about 150 s, and runs that stand still).
 func (p *Paces) GroupTimes(now time.Duration) []GroupTime {
-	byGroup := map[Group][]value{}
+	byGroup, progress := map[Group][]value{}, map[Group]float64{}
 	var groups []GroupTime
 	for i := range p.samples {
 		s := &p.samples[i]
@@ -161,7 +166,11 @@
 			groups = append(groups, GroupTime{Group: s.Group})
 		}
 		byGroup[s.Group] = append(byGroup[s.Group], value{s.logTime() - math.Log(p.Pace(s.Worker, now)), 1})
+		progress[s.Group] += s.Percent
 	}
+	groups = slices.DeleteFunc(groups, func(g GroupTime) bool {
+		return progress[g.Group] < minMeasured*float64(len(byGroup[g.Group]))
+	})
 	for i := range groups {
 		groups[i].Took = time.Duration(math.Exp(weightedMedian(byGroup[groups[i].Group])) * float64(time.Second))
 	}
--- a/speed/times_test.go
+++ b/speed/times_test.go
@@ -66,3 +66,26 @@
 		t.Errorf("the record is %v after a handover; want %v", b, a)
 	}
 }
+
+// Guards against long tasks, and runs that stand still, that count as tasks of 600 s, as their
+// progress between lists is less than the rounding of percentages.
+func TestLongTasksAreNotMeasured(t *testing.T) {
+	for _, whole := range []time.Duration{2 * time.Second, 20 * time.Second, 100 * time.Second, time.Hour, 100 * time.Hour} {
+		p := NewPaces()
+		var s Stretch
+		for now := time.Duration(0); now < min(whole, 6*time.Second); now += 250 * time.Millisecond {
+			if elapsed, gained, ok := s.Listed(now, int32(100*now/whole)); ok {
+				p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(0), Elapsed: elapsed, Percent: gained, At: now})
+			}
+		}
+		measured := p.GroupTimes(6 * time.Second)
+		if len(measured) == 0 && whole <= 100*time.Second {
+			t.Errorf("a task of %v is not measured", whole)
+		}
+		for _, g := range measured {
+			if ratio := g.Took.Seconds() / whole.Seconds(); ratio < 0.7 || ratio > 1.4 {
+				t.Errorf("a task of %v is measured as %v", whole, g.Took)
+			}
+		}
+	}
+}
