speed: faded estimates end

Cause: the weight of the prior in a fit did not fall with the time without evidence. A worker that was slow hours ago, and whose pace was no longer used, had it back with its first sample. Estimates of workers that had gone were kept for ever, and counted for the median of all. Change: the prior counts with its faded weight, and an estimate below 0.5 s is dropped.

--- a/speed/fit.go
+++ b/speed/fit.go
@@ -36,6 +36,7 @@
 
 // fitting is one fit of the samples of a window.
 type fitting struct {
+	now       time.Duration
 	logTimes  []float64
 	precision []float64 // of each sample, 1/variance
 	groups    [][]int   // samples of each group with more than one worker
@@ -47,7 +48,8 @@
 
 // fitSamples sets the present estimates from the prior and the samples of the window.
 func (p *Paces) fitSamples(now time.Duration) {
-	f := p.newFitting()
+	maps.DeleteFunc(p.prior, func(_ graph.Place, e estimate) bool { return e.faded(now) < minKeptWeight })
+	f := p.newFitting(now)
 	// All estimates are in the frame of the prior until normalise moves them.
 	p.present = maps.Clone(p.prior)
 	order := make([]graph.Place, 0, len(f.byWorker))
@@ -78,10 +80,10 @@
 	p.normalise(order)
 }
 
-func (p *Paces) newFitting() *fitting {
+func (p *Paces) newFitting(now time.Duration) *fitting {
 	n := len(p.samples)
 	f := &fitting{
-		logTimes: make([]float64, n), precision: make([]float64, n), residual: make([]float64, n),
+		now: now, logTimes: make([]float64, n), precision: make([]float64, n), residual: make([]float64, n),
 		byWorker: map[graph.Place][]int{}, worker: map[graph.Place]float64{}, seconds: map[graph.Place]float64{},
 	}
 	byGroup := map[Group][]int{}
@@ -151,9 +153,10 @@
 	return (weightedMedian(values)*f.seconds[w] + prior.logTime*earlier) / (f.seconds[w] + earlier)
 }
 
-// priorWeight returns the weight of the prior, which falls with new evidence.
+// priorWeight returns the weight of the prior, which falls with the time without evidence and
+// with new evidence.
 func (f *fitting) priorWeight(w graph.Place, prior estimate) float64 {
-	return prior.weight * math.Exp2(-f.seconds[w]/priorHalving)
+	return prior.faded(f.now) * math.Exp2(-f.seconds[w]/priorHalving)
 }
 
 // measureNoise sets the noise from the residuals that remain, by halves with the last.
--- a/speed/pace.go
+++ b/speed/pace.go
@@ -20,6 +20,8 @@
 	// minWeight is the evidence, in seconds, from which a pace counts. A worker that is
 	// slow for a shorter time is not yet told from a lastingly slow one.
 	minWeight = 2
+	// minKeptWeight is the evidence, in seconds, below which an estimate is dropped.
+	minKeptWeight = 0.5
 	// maxWeight bounds the weight of an estimate, so that a change is followed.
 	maxWeight = 20
 	// priorHalving is the new evidence, in seconds, that halves the weight of the prior.
@@ -174,7 +176,7 @@
 func (p *Paces) Record(now time.Duration) []*flow.WorkerPace {
 	var list []*flow.WorkerPace
 	for w, e := range p.present {
-		if weight := e.faded(now); weight >= 0.5 {
+		if weight := e.faded(now); weight >= minKeptWeight {
 			list = append(list, &flow.WorkerPace{Relay: w.Relay, Worker: w.Worker, BornMs: w.StartUnixMS, LogTime: e.logTime, Weight: weight})
 		}
 	}
--- a/speed/pace_test.go
+++ b/speed/pace_test.go
@@ -177,7 +177,7 @@
 	for w, elapsed := range []time.Duration{time.Second, 10 * time.Hour, math.MaxInt64} {
 		p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(w), Elapsed: elapsed, Percent: float64(20 - 10*w), At: time.Minute})
 	}
-	f := p.newFitting()
+	f := p.newFitting(time.Minute)
 	for w := range 3 {
 		if seconds := f.seconds[placeOf(w)]; seconds > maxWeight+1 {
 			t.Errorf("the sample of worker %d counts as %.0f s of evidence", w, seconds)
@@ -191,3 +191,27 @@
 		}
 	}
 }
+
+// Guards against a faded estimate that a little new evidence brings back, and against
+// estimates of workers that have gone and are kept for ever.
+func TestFadedPacesEnd(t *testing.T) {
+	gone := graph.Place{Relay: "gone", Worker: "w"}
+	p := NewPaces()
+	p.Restore([]*flow.WorkerPace{
+		{Relay: placeOf(0).Relay, Worker: placeOf(0).Worker, BornMs: placeOf(0).StartUnixMS, LogTime: 0.9, Weight: 20},
+		{Relay: gone.Relay, Worker: gone.Worker, LogTime: 0.9, Weight: 20},
+	}, 0)
+	for second := range 8 * time.Second / time.Second {
+		now := 2*time.Hour + second*time.Second
+		for w := range 4 {
+			p.Add(Sample{Group: Group{Job: "j", Gang: true}, Worker: placeOf(w), Elapsed: time.Second, Percent: 20, At: now})
+		}
+		p.Fit(now)
+		if pace := p.Pace(placeOf(0), now); pace != 1 {
+			t.Errorf("pace is %.2f after two hours without evidence and %d s of that of an equal worker; want 1", pace, second+1)
+		}
+	}
+	if _, kept := p.present[gone]; kept || len(p.prior) != 4 {
+		t.Errorf("%d estimates are kept; want those of 4 workers", len(p.prior))
+	}
+}
