plan: urgent units avoid workers for their pace for 2 s at most

Cause: an urgent unit without a guarantee avoided slow workers until its slack was used up. With urgent jobs on all fast workers, which it can't preempt, a job of 15 s with a slack of 14 s waited for 14 s while slow workers were empty. Change: such a unit takes any worker after 2 s, as a guaranteed one does after 1 s. Figures: with a slack of 2, 8 and 14 s the unit waited at 2.5 s, and now starts (go test ./plan -run UrgentUnitTakesSlowWorkerInTime). Why: a job may not wait for 3 s while there is room for it.

--- a/plan/pace.go
+++ b/plan/pace.go
@@ -15,6 +15,9 @@
 	// guaranteedPaceWait is how long a guaranteed unit avoids workers for their pace. It is
 	// a fraction of the time in which a guarantee must take effect.
 	guaranteedPaceWait = time.Second
+	// urgentPaceWait is how long any other unit avoids workers for their pace. A job may not
+	// wait for 3 s while there is room for it, on slow workers too.
+	urgentPaceWait = 2 * time.Second
 	// overheadMargin is the time from a decision until the start of a unit and from its end
 	// until its caller knows, which both count.
 	overheadMargin = 400 * time.Millisecond
@@ -73,10 +76,14 @@
 // paceLimit returns the pace from which the unit does not take a worker (urgent gangs while
 // a third of the workers takes twice as long). It is infinite for units that cannot preempt,
 // as nothing says when they would get a faster worker; for a unit that would miss its
-// objective anyway; for a guaranteed one that has waited; and if the faster workers could
-// never hold the unit.
+// objective anyway; for one that has waited; and if the faster workers could never hold the
+// unit.
 func (s *state) paceLimit(r *Request) float64 {
-	if !s.uneven || !r.mayPreempt() || r.Guaranteed && r.ReadyFor > guaranteedPaceWait {
+	wait := urgentPaceWait
+	if r.Guaranteed {
+		wait = guaranteedPaceWait
+	}
+	if !s.uneven || !r.mayPreempt() || r.ReadyFor > wait {
 		return math.Inf(1)
 	}
 	limit, ok := s.paceLimits[r]
--- a/plan/pace_test.go
+++ b/plan/pace_test.go
@@ -150,3 +150,21 @@
 		t.Errorf("late are %v with known paces and %v without", known.late, unknown.late)
 	}
 }
+
+// Guards against an urgent job that waits for a fast worker for longer than a job may wait
+// while there is room (long urgent jobs while urgent ones hold all fast workers).
+func TestUrgentUnitTakesSlowWorkerInTime(t *testing.T) {
+	for _, slack := range []time.Duration{2 * time.Second, 8 * time.Second, 14 * time.Second} {
+		in := Input{Workers: unevenWorkers(2.4)}
+		for i := range in.Workers[:4] {
+			in.Workers[i].Free.Accelerators = 0
+		}
+		j := newJob("0000000000000001", 0, &flow.Step{Count: 1, Cpu: 100, Accelerators: 8, EstimateMs: 15000})
+		in.Requests = readyRequests(j, func(r *Request) {
+			r.Slack, r.ReadyFor, r.Duration = slack, 2500*time.Millisecond, 15*time.Second
+		})
+		if d := Decide(in); len(d.Starts) != 1 {
+			t.Errorf("with a slack of %v the unit waits after 2.5s", slack)
+		}
+	}
+}
