plan: workers of like pace have the same run times

Cause: workers that differ by less than likePace count as alike, but the time of a unit that is compared with a reservation was that at the pace of the worker, so that a unit was placed or not by a pace of 1.3 that counts for nothing else. Change: durations follow the pace only if workers differ by more than likePace. Figures: a duration of 2 s counted as 1.6 s and 2.6 s at paces of 0.8 and 1.3 (go test ./plan -run LikePacesKeepReservations). Why: among workers that are alike decisions are to be as without paces.

--- a/plan/pace.go
+++ b/plan/pace.go
@@ -34,8 +34,12 @@
 	return 1
 }
 
-// durationOn returns the expected run time of a task of the unit on a worker.
+// durationOn returns the expected run time of a task of the unit on a worker. Among workers
+// of like pace it is the same on all.
 func (s *state) durationOn(r *Request, w int) time.Duration {
+	if !s.uneven {
+		return r.Duration
+	}
 	return time.Duration(float64(r.Duration) * s.pace(w))
 }
 
--- a/plan/pace_test.go
+++ b/plan/pace_test.go
@@ -168,3 +168,17 @@
 		}
 	}
 }
+
+// Guards against times on workers that are alike which move reservations (paces of 0.8 to 1.3).
+func TestLikePacesKeepReservations(t *testing.T) {
+	for _, pace := range []float64{0, 0.8, 1, 1.3} {
+		in := Input{Workers: unevenWorkers(1)[:1]}
+		in.Workers[0].Pace = pace
+		s := newState(in)
+		j := newJob("0000000000000001", 1, &flow.Step{Count: 1, Cpu: 100, Accelerators: 8, EstimateMs: 2000})
+		r := readyRequests(j, func(r *Request) { r.Duration = 2 * time.Second })
+		if d := s.durationOn(&r[0], 0); d != 2*time.Second {
+			t.Errorf("with a pace of %v the time is %v; want 2s", pace, d)
+		}
+	}
+}
