duty: a learned record that is too large is cut

Cause: paces of 5,600 workers take more than the 256 KB that the record may have. It was then never written, with an error every minute, and with it no promise to a refused caller. Change: paces and run times with the least evidence are left out until the record fits; promises never are. Figures: with 5,600 paces and 2,000 run times nothing was written; now 256 KB at most with the promise (go test ./duty -run LearnedRecordOfManyWorkers). Why: promises must be stored at any size of the cluster.

--- a/duty/learned.go
+++ b/duty/learned.go
@@ -1,8 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,8 +27,8 @@
 	// learnedRefusedPause is the time for which the record is not written after the store
 	// refused a transaction with it.
 	learnedRefusedPause = time.Minute
-	// maxLearnedBytes is the size from which the record is not written, so that it fits into
-	// a transaction beside the progress of jobs.
+	// maxLearnedBytes bounds the record, so that it fits into a transaction beside the progress
+	// of jobs: about 4,000 paces. What has the least evidence is left out.
 	maxLearnedBytes = 256 << 10
 	// paceLogFactor is the factor by which a pace must change to be logged again.
 	paceLogFactor = 1.3
@@ -147,9 +149,22 @@
 	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()), "run_times", len(record.GetRunTimes()), "promises", l.promises.Open())
 }
 
-// record returns what is to be stored.
+// record returns what is to be stored. If it is too large, the paces and run times with the
+// least evidence are left out, never promises (5,600 workers of known pace).
 func (l *learned) record(now time.Duration) *flow.Learned {
-	return &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record(), Promises: l.promises.List()}
+	r := &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record(), Promises: l.promises.List()}
+	for size := proto.Size(r); size > maxLearnedBytes && len(r.Paces)+len(r.RunTimes) > 0; size = proto.Size(r) {
+		share := 0.95 * maxLearnedBytes / float64(size)
+		r.Paces, r.RunTimes = mostEvidence(r.Paces, share), mostEvidence(r.RunTimes, share)
+	}
+	return r
+}
+
+// mostEvidence returns a share of a list: the elements with the largest weights, and of equal
+// ones the first.
+func mostEvidence[E interface{ GetWeight() float64 }](list []E, share float64) []E {
+	slices.SortStableFunc(list, func(a, b E) int { return cmp.Compare(b.GetWeight(), a.GetWeight()) })
+	return list[:int(share*float64(len(list)))]
 }
 
 // addLearned adds the learned record to a transaction, if it has changed and there is room.
--- a/duty/learned_test.go
+++ b/duty/learned_test.go
@@ -10,6 +10,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/shed"
 	"catkinpoint/speed"
 	"catkinpoint/stand/fakekv"
 	"catkinpoint/store"
@@ -194,3 +195,37 @@
 		}
 	})
 }
+
+// Guards against promises, and all that was learned, that are not stored as the record is
+// too large (5,600 workers of known pace, and run times of many customers and images).
+func TestLearnedRecordOfManyWorkersIsStored(t *testing.T) {
+	promises := &shed.Promises{}
+	promises.Restore([]*flow.Promise{{Id: jobID, ReturnUnixMs: 1}})
+	l := newLearned(promises)
+	var paces []*flow.WorkerPace
+	for n := range 5600 {
+		name := fmt.Sprintf("worker-%06d", n)
+		paces = append(paces, &flow.WorkerPace{Relay: "10.0.100.100:" + name[7:], Worker: name, BornMs: 1796000000000, LogTime: math.Log(2.4) * float64(n%3/2), Weight: 20})
+	}
+	l.paces.Restore(paces, 0)
+	for n := range 2000 {
+		l.times.Add(speed.TimesKey{Queue: "queue", Customer: fmt.Sprintf("customer-%d", n), Image: "registry/image:1"}, time.Second, 2*time.Second)
+	}
+	l.unstoredPromises, l.changed = true, 1
+	b := &batch{}
+	b.addLearned(&l, 0)
+	if len(b.txn.Writes) != 1 {
+		t.Fatal("the record is not written")
+	}
+	next := newLearned(&shed.Promises{})
+	next.restore(b.txn.Writes[0].Value, 0)
+	slow := 0
+	for _, p := range paces {
+		if next.paces.Pace(graph.Place{Relay: p.GetRelay(), Worker: p.GetWorker(), StartUnixMS: p.GetBornMs()}, 0) > 2 {
+			slow++
+		}
+	}
+	if open := next.promises.Open(); open != 1 || slow < 5600/3/2 || b.bytes > maxLearnedBytes {
+		t.Errorf("the record of %d bytes has %d promises and %d slow workers; want 1 and at least %d", b.bytes, open, slow, 5600/3/2)
+	}
+}
