duty: promises have a row beside progress

Cause: the learned record was left out of a transaction that has 32 rows or 256 KB of progress. While each transaction is full, promises to refused callers were not stored. Change: one row is kept free while promises are to be stored, and they don't wait for the size of the progress, which bounds each value and not the transaction. Other changes wait as before. Why: a holder that ends under load would lose its promises.

--- a/duty/learned.go
+++ b/duty/learned.go
@@ -167,18 +167,25 @@
 	return list[:int(share*float64(len(list)))]
 }
 
-// addLearned adds the learned record to a transaction, if it has changed and there is room.
-// Promises are stored at once, also without progress of jobs; other changes wait for
-// learnedWritePeriod and for a transaction that stores progress anyway. The record needs no
-// condition of its own: only the holder writes it, and the transaction requires the claim.
-func (b *batch) addLearned(l *learned, now time.Duration) {
+// promisesDue reports whether promises are to be stored that the last stored record does not
+// have.
+func (l *learned) promisesDue(now time.Duration) bool {
 	if l.promises.TakeChanged() {
 		l.unstoredPromises = true
 		l.changed++
 	}
-	due := l.unstoredPromises || l.changed != l.stored && now >= l.nextWrite && len(b.writes) > 0
+	return l.unstoredPromises && now >= l.pausedUntil
+}
+
+// addLearned adds the learned record to a transaction, if it has changed and there is room.
+// Promises are stored at once, also without progress of jobs and beside much of it; other
+// changes wait for learnedWritePeriod and for a transaction that stores progress anyway. The
+// record needs no condition of its own: only the holder writes it, and the transaction requires
+// the claim.
+func (b *batch) addLearned(l *learned, now time.Duration) {
+	due := l.promisesDue(now) || l.changed != l.stored && now >= l.nextWrite && len(b.writes) > 0 && b.bytes < maxBatchBytes
 	alone := len(b.writes) == 1 && b.writes[0].job.writeAlone
-	if !due || now < l.pausedUntil || alone || b.txn.Rows() >= store.MaxTxnRows || b.bytes >= maxBatchBytes {
+	if !due || now < l.pausedUntil || alone || b.txn.Rows() >= store.MaxTxnRows {
 		return
 	}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.record(now))
--- a/duty/learned_test.go
+++ b/duty/learned_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -229,3 +230,28 @@
 		t.Errorf("the record of %d bytes has %d promises and %d slow workers; want 1 and at least %d", b.bytes, open, slow, 5600/3/2)
 	}
 }
+
+// Guards against promises that are not stored while each transaction is full of progress.
+func TestPromisesHaveRoomBesideProgress(t *testing.T) {
+	for _, spec := range []int{0, 60 << 10} {
+		st := newState(0)
+		for n := range 40 {
+			id := fmt.Sprintf("%016x", n+1)
+			st.apply(store.Event{Item: itemOf(t, JobKey(id), simpleJob(id, 1), int64(n+1))})
+			j := st.jobs[id]
+			unit := j.graph.Ready(0)[0]
+			number := j.graph.Assign(unit, []graph.Place{placeOf(1)})
+			j.graph.Task(unit.Tasks[0]).Checkpoint = strings.Repeat("c", spec)
+			j.runs[unit.Tasks[0]] = &run{run: number}
+			j.crashesDirty = n == 0
+			st.markDirty(j)
+		}
+		st.learned.promises.Restore([]*flow.Promise{{Id: jobID, ReturnUnixMs: 1}})
+		st.learned.unstoredPromises, st.learned.changed = true, 1
+		b := st.collectBatch(&Claim{}, 0)
+		b.addLearned(&st.learned, 0)
+		if rows := b.txn.Rows(); b.learned == 0 || len(b.writes) == 0 || rows > store.MaxTxnRows {
+			t.Errorf("a transaction of %d rows and %d bytes with %d jobs has the promise: %v", rows, b.bytes, len(b.writes), b.learned != 0)
+		}
+	}
+}
--- a/duty/write.go
+++ b/duty/write.go
@@ -54,6 +54,8 @@
 	txn    store.Txn
 	writes []*jobWrite
 	bytes  int
+	// keptRows is the number of rows that are kept free for the learned record.
+	keptRows int
 	// learned is the count of changes of the learned record in the transaction, or 0.
 	learned int64
 }
@@ -145,6 +147,9 @@
 // and, for jobs with new runs, while no cancellation of them is stored.
 func (st *state) collectBatch(claim *Claim, now time.Duration) *batch {
 	b := &batch{claim: claim, txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claim.Revision}}}}
+	if st.learned.promisesDue(now) {
+		b.keptRows = 1
+	}
 	var dirty []*job
 	for _, j := range st.openJobs() {
 		if j.dirty() && now >= j.refusedUntil {
@@ -170,7 +175,7 @@
 }
 
 // room returns how many rows of one more job fit.
-func (b *batch) room() int { return min(maxJobRows, store.MaxTxnRows-b.txn.Rows()) }
+func (b *batch) room() int { return min(maxJobRows, store.MaxTxnRows-b.keptRows-b.txn.Rows()) }
 
 // addWhole adds the progress of a job that is one record.
 func (b *batch) addWhole(j *job) {
