duty: promises are stored though a transaction with progress was refused

Cause: after the store refused a transaction with the learned record, the record was not tried for 60 s, though the fault may be one of a job's record. Promises to refused callers waited for it. Change: in that time promises are written by themselves, in turn with progress, until the store refuses these too. Why: promises are to be stored at once, and neither they nor progress hold up the other (go test ./duty -run PromisesAfterRefusedTransaction).

--- a/duty/learned.go
+++ b/duty/learned.go
@@ -24,8 +24,8 @@
 	// learnedWritePeriod is the least time between two writes of the learned record. A new
 	// holder loses at most what was learned in it.
 	learnedWritePeriod = 2 * time.Second
-	// learnedRefusedPause is the time for which the record is not written after the store
-	// refused a transaction with it.
+	// learnedRefusedPause is the time for which the record is not written beside progress after
+	// the store refused a transaction with it.
 	learnedRefusedPause = time.Minute
 	// maxLearnedBytes bounds the record, so that it fits into a transaction beside the progress
 	// of jobs: about 4,000 paces. What has the least evidence is left out.
@@ -52,7 +52,10 @@
 	// changed counts the changes, and stored is the count at the last stored record.
 	changed, stored int64
 	nextWrite       time.Duration // of changes that can wait
-	pausedUntil     time.Duration // after a refused write
+	// pausedUntil is set after a refused transaction with the record, and alonePausedUntil if
+	// it had nothing else. Between them promises are stored without progress, in turn with it.
+	pausedUntil, alonePausedUntil time.Duration
+	wasAlone                      bool
 }
 
 func newLearned(promises *shed.Promises) learned {
@@ -174,7 +177,14 @@
 		l.unstoredPromises = true
 		l.changed++
 	}
-	return l.unstoredPromises && now >= l.pausedUntil
+	return l.unstoredPromises && now >= l.alonePausedUntil
+}
+
+// takesTurn reports whether due promises are stored without progress in the next transaction,
+// as one with both was refused. It reports false every other time, for the progress.
+func (l *learned) takesTurn(now time.Duration) bool {
+	l.wasAlone = now < l.pausedUntil && !l.wasAlone
+	return l.wasAlone
 }
 
 // addLearned adds the learned record to a transaction, if it has changed and there is room.
@@ -185,13 +195,13 @@
 func (b *batch) addLearned(l *learned, now time.Duration) {
 	due := l.promisesDue(now) || l.changed != l.stored && now >= l.nextWrite && len(b.writes) > 0 && b.bytes < maxBatchBytes
 	alone := len(b.writes) == 1 && b.writes[0].job.writeAlone
-	if !due || now < l.pausedUntil || alone || b.txn.Rows() >= store.MaxTxnRows {
+	if !due || now < l.pausedUntil && len(b.writes) > 0 || alone || b.txn.Rows() >= store.MaxTxnRows {
 		return
 	}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.record(now))
 	if err != nil || len(value) > maxLearnedBytes {
 		klog.ErrorS(err, "duty: learned record is not written", "bytes", len(value))
-		l.pausedUntil = now + learnedRefusedPause
+		l.pausedUntil, l.alonePausedUntil = now+learnedRefusedPause, now+learnedRefusedPause
 		return
 	}
 	l.nextWrite = now + learnedWritePeriod
@@ -206,6 +216,9 @@
 	case b.learned == 0:
 	case result.refused != nil:
 		l.pausedUntil = clock.Monotonic() + learnedRefusedPause
+		if len(b.writes) == 0 {
+			l.alonePausedUntil = l.pausedUntil
+		}
 		klog.InfoS("duty: transaction with the learned record refused, it is repeated without", "rows", b.txn.Rows(), "bytes", b.bytes, "err", result.refused)
 		return true
 	case result.conflict == nil && !result.cancelled:
--- a/duty/learned_test.go
+++ b/duty/learned_test.go
@@ -255,3 +255,35 @@
 		}
 	}
 }
+
+// Guards against promises that wait for a minute as a transaction with them and a job's progress
+// was refused, and against progress that waits for a stream of promises.
+func TestPromisesAfterRefusedTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newState(0)
+		st.apply(store.Event{Item: itemOf(t, JobKey(jobID), simpleJob(jobID, 1), 1)})
+		st.markDirty(st.jobs[jobID])
+		collect := func() *batch {
+			b := st.collectBatch(&Claim{}, clock.Monotonic())
+			b.addLearned(&st.learned, clock.Monotonic())
+			return b
+		}
+		promise := func() { st.learned.unstoredPromises, st.learned.changed = true, st.learned.changed+1 }
+		promise()
+		refused := writeResult{refused: store.ErrRefused}
+		st.applyWrite(collect(), refused)
+		b := collect()
+		if b.learned == 0 || len(b.writes) > 0 {
+			t.Fatalf("after the refusal the transaction has %d jobs and the promise: %v; want the promise alone", len(b.writes), b.learned != 0)
+		}
+		st.applyWrite(b, writeResult{revision: 2})
+		promise()
+		if b := collect(); b.learned != 0 || len(b.writes) != 1 {
+			t.Errorf("the next transaction has %d jobs and the promise: %v; want the job alone", len(b.writes), b.learned != 0)
+		}
+		st.applyWrite(collect(), refused)
+		if b := collect(); b.learned != 0 || len(b.writes) != 1 {
+			t.Errorf("after the record was refused alone, the transaction has %d jobs and the promise: %v; want the job alone", len(b.writes), b.learned != 0)
+		}
+	})
+}
--- a/duty/write.go
+++ b/duty/write.go
@@ -148,6 +148,9 @@
 func (st *state) collectBatch(claim *Claim, now time.Duration) *batch {
 	b := &batch{claim: claim, txn: store.Txn{Conditions: []store.Condition{{Key: claimKey, Revision: claim.Revision}}}}
 	if st.learned.promisesDue(now) {
+		if st.learned.takesTurn(now) {
+			return b
+		}
 		b.keptRows = 1
 	}
 	var dirty []*job
