--- a/speed/fit.go
+++ b/speed/fit.go
@@ -36,14 +36,24 @@
 
 // fitting is one fit of the samples of a window.
 type fitting struct {
-	now       time.Duration
 	logTimes  []float64
 	precision []float64 // of each sample, 1/variance
 	groups    [][]int   // samples of each group with more than one worker
-	byWorker  map[graph.Place][]int
+	workers   []fittedWorker
+	workerOf  []int     // index into workers of each sample in groups
 	residual  []float64 // of each sample, without the effect of its group
-	worker    map[graph.Place]float64
-	seconds   map[graph.Place]float64 // of evidence in the window
+	values    []value   // reused
+}
+
+// fittedWorker is a worker with samples in the window.
+type fittedWorker struct {
+	place   graph.Place
+	samples []int
+	effect  float64
+	seconds float64 // of evidence in the window
+	// prior is the earlier effect, and priorWeight its weight, which falls with the time
+	// without evidence and with new evidence.
+	prior, priorWeight float64
 }
 
 // fitSamples sets the present estimates from the prior and the samples of the window.
@@ -52,40 +62,30 @@
 	f := p.newFitting(now)
 	// All estimates are in the frame of the prior until normalise moves them.
 	p.present = maps.Clone(p.prior)
-	order := make([]graph.Place, 0, len(f.byWorker))
-	for w := range f.byWorker {
-		order = append(order, w)
-	}
-	slices.SortFunc(order, func(a, b graph.Place) int {
-		return cmp.Or(cmp.Compare(a.Relay, b.Relay), cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.StartUnixMS, b.StartUnixMS))
-	})
 	for range iterations {
-		f.fitGroups(p.samples)
-		for _, w := range order {
-			f.worker[w] = f.combine(w, p.prior[w])
+		f.fitGroups()
+		for i := range f.workers {
+			f.workers[i].effect = f.combine(&f.workers[i])
 		}
 	}
-	f.fitGroups(p.samples)
-	for _, w := range order {
-		prior := p.prior[w]
+	f.fitGroups()
+	for i := range f.workers {
+		w := &f.workers[i]
 		sum := 0.0
-		for _, i := range f.byWorker[w] {
-			sum += f.precision[i]
+		for _, n := range w.samples {
+			sum += f.precision[n]
 		}
-		weight := min(maxWeight, f.seconds[w]+f.priorWeight(w, prior))
-		variance := passingNoise*passingNoise/weight + math.Pi/2/sum*f.seconds[w]/weight
-		p.present[w] = estimate{logTime: f.worker[w], weight: weight, error: math.Sqrt(variance), at: now}
+		weight := min(maxWeight, w.seconds+w.priorWeight)
+		variance := passingNoise*passingNoise/weight + math.Pi/2/sum*w.seconds/weight
+		p.present[w.place] = estimate{logTime: w.effect, weight: weight, error: math.Sqrt(variance), at: now}
 	}
 	p.measureNoise(f)
-	p.normalise(order)
+	p.normalise(f)
 }
 
 func (p *Paces) newFitting(now time.Duration) *fitting {
 	n := len(p.samples)
-	f := &fitting{
-		now: now, logTimes: make([]float64, n), precision: make([]float64, n), residual: make([]float64, n),
-		byWorker: map[graph.Place][]int{}, worker: map[graph.Place]float64{}, seconds: map[graph.Place]float64{},
-	}
+	f := &fitting{logTimes: make([]float64, n), precision: make([]float64, n), residual: make([]float64, n), workerOf: make([]int, n)}
 	byGroup := map[Group][]int{}
 	var keys []Group
 	for i := range p.samples {
@@ -101,7 +101,8 @@
 		}
 		byGroup[s.Group] = append(byGroup[s.Group], i)
 	}
-	seen := map[graph.Place]map[int64]bool{}
+	index := map[graph.Place]int{}
+	var seen []map[int64]bool
 	for _, key := range keys {
 		list := byGroup[key]
 		first := p.samples[list[0]].Worker
@@ -111,32 +112,38 @@
 		f.groups = append(f.groups, list)
 		for _, i := range list {
 			s := &p.samples[i]
-			if seen[s.Worker] == nil {
-				seen[s.Worker] = map[int64]bool{}
-				f.worker[s.Worker] = p.prior[s.Worker].logTime
+			w, ok := index[s.Worker]
+			if !ok {
+				w = len(f.workers)
+				index[s.Worker] = w
+				f.workers = append(f.workers, fittedWorker{place: s.Worker})
+				seen = append(seen, map[int64]bool{})
 			}
 			// A sample is evidence of each second of its stretch, up to the weight that counts.
 			for second := int64((s.At - min(s.Elapsed, maxWeight*time.Second)) / time.Second); second <= int64(s.At/time.Second); second++ {
-				seen[s.Worker][second] = true
+				seen[w][second] = true
 			}
-			f.byWorker[s.Worker] = append(f.byWorker[s.Worker], i)
+			f.workerOf[i] = w
+			f.workers[w].samples = append(f.workers[w].samples, i)
 		}
 	}
-	for w, seconds := range seen {
-		f.seconds[w] = float64(len(seconds))
+	for i := range f.workers {
+		w := &f.workers[i]
+		prior := p.prior[w.place]
+		w.seconds, w.effect, w.prior = float64(len(seen[i])), prior.logTime, prior.logTime
+		w.priorWeight = prior.faded(now) * math.Exp2(-w.seconds/priorHalving)
 	}
 	return f
 }
 
 // fitGroups sets the residuals of all samples from the effects of the workers.
-func (f *fitting) fitGroups(samples []Sample) {
-	var values []value
+func (f *fitting) fitGroups() {
 	for _, list := range f.groups {
-		values = values[:0]
+		f.values = f.values[:0]
 		for _, i := range list {
-			values = append(values, value{f.logTimes[i] - f.worker[samples[i].Worker], f.precision[i]})
+			f.values = append(f.values, value{f.logTimes[i] - f.workers[f.workerOf[i]].effect, f.precision[i]})
 		}
-		effect := weightedMedian(values)
+		effect := weightedMedian(f.values)
 		for _, i := range list {
 			f.residual[i] = min(maxLogTime, max(-maxLogTime, f.logTimes[i]-effect))
 		}
@@ -144,27 +151,20 @@
 }
 
 // combine returns the effect of a worker from its samples and the prior.
-func (f *fitting) combine(w graph.Place, prior estimate) float64 {
-	values := make([]value, 0, len(f.byWorker[w]))
-	for _, i := range f.byWorker[w] {
-		values = append(values, value{f.residual[i], f.precision[i]})
+func (f *fitting) combine(w *fittedWorker) float64 {
+	f.values = f.values[:0]
+	for _, i := range w.samples {
+		f.values = append(f.values, value{f.residual[i], f.precision[i]})
 	}
-	earlier := f.priorWeight(w, prior)
-	return (weightedMedian(values)*f.seconds[w] + prior.logTime*earlier) / (f.seconds[w] + earlier)
-}
-
-// priorWeight returns the weight of the prior, which falls with the time without evidence and
-// with new evidence.
-func (f *fitting) priorWeight(w graph.Place, prior estimate) float64 {
-	return prior.faded(f.now) * math.Exp2(-f.seconds[w]/priorHalving)
+	return (weightedMedian(f.values)*w.seconds + w.prior*w.priorWeight) / (w.seconds + w.priorWeight)
 }
 
 // measureNoise sets the noise from the residuals that remain, by halves with the last.
 func (p *Paces) measureNoise(f *fitting) {
 	var gang, step []value
-	for w, list := range f.byWorker {
-		for _, i := range list {
-			v := value{math.Abs(f.residual[i] - f.worker[w]), 1}
+	for _, w := range f.workers {
+		for _, i := range w.samples {
+			v := value{math.Abs(f.residual[i] - w.effect), 1}
 			if p.samples[i].Group.Gang {
 				gang = append(gang, v)
 			} else {
@@ -183,12 +183,13 @@
 
 // normalise makes the median of all workers 0, and shrinks the estimates of the workers of
 // this fit by what the spread between workers leaves to their errors.
-func (p *Paces) normalise(fitted []graph.Place) {
+func (p *Paces) normalise(f *fitting) {
 	const enough = 3 // workers
 	var values []value
+	var variances []float64
 	for _, e := range p.present {
 		if e.weight >= 1 {
-			values = append(values, value{e.logTime, 1})
+			values, variances = append(values, value{e.logTime, 1}), append(variances, e.error*e.error)
 		}
 	}
 	if len(values) < enough {
@@ -198,15 +199,17 @@
 	for w, e := range p.present {
 		e.logTime -= median
 		p.present[w] = e
-		if e.weight >= 1 {
-			spread += e.logTime * e.logTime
-			noise += e.error * e.error
-		}
+	}
+	// Sums in sorted order don't depend on the order of the map.
+	slices.Sort(variances)
+	for i, v := range values {
+		spread += (v.x - median) * (v.x - median)
+		noise += variances[i]
 	}
 	spread = max(minSpread*minSpread, (spread-noise)/float64(len(values)))
-	for _, w := range fitted {
-		e := p.present[w]
+	for i := range f.workers {
+		e := p.present[f.workers[i].place]
 		e.logTime *= spread / (spread + e.error*e.error)
-		p.present[w] = e
+		p.present[f.workers[i].place] = e
 	}
 }
--- a/speed/pace_test.go
+++ b/speed/pace_test.go
@@ -178,11 +178,14 @@
 		p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(w), Elapsed: elapsed, Percent: float64(20 - 10*w), At: time.Minute})
 	}
 	f := p.newFitting(time.Minute)
-	for w := range 3 {
-		if seconds := f.seconds[placeOf(w)]; seconds > maxWeight+1 {
-			t.Errorf("the sample of worker %d counts as %.0f s of evidence", w, seconds)
+	for _, w := range f.workers {
+		if w.seconds > maxWeight+1 {
+			t.Errorf("the sample of %v counts as %.0f s of evidence", w.place, w.seconds)
 		}
 	}
+	if len(f.workers) < 2 {
+		t.Errorf("%d workers are fitted", len(f.workers))
+	}
 	p = NewPaces()
 	p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(0), Elapsed: math.MaxInt64, Percent: 8, At: time.Minute})
 	for _, g := range p.GroupTimes(time.Minute) {
@@ -215,3 +218,20 @@
 		t.Errorf("%d estimates are kept; want those of 4 workers", len(p.prior))
 	}
 }
+
+// The largest fit: 5,600 workers and a full window of samples.
+func BenchmarkFit(b *testing.B) {
+	p := NewPaces()
+	for i := range maxSamples {
+		p.Add(Sample{
+			Group: Group{Job: fmt.Sprintf("%016x", i/13)}, Worker: placeOf(i % 5600), Elapsed: time.Second,
+			Percent: float64(10 + i%10), At: time.Duration(i%6) * time.Second,
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.changed = true
+		p.Fit(time.Second)
+		p.GroupTimes(time.Second)
+	}
+}
