--- a/duty/learned.go
+++ b/duty/learned.go
@@ -1,8 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -22,11 +24,11 @@
 	// learnedWritePeriod is the least time between two writes of the learned record. A new
 	// holder loses at most what was learned in it.
 	learnedWritePeriod = 2 * time.Second
-	// learnedRefusedPause is the time for which the record is not written after the store
-	// refused a transaction with it.
+	// learnedRefusedPause is the time for which the record is not written beside progress after
+	// the store refused a transaction with it.
 	learnedRefusedPause = time.Minute
-	// maxLearnedBytes is the size from which the record is not written, so that it fits into
-	// a transaction beside the progress of jobs.
+	// maxLearnedBytes bounds the record, so that it fits into a transaction beside the progress
+	// of jobs: about 4,000 paces. What has the least evidence is left out.
 	maxLearnedBytes = 256 << 10
 	// paceLogFactor is the factor by which a pace must change to be logged again.
 	paceLogFactor = 1.3
@@ -50,7 +52,10 @@
 	// changed counts the changes, and stored is the count at the last stored record.
 	changed, stored int64
 	nextWrite       time.Duration // of changes that can wait
-	pausedUntil     time.Duration // after a refused write
+	// pausedUntil is set after a refused transaction with the record, and alonePausedUntil if
+	// it had nothing else. Between them promises are stored without progress, in turn with it.
+	pausedUntil, alonePausedUntil time.Duration
+	wasAlone                      bool
 }
 
 func newLearned(promises *shed.Promises) learned {
@@ -147,29 +152,56 @@
 	klog.InfoS("duty: learned record read", "paces", len(record.GetPaces()), "run_times", len(record.GetRunTimes()), "promises", l.promises.Open())
 }
 
-// record returns what is to be stored.
+// record returns what is to be stored. If it is too large, the paces and run times with the
+// least evidence are left out, never promises (5,600 workers of known pace).
 func (l *learned) record(now time.Duration) *flow.Learned {
-	return &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record(), Promises: l.promises.List()}
+	r := &flow.Learned{Paces: l.paces.Record(now), RunTimes: l.times.Record(), Promises: l.promises.List()}
+	for size := proto.Size(r); size > maxLearnedBytes && len(r.Paces)+len(r.RunTimes) > 0; size = proto.Size(r) {
+		share := 0.95 * maxLearnedBytes / float64(size)
+		r.Paces, r.RunTimes = mostEvidence(r.Paces, share), mostEvidence(r.RunTimes, share)
+	}
+	return r
 }
 
-// addLearned adds the learned record to a transaction, if it has changed and there is room.
-// Promises are stored at once, also without progress of jobs; other changes wait for
-// learnedWritePeriod and for a transaction that stores progress anyway. The record needs no
-// condition of its own: only the holder writes it, and the transaction requires the claim.
-func (b *batch) addLearned(l *learned, now time.Duration) {
+// mostEvidence returns a share of a list: the elements with the largest weights, and of equal
+// ones the first.
+func mostEvidence[E interface{ GetWeight() float64 }](list []E, share float64) []E {
+	slices.SortStableFunc(list, func(a, b E) int { return cmp.Compare(b.GetWeight(), a.GetWeight()) })
+	return list[:int(share*float64(len(list)))]
+}
+
+// promisesDue reports whether promises are to be stored that the last stored record does not
+// have.
+func (l *learned) promisesDue(now time.Duration) bool {
 	if l.promises.TakeChanged() {
 		l.unstoredPromises = true
 		l.changed++
 	}
-	due := l.unstoredPromises || l.changed != l.stored && now >= l.nextWrite && len(b.writes) > 0
+	return l.unstoredPromises && now >= l.alonePausedUntil
+}
+
+// takesTurn reports whether due promises are stored without progress in the next transaction,
+// as one with both was refused. It reports false every other time, for the progress.
+func (l *learned) takesTurn(now time.Duration) bool {
+	l.wasAlone = now < l.pausedUntil && !l.wasAlone
+	return l.wasAlone
+}
+
+// addLearned adds the learned record to a transaction, if it has changed and there is room.
+// Promises are stored at once, also without progress of jobs and beside much of it; other
+// changes wait for learnedWritePeriod and for a transaction that stores progress anyway. The
+// record needs no condition of its own: only the holder writes it, and the transaction requires
+// the claim.
+func (b *batch) addLearned(l *learned, now time.Duration) {
+	due := l.promisesDue(now) || l.changed != l.stored && now >= l.nextWrite && len(b.writes) > 0 && b.bytes < maxBatchBytes
 	alone := len(b.writes) == 1 && b.writes[0].job.writeAlone
-	if !due || now < l.pausedUntil || alone || b.txn.Rows() >= store.MaxTxnRows || b.bytes >= maxBatchBytes {
+	if !due || now < l.pausedUntil && len(b.writes) > 0 || alone || b.txn.Rows() >= store.MaxTxnRows {
 		return
 	}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.record(now))
 	if err != nil || len(value) > maxLearnedBytes {
 		klog.ErrorS(err, "duty: learned record is not written", "bytes", len(value))
-		l.pausedUntil = now + learnedRefusedPause
+		l.pausedUntil, l.alonePausedUntil = now+learnedRefusedPause, now+learnedRefusedPause
 		return
 	}
 	l.nextWrite = now + learnedWritePeriod
@@ -184,6 +216,9 @@
 	case b.learned == 0:
 	case result.refused != nil:
 		l.pausedUntil = clock.Monotonic() + learnedRefusedPause
+		if len(b.writes) == 0 {
+			l.alonePausedUntil = l.pausedUntil
+		}
 		klog.InfoS("duty: transaction with the learned record refused, it is repeated without", "rows", b.txn.Rows(), "bytes", b.bytes, "err", result.refused)
 		return true
 	case result.conflict == nil && !result.cancelled:
--- a/duty/learned_test.go
+++ b/duty/learned_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"catkinpoint/clock"
 	"catkinpoint/flow"
 	"catkinpoint/graph"
+	"catkinpoint/shed"
 	"catkinpoint/speed"
 	"catkinpoint/stand/fakekv"
 	"catkinpoint/store"
@@ -194,3 +196,94 @@
 		}
 	})
 }
+
+// Guards against promises, and all that was learned, that are not stored as the record is
+// too large (5,600 workers of known pace, and run times of many customers and images).
+func TestLearnedRecordOfManyWorkersIsStored(t *testing.T) {
+	promises := &shed.Promises{}
+	promises.Restore([]*flow.Promise{{Id: jobID, ReturnUnixMs: 1}})
+	l := newLearned(promises)
+	var paces []*flow.WorkerPace
+	for n := range 5600 {
+		name := fmt.Sprintf("worker-%06d", n)
+		paces = append(paces, &flow.WorkerPace{Relay: "10.0.100.100:" + name[7:], Worker: name, BornMs: 1796000000000, LogTime: math.Log(2.4) * float64(n%3/2), Weight: 20})
+	}
+	l.paces.Restore(paces, 0)
+	for n := range 2000 {
+		l.times.Add(speed.TimesKey{Queue: "queue", Customer: fmt.Sprintf("customer-%d", n), Image: "registry/image:1"}, time.Second, 2*time.Second)
+	}
+	l.unstoredPromises, l.changed = true, 1
+	b := &batch{}
+	b.addLearned(&l, 0)
+	if len(b.txn.Writes) != 1 {
+		t.Fatal("the record is not written")
+	}
+	next := newLearned(&shed.Promises{})
+	next.restore(b.txn.Writes[0].Value, 0)
+	slow := 0
+	for _, p := range paces {
+		if next.paces.Pace(graph.Place{Relay: p.GetRelay(), Worker: p.GetWorker(), StartUnixMS: p.GetBornMs()}, 0) > 2 {
+			slow++
+		}
+	}
+	if open := next.promises.Open(); open != 1 || slow < 5600/3/2 || b.bytes > maxLearnedBytes {
+		t.Errorf("the record of %d bytes has %d promises and %d slow workers; want 1 and at least %d", b.bytes, open, slow, 5600/3/2)
+	}
+}
+
+// Guards against promises that are not stored while each transaction is full of progress.
+func TestPromisesHaveRoomBesideProgress(t *testing.T) {
+	for _, spec := range []int{0, 60 << 10} {
+		st := newState(0)
+		for n := range 40 {
+			id := fmt.Sprintf("%016x", n+1)
+			st.apply(store.Event{Item: itemOf(t, JobKey(id), simpleJob(id, 1), int64(n+1))})
+			j := st.jobs[id]
+			unit := j.graph.Ready(0)[0]
+			number := j.graph.Assign(unit, []graph.Place{placeOf(1)})
+			j.graph.Task(unit.Tasks[0]).Checkpoint = strings.Repeat("c", spec)
+			j.runs[unit.Tasks[0]] = &run{run: number}
+			j.crashesDirty = n == 0
+			st.markDirty(j)
+		}
+		st.learned.promises.Restore([]*flow.Promise{{Id: jobID, ReturnUnixMs: 1}})
+		st.learned.unstoredPromises, st.learned.changed = true, 1
+		b := st.collectBatch(&Claim{}, 0)
+		b.addLearned(&st.learned, 0)
+		if rows := b.txn.Rows(); b.learned == 0 || len(b.writes) == 0 || rows > store.MaxTxnRows {
+			t.Errorf("a transaction of %d rows and %d bytes with %d jobs has the promise: %v", rows, b.bytes, len(b.writes), b.learned != 0)
+		}
+	}
+}
+
+// Guards against promises that wait for a minute as a transaction with them and a job's progress
+// was refused, and against progress that waits for a stream of promises.
+func TestPromisesAfterRefusedTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newState(0)
+		st.apply(store.Event{Item: itemOf(t, JobKey(jobID), simpleJob(jobID, 1), 1)})
+		st.markDirty(st.jobs[jobID])
+		collect := func() *batch {
+			b := st.collectBatch(&Claim{}, clock.Monotonic())
+			b.addLearned(&st.learned, clock.Monotonic())
+			return b
+		}
+		promise := func() { st.learned.unstoredPromises, st.learned.changed = true, st.learned.changed+1 }
+		promise()
+		refused := writeResult{refused: store.ErrRefused}
+		st.applyWrite(collect(), refused)
+		b := collect()
+		if b.learned == 0 || len(b.writes) > 0 {
+			t.Fatalf("after the refusal the transaction has %d jobs and the promise: %v; want the promise alone", len(b.writes), b.learned != 0)
+		}
+		st.applyWrite(b, writeResult{revision: 2})
+		promise()
+		if b := collect(); b.learned != 0 || len(b.writes) != 1 {
+			t.Errorf("the next transaction has %d jobs and the promise: %v; want the job alone", len(b.writes), b.learned != 0)
+		}
+		st.applyWrite(collect(), refused)
+		if b := collect(); b.learned != 0 || len(b.writes) != 1 {
+			t.Errorf("after the record was refused alone, the transaction has %d jobs and the promise: %v; want the job alone", len(b.writes), b.learned != 0)
+		}
+	})
+}
--- a/plan/pace.go
+++ b/plan/pace.go
@@ -17,6 +17,9 @@
 	// guaranteedPaceWait is how long a guaranteed unit avoids workers for their pace. It is
 	// a fraction of the time in which a guarantee must take effect.
 	guaranteedPaceWait = time.Second
+	// urgentPaceWait is how long any other unit avoids workers for their pace. A job may not
+	// wait for 3 s while there is room for it, on slow workers too.
+	urgentPaceWait = 2 * time.Second
 	// overheadMargin is the time from a decision until the start of a unit and from its end
 	// until its caller knows, which both count.
 	overheadMargin = 400 * time.Millisecond
@@ -33,8 +36,12 @@
 	return 1
 }
 
-// durationOn returns the expected run time of a task of the unit on a worker.
+// durationOn returns the expected run time of a task of the unit on a worker. Among workers
+// of like pace it is the same on all.
 func (s *state) durationOn(r *Request, w int) time.Duration {
+	if !s.uneven {
+		return r.Duration
+	}
 	return time.Duration(float64(r.Duration) * s.pace(w))
 }
 
@@ -75,10 +82,14 @@
 // paceLimit returns the pace from which the unit does not take a worker (urgent gangs while
 // a third of the workers takes twice as long). It is infinite for units that cannot preempt,
 // as nothing says when they would get a faster worker; for a unit that would miss its
-// objective anyway; for a guaranteed one that has waited; and if the faster workers could
-// never hold the unit.
+// objective anyway; for one that has waited; and if the faster workers could never hold the
+// unit.
 func (s *state) paceLimit(r *Request) float64 {
-	if !s.uneven || !r.mayPreempt() || r.Guaranteed && r.ReadyFor > guaranteedPaceWait {
+	wait := urgentPaceWait
+	if r.Guaranteed {
+		wait = guaranteedPaceWait
+	}
+	if !s.uneven || !r.mayPreempt() || r.ReadyFor > wait {
 		return math.Inf(1)
 	}
 	limit, ok := s.paceLimits[r]
--- a/plan/pace_test.go
+++ b/plan/pace_test.go
@@ -150,3 +150,35 @@
 		t.Errorf("late are %v with known paces and %v without", known.late, unknown.late)
 	}
 }
+
+// Guards against an urgent job that waits for a fast worker for longer than a job may wait
+// while there is room (long urgent jobs while urgent ones hold all fast workers).
+func TestUrgentUnitTakesSlowWorkerInTime(t *testing.T) {
+	for _, slack := range []time.Duration{2 * time.Second, 8 * time.Second, 14 * time.Second} {
+		in := Input{Workers: unevenWorkers(2.4)}
+		for i := range in.Workers[:4] {
+			in.Workers[i].Free.Accelerators = 0
+		}
+		j := newJob("0000000000000001", 0, &flow.Step{Count: 1, Cpu: 100, Accelerators: 8, EstimateMs: 15000})
+		in.Requests = readyRequests(j, func(r *Request) {
+			r.Slack, r.ReadyFor, r.Duration = slack, 2500*time.Millisecond, 15*time.Second
+		})
+		if d := Decide(in); len(d.Starts) != 1 {
+			t.Errorf("with a slack of %v the unit waits after 2.5s", slack)
+		}
+	}
+}
+
+// Guards against times on workers that are alike which move reservations (paces of 0.8 to 1.3).
+func TestLikePacesKeepReservations(t *testing.T) {
+	for _, pace := range []float64{0, 0.8, 1, 1.3} {
+		in := Input{Workers: unevenWorkers(1)[:1]}
+		in.Workers[0].Pace = pace
+		s := newState(in)
+		j := newJob("0000000000000001", 1, &flow.Step{Count: 1, Cpu: 100, Accelerators: 8, EstimateMs: 2000})
+		r := readyRequests(j, func(r *Request) { r.Duration = 2 * time.Second })
+		if d := s.durationOn(&r[0], 0); d != 2*time.Second {
+			t.Errorf("with a pace of %v the time is %v; want 2s", pace, d)
+		}
+	}
+}
--- a/speed/pace.go
+++ b/speed/pace.go
@@ -20,6 +20,8 @@
 	// minWeight is the evidence, in seconds, from which a pace counts. A worker that is
 	// slow for a shorter time is not yet told from a lastingly slow one.
 	minWeight = 2
+	// minKeptWeight is the evidence, in seconds, below which an estimate is dropped.
+	minKeptWeight = 0.5
 	// maxWeight bounds the weight of an estimate, so that a change is followed.
 	maxWeight = 20
 	// priorHalving is the new evidence, in seconds, that halves the weight of the prior.
@@ -45,6 +47,9 @@
 	// minSpread is the least standard deviation between workers for which estimates are
 	// not shrunk to nothing.
 	minSpread = 0.03
+	// maxStretch bounds the stretch of a sample. Lists come several times a second, so that a
+	// longer one shows a clock that has jumped.
+	maxStretch = 24 * time.Hour
 	// maxSamples bounds the samples of a window.
 	maxSamples = 8192
 )
@@ -103,9 +108,9 @@
 	return &Paces{prior: map[graph.Place]estimate{}, present: map[graph.Place]estimate{}, gangNoise: 0.1, stepNoise: 0.3}
 }
 
-// Add adds a sample.
+// Add adds a sample. One whose stretch is empty or longer than maxStretch is ignored.
 func (p *Paces) Add(s Sample) {
-	if s.Elapsed <= 0 || len(p.samples) >= maxSamples {
+	if s.Elapsed <= 0 || s.Elapsed > maxStretch || len(p.samples) >= maxSamples {
 		return
 	}
 	p.samples = append(p.samples, s)
@@ -171,7 +176,7 @@
 func (p *Paces) Record(now time.Duration) []*flow.WorkerPace {
 	var list []*flow.WorkerPace
 	for w, e := range p.present {
-		if weight := e.faded(now); weight >= 0.5 {
+		if weight := e.faded(now); weight >= minKeptWeight {
 			list = append(list, &flow.WorkerPace{Relay: w.Relay, Worker: w.Worker, BornMs: w.StartUnixMS, LogTime: e.logTime, Weight: weight})
 		}
 	}
--- a/speed/pace_test.go
+++ b/speed/pace_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"catkinpoint/flow"
 	"catkinpoint/graph"
 )
 
@@ -144,3 +145,93 @@
 		t.Errorf("paces of a worker that restarted are %.2f and %.2f; want 1", a, b)
 	}
 }
+
+// Guards against estimates of workers without samples that move again with each fit of a window
+// (new workers shift the median while others are idle).
+func TestPacesWithoutSamplesStay(t *testing.T) {
+	p := NewPaces()
+	var list []*flow.WorkerPace
+	for w, logTime := range []float64{-0.5, -0.5, -0.5, 0, 0.5, 0.5} {
+		place := placeOf(w)
+		list = append(list, &flow.WorkerPace{Relay: place.Relay, Worker: place.Worker, BornMs: place.StartUnixMS, LogTime: logTime, Weight: 10})
+	}
+	p.Restore(list, 0)
+	for second := range time.Duration(5) {
+		now := (second + 1) * time.Second
+		for _, w := range []int{0, 1, 2, 6, 7} {
+			p.Add(Sample{Group: Group{Job: "j", Gang: true}, Worker: placeOf(w), Elapsed: time.Second, Percent: 20, At: now})
+		}
+		p.Fit(now)
+	}
+	for w, want := range map[int]float64{3: math.Exp(0.5), 4: math.Exp(1), 5: math.Exp(1)} {
+		if pace := p.Pace(placeOf(w), 5*time.Second); math.Abs(math.Log(pace/want)) > 0.05 {
+			t.Errorf("pace of worker %d without samples is %.2f; want %.2f", w, pace, want)
+		}
+	}
+}
+
+// Guards against a fit whose cost and evidence grow with the length of a stretch, and a time
+// that overflows (a clock that jumps by years, or a run that is not listed for long).
+func TestLongStretches(t *testing.T) {
+	p := NewPaces()
+	for w, elapsed := range []time.Duration{time.Second, 10 * time.Hour, math.MaxInt64} {
+		p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(w), Elapsed: elapsed, Percent: float64(20 - 10*w), At: time.Minute})
+	}
+	f := p.newFitting(time.Minute)
+	for _, w := range f.workers {
+		if w.seconds > maxWeight+1 {
+			t.Errorf("the sample of %v counts as %.0f s of evidence", w.place, w.seconds)
+		}
+	}
+	if len(f.workers) < 2 {
+		t.Errorf("%d workers are fitted", len(f.workers))
+	}
+	p = NewPaces()
+	p.Add(Sample{Group: Group{Job: "j"}, Worker: placeOf(0), Elapsed: math.MaxInt64, Percent: 8, At: time.Minute})
+	for _, g := range p.GroupTimes(time.Minute) {
+		if g.Took <= 0 {
+			t.Errorf("the time of the group is %v", g.Took)
+		}
+	}
+}
+
+// Guards against a faded estimate that a little new evidence brings back, and against
+// estimates of workers that have gone and are kept for ever.
+func TestFadedPacesEnd(t *testing.T) {
+	gone := graph.Place{Relay: "gone", Worker: "w"}
+	p := NewPaces()
+	p.Restore([]*flow.WorkerPace{
+		{Relay: placeOf(0).Relay, Worker: placeOf(0).Worker, BornMs: placeOf(0).StartUnixMS, LogTime: 0.9, Weight: 20},
+		{Relay: gone.Relay, Worker: gone.Worker, LogTime: 0.9, Weight: 20},
+	}, 0)
+	for second := range 8 * time.Second / time.Second {
+		now := 2*time.Hour + second*time.Second
+		for w := range 4 {
+			p.Add(Sample{Group: Group{Job: "j", Gang: true}, Worker: placeOf(w), Elapsed: time.Second, Percent: 20, At: now})
+		}
+		p.Fit(now)
+		if pace := p.Pace(placeOf(0), now); pace != 1 {
+			t.Errorf("pace is %.2f after two hours without evidence and %d s of that of an equal worker; want 1", pace, second+1)
+		}
+	}
+	if _, kept := p.present[gone]; kept || len(p.prior) != 4 {
+		t.Errorf("%d estimates are kept; want those of 4 workers", len(p.prior))
+	}
+}
+
+// The largest fit: 5,600 workers and a full window of samples.
+func BenchmarkFit(b *testing.B) {
+	p := NewPaces()
+	for i := range maxSamples {
+		p.Add(Sample{
+			Group: Group{Job: fmt.Sprintf("%016x", i/13)}, Worker: placeOf(i % 5600), Elapsed: time.Second,
+			Percent: float64(10 + i%10), At: time.Duration(i%6) * time.Second,
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.changed = true
+		p.Fit(time.Second)
+		p.GroupTimes(time.Second)
+	}
+}
