duty: a flood of questions for admission does not delay decisions

Cause: each question took a forecast and a trial decision on the scheduler's goroutine, also when the gate had stopped waiting 150 ms after it asked, and a batch of up to 4096 questions ran before the next decision on placement. A question that was decided late could promise room to a caller that was never told so. Change: a question whose context has ended is not decided; at most 25 jobs are forecast in 250 ms and others are admitted; a caller with a promise is answered without a forecast. Why: a missed refusal costs less than a guaranteed job that starts late.

--- a/duty/admit.go
+++ b/duty/admit.go
@@ -20,6 +20,12 @@
 // have not reported to it yet look lost.
 const admissionSettleTime = 5 * time.Second
 
+// maxForecasts is how many jobs are measured by a forecast in a planPeriod; any others are
+// admitted. With 60 full workers and 150 waiting jobs, these take the scheduler's goroutine a
+// third of the period at most (see BenchmarkDecide of packages shed and plan), so that a flood
+// of questions does not delay decisions on placement.
+const maxForecasts = 25
+
 // admission is what the scheduler needs to decide on the admission of jobs.
 type admission struct {
 	promises shed.Promises
@@ -29,6 +35,9 @@
 	// unitsWait is set if the last decision on placement left units waiting.
 	unitsWait  bool
 	nextUpdate time.Duration
+	// forecasts is the number of jobs measured since forecastsSince, for at most a planPeriod.
+	forecasts      int
+	forecastsSince time.Duration
 	// arrivals are the last jobs that became known, at most maxArrivals.
 	arrivals []arrival
 }
@@ -52,6 +61,15 @@
 	a.arrivals = append(a.arrivals, arrival{at: submitted, spec: spec})
 }
 
+// mayForecast counts a job that is to be measured by a forecast and reports whether it may be.
+func (a *admission) mayForecast(now time.Duration) bool {
+	if now-a.forecastsSince >= planPeriod {
+		a.forecasts, a.forecastsSince = 0, now
+	}
+	a.forecasts++
+	return a.forecasts <= maxForecasts
+}
+
 // recentArrivals returns the arrivals of the last shed.ArrivalMemory and forgets the others.
 func (st *state) recentArrivals(now time.Duration) []arrival {
 	a := &st.admission
@@ -74,14 +92,15 @@
 }
 
 // Admit decides whether a job that is not stored yet is to be accepted. It fails with
-// ErrNotHolder if the claim is not valid.
+// ErrNotHolder if the claim is not valid, and decides nothing once ctx has ended, as the gate has
+// then stored the job.
 func (s *Scheduler) Admit(ctx context.Context, spec *flow.Job) (*flow.AdmissionAnswer, error) {
 	if err := graph.Check(spec); err != nil {
 		return nil, fmt.Errorf("deciding on admission: %w", err)
 	}
 	var answer *flow.AdmissionAnswer
 	err := s.stateOwner.Do(ctx, func(st *state) {
-		if s.claim.Valid() && st.loaded && !st.superseded {
+		if ctx.Err() == nil && s.claim.Valid() && st.loaded && !st.superseded {
 			answer = st.admit(s, spec, clock.Monotonic())
 		}
 	})
@@ -89,6 +108,9 @@
 		return nil, fmt.Errorf("deciding on admission: %w", err)
 	}
 	if answer == nil {
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("deciding on admission: %w", ctx.Err())
+		}
 		return nil, ErrNotHolder
 	}
 	answer.Shortage = s.Shortage()
@@ -127,6 +149,12 @@
 	case st.guaranteeCovers(table, spec):
 		return shed.Decision{Admitted: true, Reason: "guaranteed"}
 	}
+	if d, ok := promises.Answer(spec.GetId(), unixMS); ok {
+		return d
+	}
+	if !st.admission.mayForecast(now) {
+		return shed.Decision{Admitted: true, Reason: "too many questions at once"}
+	}
 	st.updateLoads(s, table, now)
 	load := st.admission.loads[spec.GetService()]
 	if load == nil {
--- a/duty/admit_test.go
+++ b/duty/admit_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -99,6 +100,38 @@
 	})
 }
 
+// Guards against a flood of questions that keeps the scheduler from its decisions: questions
+// whose gate no longer waits are not decided, and of many at once only some are measured by a
+// forecast. A caller with a promise is still answered by it.
+func TestFloodOfQuestions(t *testing.T) {
+	refuseLate(t)
+	synctest.Test(t, func(t *testing.T) {
+		b := newBusyHarness(t, fakekv.New(), 2, 6*time.Second)
+		short := func(n int) *flow.Job {
+			return wholeWorkerJob(fmt.Sprintf("%016x", 0xb00+n), "x", 1, 500*time.Millisecond)
+		}
+		b.scheduler.stateOwner.Post(func(*state) { time.Sleep(200 * time.Millisecond) })
+		ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+		defer cancel()
+		if answer, err := b.scheduler.Admit(ctx, short(0)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("question that was asked 200 ms ago: %v, %v; want no decision", answer, err)
+		}
+		b.keepReporting(2, time.Second)
+		refused := 0
+		for n := range 2 * maxForecasts {
+			if !b.ask(short(1 + n)).GetAdmitted() {
+				refused++
+			}
+		}
+		if refused == 0 || refused > maxForecasts {
+			t.Errorf("%d of %d jobs at once are refused; want %d at most", refused, 2*maxForecasts, maxForecasts)
+		}
+		if answer := b.ask(short(1)); answer.GetAdmitted() {
+			t.Errorf("caller that returns early in a flood: %v; want the promised time", answer)
+		}
+	})
+}
+
 // Guards against promises that end with their holder, and against a holder that cannot start
 // or refuses at once because their record is missing or damaged.
 func TestPromisesSurviveHandover(t *testing.T) {
--- a/shed/decide.go
+++ b/shed/decide.go
@@ -59,11 +59,8 @@
 // Decide decides on a job at a time in Unix milliseconds. It adds a promise if it refuses the
 // job and promises when it may return.
 func Decide(l *Load, q Question, promises *Promises, nowUnixMS int64) Decision {
-	switch returning, left := promises.take(q.Job.GetId(), nowUnixMS); returning {
-	case returnsInTime:
-		return Decision{Admitted: true, Promised: true, Reason: "returned at the promised time"}
-	case returnsEarly:
-		return Decision{RetryAfter: left, Wait: left, Reason: fmt.Sprintf("returned before the promised time, room is expected in %v", rounded(left))}
+	if d, ok := promises.Answer(q.Job.GetId(), nowUnixMS); ok {
+		return d
 	}
 	if q.StartsNow || !l.known() || len(q.Steps) == 0 {
 		return Decision{Admitted: true, Reason: "starts now, or no forecast"}
@@ -104,6 +101,18 @@
 	return d
 }
 
+// Answer returns the decision on a job whose caller returns before or at the time promised to
+// it, which takes no forecast, and false for any other job.
+func (p *Promises) Answer(id string, nowUnixMS int64) (Decision, bool) {
+	switch returning, left := p.take(id, nowUnixMS); returning {
+	case returnsInTime:
+		return Decision{Admitted: true, Promised: true, Reason: "returned at the promised time"}, true
+	case returnsEarly:
+		return Decision{RetryAfter: left, Wait: left, Reason: fmt.Sprintf("returned before the promised time, room is expected in %v", rounded(left))}, true
+	}
+	return Decision{}, false
+}
+
 // expectation is when a job starts and ends, at the earliest if not all of it starts in the time
 // that was asked for. Both are unknown if the forecast would take too long.
 type expectation struct {
