plan: a unit that fits nowhere keeps no starving unit from its turn

Cause: in a shortage the one unit that had waited longest went first, also if it fitted on no usable worker or served another service. As long as it waited, no other unit beyond the starvation bound got its turn, and these could wait for ever. Change: the turn is given per service, to the unit that has waited longest of those that would fit on the usable workers if these were empty. Why: TestStarvingUnitFits fails without it for a gang that is too wide, a label that no worker has and a unit of another service.

--- a/plan/order.go
+++ b/plan/order.go
@@ -52,22 +52,24 @@
 	// waiting is the work of an occurrence that has not started, in core-equivalent
 	// seconds, and worth what the whole of it is worth; see Worth.
 	waiting, worth map[occurrence]float64
-	// starving is the request that has waited longest, if it exceeds the starvation bound.
-	starving *Request
+	// starving has, for each service, the request that has waited longest of those that
+	// exceed the starvation bound and would fit on empty workers.
+	starving map[string]*Request
 }
 
 // newCostOrder returns the order for the input, or nil if room is not short.
 func newCostOrder(in *Input) *costOrder {
-	o := &costOrder{shortage: findShortage(in), waiting: map[occurrence]float64{}, worth: map[occurrence]float64{}}
+	o := &costOrder{shortage: findShortage(in), waiting: map[occurrence]float64{}, worth: map[occurrence]float64{}, starving: map[string]*Request{}}
 	if o.shortage == nil {
 		return nil
 	}
 	for i := range in.Requests {
 		r := &in.Requests[i]
-		if starves(r) && (o.starving == nil || r.ReadyFor > o.starving.ReadyFor) {
-			o.starving = r
-		}
 		key := r.occurrence()
+		service := key.job.Spec.GetService()
+		if longest := o.starving[service]; starves(r) && (longest == nil || r.ReadyFor > longest.ReadyFor) && fitsEmptyWorkers(in.Workers, r) {
+			o.starving[service] = r
+		}
 		if _, ok := o.waiting[key]; ok {
 			continue
 		}
@@ -150,7 +152,7 @@
 }
 
 // class returns the precedence of a request, the lowest first: guaranteed units, the
-// starving unit, urgent ones whose result can still be of use, and all others.
+// starving unit of each service, urgent ones whose result can still be of use, and all others.
 func (o *costOrder) class(r *Request) int {
 	switch {
 	case r.Guaranteed:
@@ -190,7 +192,8 @@
 func (o *costOrder) mayReserve(r *Request) bool { return r.useful() || o.isStarving(r) }
 
 func (o *costOrder) isStarving(r *Request) bool {
-	return o.starving != nil && r.Unit.Job == o.starving.Unit.Job && r.Unit.Tasks[0] == o.starving.Unit.Tasks[0]
+	starving := o.starving[r.Unit.Job.Spec.GetService()]
+	return starving != nil && sameUnit(starving.Unit, r.Unit)
 }
 
 func (r *Request) occurrence() occurrence {
@@ -206,6 +209,25 @@
 	return r.ReadyFor > max(starvationWait, starvationFactor*useful)
 }
 
+// fitsEmptyWorkers reports whether the unit would fit if no run held room on the workers that
+// are usable now. A unit that does not must not keep its turn from others.
+func fitsEmptyWorkers(workers []Worker, r *Request) bool {
+	step, tasks := r.Unit.Step, int64(0)
+	for i := range workers {
+		w := &workers[i]
+		label := step.GetRequiredLabel()
+		if !w.Usable || w.Service != r.Unit.Job.Spec.GetService() || label != "" && !w.hasLabel(label) {
+			continue
+		}
+		fit := w.Capacity.maxTasks(r.Need)
+		if limit := int64(step.GetMaxPerWorker()); limit > 0 {
+			fit = min(fit, limit)
+		}
+		tasks += fit
+	}
+	return tasks >= int64(len(r.Unit.Tasks))
+}
+
 // reserveApart is like reserveEarliest, without the resources that are reserved for other
 // units at any time. In a shortage several gangs wait for the same workers, and with
 // reservations that overlap in time only the first of them would get its room. It reports
--- a/plan/order_test.go
+++ b/plan/order_test.go
@@ -197,3 +197,32 @@
 		}
 	}
 }
+
+// Guards against a unit that fits on no worker, even an empty one, and a unit of another
+// service, that keep others which exceed the starvation bound from their turn.
+func TestStarvingUnitFits(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*flow.Job)
+	}{
+		{"too wide", func(j *flow.Job) { j.Steps[0].Count, j.Steps[0].Gang = 2, true }},
+		{"label", func(j *flow.Job) { j.Steps[0].RequiredLabel = "none" }},
+		{"other service", func(j *flow.Job) { j.Service = "other" }},
+	} {
+		in := Input{Workers: []Worker{newWorker(1, "r1")}, OrderByCost: true}
+		add := func(id string, priority int32, wait, slack time.Duration, change func(*flow.Job)) {
+			j := withObjective(newJob(id, priority, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000}), 1, time.Second)
+			change(j.Spec)
+			j = graph.New(j.Spec, nil)
+			in.Requests = append(in.Requests, readyRequests(j, func(r *Request) { r.Slack, r.DeadlineSlack, r.ReadyFor = slack, slack+time.Second, wait })...)
+		}
+		add("0000000000000001", 2, 80*time.Second, -time.Minute, c.change)
+		add("0000000000000002", 2, 70*time.Second, -time.Minute, func(*flow.Job) {})
+		for n := range 20 {
+			add(fmt.Sprintf("%016x", 16+n), 1, 0, time.Second, func(*flow.Job) {})
+		}
+		if d := Decide(in); d.Shortage == nil || len(d.Starts) != 1 || d.Starts[0].Unit.Job.Spec.GetId() != "0000000000000002" {
+			t.Errorf("%s: shortage %v, starts %+v; want the job that has waited longest of those that fit", c.name, d.Shortage, d.Starts)
+		}
+	}
+}
