plan: in a shortage a run that lasts is of use at any age

Cause: the cost of a stop counted the lost work of a run whose job is older than three objectives at a quarter, also for a step that lasts, which is of use until it ends and counts as such while it waits. Such runs were stopped first. Change: the whole worth of a run that lasts is at stake, as for its waiting units. Why: TestLongRunningIsOfUse fails without it.

--- a/plan/order.go
+++ b/plan/order.go
@@ -141,6 +141,9 @@
 	if useful+run.Unsaved > 0 {
 		share += LateShare * o.tooLate(useful)
 	}
+	if run.Job.Step(run.Ref).GetLongRunning() {
+		share = 1 // of use until it ends; see stake
+	}
 	if share == 0 {
 		return uselessWorkWeight * lost
 	}
--- a/plan/order_test.go
+++ b/plan/order_test.go
@@ -226,3 +226,22 @@
 		}
 	}
 }
+
+// Guards against stops of a run that lasts, which is of use until it ends, as if it were of no
+// use any more because its job is older than three objectives.
+func TestLongRunningIsOfUse(t *testing.T) {
+	workers := []Worker{newWorker(1, "r1"), newWorker(2, "r1")}
+	in := Input{OrderByCost: true, Running: []Running{
+		newRunning(&workers[0], "0000000000000001", 2, func(r *Running) { r.Unsaved, r.SlackAfterStop = 2*time.Second, -time.Hour }),
+		newRunning(&workers[1], "0000000000000002", 2, func(r *Running) { r.Unsaved, r.SlackAfterStop = 2*time.Second, -time.Hour }),
+	}}
+	in.Workers = workers
+	in.Running[0].Job.Step(in.Running[0].Ref).LongRunning = true
+	urgent := newJob("00000000000000ff", 0, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+	in.Requests = readyRequests(urgent, func(r *Request) { r.Slack = time.Second })
+	waiting := newJob("00000000000000fe", 2, &flow.Step{Count: 9, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+	in.Requests = append(in.Requests, readyRequests(waiting, nil)...)
+	if d := Decide(in); d.Shortage == nil || len(d.Stops) != 1 || d.Stops[0].Place.Worker != "w2" {
+		t.Errorf("shortage %v, stops %+v; want the run on w2", d.Shortage, d.Stops)
+	}
+}
