plan: a service without usable workers makes no shortage for others

Cause: the waiting work of a service without usable workers counted as a backlog of up to an hour, and the backlog and the order apply to all services. The loss of the workers of one service so changed the order, stops and reservations of the others, with a wrong backlog. Change: such work does not count, as no order lets it start. Why: TestServiceWithoutWorkers fails without it.

--- a/plan/order.go
+++ b/plan/order.go
@@ -297,6 +297,9 @@
 			found.Late++
 		}
 		service := r.Unit.Job.Spec.GetService()
+		if capacity[service] == (Resources{}) {
+			continue // no worker takes a start, in any order
+		}
 		l := loads[service]
 		work := r.Need.shareOf(capacity[service]) * r.Duration.Seconds() * float64(len(r.Unit.Tasks))
 		l.backlog += work
--- a/plan/order_test.go
+++ b/plan/order_test.go
@@ -245,3 +245,15 @@
 		t.Errorf("shortage %v, stops %+v; want the run on w2", d.Shortage, d.Stops)
 	}
 }
+
+// Guards against a shortage, and a backlog of an hour, for all services as one has lost its
+// workers.
+func TestServiceWithoutWorkers(t *testing.T) {
+	in := Input{Workers: []Worker{newWorker(1, "r1")}, OrderByCost: true}
+	j := withObjective(newJob("0000000000000001", 2, &flow.Step{Count: 30, Cpu: 1000, Accelerators: 8, EstimateMs: 5000}), 1, time.Second)
+	j.Spec.Service = "other"
+	in.Requests = readyRequests(j, nil)
+	if d := Decide(in); d.Shortage != nil {
+		t.Errorf("shortage %+v; want none", d.Shortage)
+	}
+}
