shed: a job that lasts is admitted

Cause: a job with a step that lasts was refused if it would start after three objectives, but package plan counts it as of use whenever it starts. Change: such a job is admitted. Why: TestLongRunningJobIsAdmitted fails without it.

--- a/shed/decide.go
+++ b/shed/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"catkinpoint/flow"
@@ -65,6 +66,9 @@
 	if q.StartsNow || !l.known() || len(q.Steps) == 0 {
 		return Decision{Admitted: true, Reason: "starts now, or no forecast"}
 	}
+	if slices.ContainsFunc(q.Job.GetSteps(), (*flow.Step).GetLongRunning) {
+		return Decision{Admitted: true, Reason: "lasts, so that it is of use whenever it starts"}
+	}
 	chain := time.Duration(graph.CriticalPathMS(q.Job)) * time.Millisecond
 	useful := usefulFactor * time.Duration(graph.ObjectiveMS(q.Job)) * time.Millisecond
 	// A job that has not started by then ends too late also by the least that it takes.
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// Guards against the refusal of a job that lasts, as if it were of no use after three objectives.
+func TestLongRunningJobIsAdmitted(t *testing.T) {
+	job := testJob("a", 0, 1, 500*time.Millisecond)
+	job.Steps[0].LongRunning = true
+	if d := Decide(busyLoad(8, 5*time.Second), questionOf(job), &Promises{}, 1000); !d.Admitted {
+		t.Errorf("%+v; want the job admitted", d)
+	}
+}
+
 // Guards against room that is promised twice, against callers that gain by returning early or
 // more often, and against callers that return in time and are refused.
 func TestPromises(t *testing.T) {
