shed: a forecast is bounded while many units start at once

Cause: maxChecks was looked at only between two times of the forecast. 20,000 waiting units of a thousandth of a core on 400 workers took 8,000,000 tests of a worker for room, 0.25 s on the scheduler's goroutine (TestChecksAreBounded without the change). Change: it is looked at for each unit.

--- a/shed/forecast.go
+++ b/shed/forecast.go
@@ -248,10 +248,10 @@
 	}
 }
 
-// startGroup starts the units of a group that fit now.
+// startGroup starts the units of a group that fit now, until the forecast has taken maxChecks.
 func (s *simulation) startGroup(i int) {
 	g := &s.groups[i]
-	for g.units > 0 {
+	for g.units > 0 && s.checks <= maxChecks {
 		w := s.fullest(g)
 		if w < 0 {
 			return
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// Guards against a forecast that goes far beyond maxChecks, as thousands of small units
+// start at once.
+func TestChecksAreBounded(t *testing.T) {
+	load := &Load{Workers: testWorkers(400)}
+	for range 20 {
+		job := testJob("w", 1, 10000, time.Second)
+		job.Steps[0].Gang, job.Steps[0].Cpu, job.Steps[0].MemoryMb, job.Steps[0].Accelerators = false, 1, 1, 0
+		r := requestOf(job, 0)
+		r.Unit.Tasks = r.Unit.Tasks[:1]
+		for range 1000 {
+			load.Waiting = append(load.Waiting, r)
+		}
+	}
+	groups := groupsOf(load.Waiting)
+	s := newSimulation(load, groups)
+	s.run(0, len(groups), Horizon)
+	if s.checks > maxChecks+10*len(load.Workers) {
+		t.Errorf("%d tests of a worker for room; want about %d at most", s.checks, maxChecks)
+	}
+}
+
 // Guards against room that is promised twice, against callers that gain by returning early or
 // more often, and against callers that return in time and are refused.
 func TestPromises(t *testing.T) {
