gate: a late link to a lost holder does not end that to the present one

Cause: a question that dialed the last holder and got its link late replaced, and so closed, the link over which others asked the present holder; and two questions that dialed at the same time could each see none and close the other's link. Their jobs were stored without an answer. Change: the check and the replacement are under one lock, and a link that was dialed before the present one does not replace it. Why: TestHolderLinkIsKept fails without the comparison.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -187,6 +187,8 @@
 	mu   sync.Mutex
 	addr netip.AddrPort
 	conn *link.Conn
+	// dials is the number of links that were dialed, and connNumber which of them conn is.
+	dials, connNumber int64
 }
 
 // AskAdmission asks the holder at an address whether a job is admitted.
@@ -208,13 +210,17 @@
 	if conn := h.openConn(addr); conn != nil {
 		return conn, nil
 	}
+	h.mu.Lock()
+	h.dials++
+	n := h.dials
+	h.mu.Unlock()
 	opened := make(chan error, 1)
 	go func() {
 		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), forwardTimeout)
 		defer cancel()
 		conn, err := link.Dial(dialCtx, nil, addr)
 		if err == nil {
-			h.replace(addr, conn)
+			h.replace(n, addr, conn)
 		}
 		opened <- err
 	}()
@@ -236,6 +242,11 @@
 func (h *HolderLink) openConn(addr netip.AddrPort) *link.Conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.openConnLocked(addr)
+}
+
+// openConnLocked is openConn for a caller that holds the lock.
+func (h *HolderLink) openConnLocked(addr netip.AddrPort) *link.Conn {
 	if h.conn == nil || h.addr != addr {
 		return nil
 	}
@@ -247,17 +258,18 @@
 	}
 }
 
-// replace makes conn the link to an address and closes the one before, unless another question
-// has opened one to it meanwhile.
-func (h *HolderLink) replace(addr netip.AddrPort, conn *link.Conn) {
-	if h.openConn(addr) != nil {
+// replace makes conn, which was dialed as the nth link, the link to an address and closes the
+// one before. It closes conn instead if another question has opened a link to the address
+// meanwhile, or one that was dialed later: the holder has changed.
+func (h *HolderLink) replace(n int64, addr netip.AddrPort, conn *link.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n < h.connNumber || h.openConnLocked(addr) != nil {
 		conn.Close()
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if h.conn != nil {
 		h.conn.Close()
 	}
-	h.addr, h.conn = addr, conn
+	h.addr, h.conn, h.connNumber = addr, conn, n
 }
--- a/gate/admit_test.go
+++ b/gate/admit_test.go
@@ -201,3 +201,30 @@
 		t.Errorf("question to the lost holder: %v; want an error of the link", err)
 	}
 }
+
+// Guards against a link to the lost holder that is opened late and ends the link to the present
+// holder, over which other questions are asked.
+func TestHolderLinkIsKept(t *testing.T) {
+	asker := &HolderLink{}
+	dial := func() (netip.AddrPort, *link.Conn) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		addr := listener.Addr().(*net.TCPAddr).AddrPort()
+		conn, err := link.Dial(t.Context(), nil, addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return addr, conn
+	}
+	lostAddr, lost := dial()
+	addr, present := dial()
+	asker.replace(2, addr, present)
+	asker.replace(1, lostAddr, lost)
+	if asker.openConn(addr) != present {
+		t.Error("the link to the present holder was replaced by one that was dialed before it")
+	}
+}
