duty, shed: the time of use comes from package plan

The number of objectives after which a result is of no use stood in three packages, so that a change of one would have made refusals, order and deadlines disagree.

--- a/duty/place.go
+++ b/duty/place.go
@@ -264,11 +264,10 @@
 	}
 	objective, tail := st.objectiveOf(j), st.tailOf(j, first.Step)
 	left := objective - (now - j.submitted)
-	const lateFactor = 3 // a result is of no use after this many times the objective
 	failures, failedAt := j.failures(unit)
 	return plan.Request{
 		Failures: failures, FailedOn: failedAt,
-		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: left - tail, DeadlineSlack: lateFactor*objective - (now - j.submitted) - tail,
+		Unit: unit, Need: needOf(unit.Step), ReadyFor: now - since, Slack: left - tail, DeadlineSlack: plan.LateFactor*objective - (now - j.submitted) - tail,
 		Duration: st.typicalTimeOf(j, first.Step), Guaranteed: reclaims && j.graph.Task(first) == nil,
 		Held: st.holds[unitKey{j.graph, first}],
 	}
--- a/shed/decide.go
+++ b/shed/decide.go
@@ -12,7 +12,7 @@
 
 const (
 	// usefulFactor is the multiple of the objective after which a result is of no use.
-	usefulFactor = 3
+	usefulFactor = plan.LateFactor
 	// waitDoubt and timeDoubt are the shares of the forecast wait and of the declared run time
 	// that a job takes at least. Declared times are off by a factor of 2 to 3. The wait depends
 	// on those of many jobs, which are less off together: in four plays of a burst, of the jobs
