plan: a unit that waits behind starts of the same decision is not said to fit nowhere

Cause: the explanation looked for room at the ends of the runs there are, not of those that the decision starts, and said 'does not fit' if there was none. Change: a unit that would fit on the usable workers if they were empty waits for room; its time is not known then. Why: TestExplainBehindStart fails without it.

--- a/plan/explain.go
+++ b/plan/explain.go
@@ -20,7 +20,8 @@
 	WaitsForStops
 	// WaitsForRoom means that the unit waits until enough runs have ended.
 	WaitsForRoom
-	// NeverFits means that the unit would not fit even after the end of all runs.
+	// NeverFits means that the unit would not fit on the usable workers even if they were
+	// empty.
 	NeverFits
 )
 
@@ -53,7 +54,8 @@
 	// Places are the workers of the unit, one for each task, now or when it is expected to
 	// fit.
 	Places []graph.Place
-	// ExpectedIn is the expected time until the unit fits; 0 if it starts now.
+	// ExpectedIn is the expected time until the unit fits; 0 if it starts now, and also if
+	// the time is not known, in which case Places is empty.
 	ExpectedIn time.Duration
 	// Stops are the runs that this decision stops for the unit.
 	Stops []Stop
@@ -115,7 +117,12 @@
 		}
 	}
 	workers, from, ok := s.earliestFit(r)
-	if !ok {
+	switch {
+	case !ok && fitsEmptyWorkers(s.workers, r):
+		// It waits for the ends of runs that this decision starts, or for other reasons.
+		e.Outcome = WaitsForRoom
+		return e
+	case !ok:
 		e.Outcome = NeverFits
 		return e
 	}
--- a/plan/explain_test.go
+++ b/plan/explain_test.go
@@ -67,3 +67,18 @@
 		})
 	}
 }
+
+// Guards against an explanation by which a unit never fits that only waits behind one which the
+// same decision starts.
+func TestExplainBehindStart(t *testing.T) {
+	in := Input{Workers: []Worker{newWorker(1, "r1")}}
+	first := newJob("0000000000000001", 0, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+	second := newJob("0000000000000002", 2, &flow.Step{Count: 1, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+	in.Requests = append(readyRequests(first, nil), readyRequests(second, nil)...)
+	if got := Explain(in, second); len(got) != 1 || got[0].Outcome != WaitsForRoom {
+		t.Errorf("explanations %+v; want one unit that waits for room", got)
+	}
+	if got := Explain(in, newJob("0000000000000003", 2)); len(got) != 0 {
+		t.Errorf("job without ready units: %+v; want no explanation", got)
+	}
+}
