shed: a promise holds for the job that was refused

Cause: a promise was kept by the id alone. A caller could be refused with a small job and return under its id with a large one, in another queue, which was admitted without a forecast. Change: a job of another queue, customer or size is judged as a new one. Why: TestPromiseIsForOneJob fails without it for each of these.

--- a/duty/admit.go
+++ b/duty/admit.go
@@ -149,7 +149,7 @@
 	case st.guaranteeCovers(table, spec):
 		return shed.Decision{Admitted: true, Reason: "guaranteed"}
 	}
-	if d, ok := promises.Answer(spec.GetId(), unixMS); ok {
+	if d, ok := promises.Answer(spec, unixMS); ok {
 		return d
 	}
 	if !st.admission.mayForecast(now) {
--- a/shed/decide.go
+++ b/shed/decide.go
@@ -60,7 +60,7 @@
 // Decide decides on a job at a time in Unix milliseconds. It adds a promise if it refuses the
 // job and promises when it may return.
 func Decide(l *Load, q Question, promises *Promises, nowUnixMS int64) Decision {
-	if d, ok := promises.Answer(q.Job.GetId(), nowUnixMS); ok {
+	if d, ok := promises.Answer(q.Job, nowUnixMS); ok {
 		return d
 	}
 	if q.StartsNow || !l.known() || len(q.Steps) == 0 {
@@ -107,8 +107,8 @@
 
 // Answer returns the decision on a job whose caller returns before or at the time promised to
 // it, which takes no forecast, and false for any other job.
-func (p *Promises) Answer(id string, nowUnixMS int64) (Decision, bool) {
-	switch returning, left := p.take(id, nowUnixMS); returning {
+func (p *Promises) Answer(job *flow.Job, nowUnixMS int64) (Decision, bool) {
+	switch returning, left := p.take(job, nowUnixMS); returning {
 	case returnsInTime:
 		return Decision{Admitted: true, Promised: true, Reason: "returned at the promised time"}, true
 	case returnsEarly:
--- a/shed/promises.go
+++ b/shed/promises.go
@@ -106,12 +106,22 @@
 	return ended
 }
 
+// covers reports whether a job is the one that the promise was made for, as far as the promise
+// tells: of the same queue and customer, with a step that takes the promised room. Otherwise a
+// caller could obtain a promise for a small job and return with a large one.
+func (p *promise) covers(job *flow.Job) bool {
+	return p.GetQueue() == job.GetQueue() && p.GetCustomer() == job.GetCustomer() && slices.ContainsFunc(job.GetSteps(), func(step *flow.Step) bool {
+		return p.GetTasks()*p.GetUnits() == step.GetCount() && p.GetMemoryMb() == step.GetMemoryMb() && p.GetAccelerators() == step.GetAccelerators()
+	})
+}
+
 // take tells how a call relates to its promise, and how long a caller that is early has to
 // wait. The promise of a caller that returns in time stays open until its job is known, as the
 // job may not be stored.
-func (p *Promises) take(id string, nowUnixMS int64) (returning, time.Duration) {
+func (p *Promises) take(job *flow.Job, nowUnixMS int64) (returning, time.Duration) {
+	id := job.GetId()
 	open := p.byID[id]
-	if open == nil || nowUnixMS > open.endsUnixMS {
+	if open == nil || nowUnixMS > open.endsUnixMS || !open.covers(job) {
 		return returnsUnpromised, 0
 	}
 	left := time.Duration(open.GetReturnUnixMs()-nowUnixMS) * time.Millisecond
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// Guards against a caller that obtains a promise for a small job and returns with a large one, in
+// another queue or as another customer, which then needs no forecast.
+func TestPromiseIsForOneJob(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*flow.Job)
+		want   bool
+	}{
+		{"the same job", func(*flow.Job) {}, true},
+		{"more tasks", func(j *flow.Job) { j.Steps[0].Count = 80 }, false},
+		{"larger tasks", func(j *flow.Job) { j.Steps[0].Accelerators = 8 }, false},
+		{"another queue", func(j *flow.Job) { j.Queue = "r" }, false},
+		{"another customer", func(j *flow.Job) { j.Customer = "c" }, false},
+	} {
+		load, promises := overtakingLoad(), &Promises{}
+		first := Decide(load, questionOf(testJob("a", 0, 8, 500*time.Millisecond)), promises, 0)
+		job := testJob("a", 0, 8, 500*time.Millisecond)
+		c.change(job)
+		if d := Decide(load, questionOf(job), promises, first.RetryAfter.Milliseconds()); !first.Promised || (d.Admitted && d.Promised) != c.want {
+			t.Errorf("%s: promised %+v, at its time %+v", c.name, first, d)
+		}
+	}
+}
+
 // Guards against room that is promised twice, against callers that gain by returning early or
 // more often, and against callers that return in time and are refused.
 func TestPromises(t *testing.T) {
