plan: many reservations only while less than half of the capacity is free

Cause: in a shortage 24 units may reserve room, apart from each other, at the end of runs that may hang. With one overdue run on each of 20 workers and 12 gangs of two whole workers, every worker was reserved, and 20 small units that fit beside the runs waited as long as these hung, with an eighth of the accelerators in use. They start at once without order_by_cost. Change: 24 reservations only while less than half of the capacity is free, else 4 as without a shortage. Why: an accepted job must not idle for seconds while there is room for it and less than half of the capacity is in use. TestReservationsLeaveRoom fails without it.

--- a/plan/decide.go
+++ b/plan/decide.go
@@ -81,13 +81,13 @@
 			d.Holds = append(d.Holds, Assignment{Unit: r.Unit, Places: s.placesOf(held)})
 		case s.order != nil:
 			// One reservation for each job: the other units of its step need the same.
-			if reservations < maxShortReservations && s.order.mayReserve(r) && !reservedFor[r.occurrence()] {
+			if reservations < s.reservationLimit() && s.order.mayReserve(r) && !reservedFor[r.occurrence()] {
 				if s.reserveApart(r) {
 					reservations++
 				}
 				reservedFor[r.occurrence()] = true
 			}
-		case reservations < maxReservations:
+		case reservations < s.reservationLimit():
 			s.reserveEarliest(r)
 			reservations++
 		}
--- a/plan/order.go
+++ b/plan/order.go
@@ -22,7 +22,9 @@
 )
 
 // maxShortReservations is maxReservations in a shortage. It is higher because a unit whose
-// delay costs much is often a wide gang, which never starts without one.
+// delay costs much is often a wide gang, which never starts without one. It applies while less
+// than half of the capacity is free: reservations wait for runs that may hang, and so many could
+// keep each worker from small units while most of its room is free.
 const maxShortReservations = 24
 
 // uselessWorkWeight is the weight of the lost work of a job that is of no use any more,
@@ -191,6 +193,14 @@
 	}
 }
 
+// reservationLimit returns for how many units that do not fit a decision may reserve room.
+func (s *state) reservationLimit() int {
+	if s.order != nil && s.busy {
+		return maxShortReservations
+	}
+	return maxReservations
+}
+
 // mayReserve reports whether a unit that does not fit may keep room from others.
 func (o *costOrder) mayReserve(r *Request) bool { return r.useful() || o.isStarving(r) }
 
--- a/plan/shortage_test.go
+++ b/plan/shortage_test.go
@@ -68,3 +68,25 @@
 		t.Errorf("shortage %+v; want none", d.Shortage)
 	}
 }
+
+// Guards against small units that wait on workers with much room, as each worker is reserved for
+// a gang that waits for the end of a run which hangs.
+func TestReservationsLeaveRoom(t *testing.T) {
+	in := Input{OrderByCost: true}
+	workers := newWorkers(4, 5)
+	for i := range workers {
+		in.Running = append(in.Running, newRunning(&workers[i], fmt.Sprintf("%016x", 100+i), 2, func(r *Running) {
+			r.Need.Accelerators, r.Remaining = 1, 0
+		}))
+	}
+	in.Workers = workers
+	for n := range 12 {
+		gang := newJob(fmt.Sprintf("%016x", n), 1, &flow.Step{Count: 2, Gang: true, Cpu: 1000, Accelerators: 8, EstimateMs: 5000})
+		in.Requests = append(in.Requests, readyRequests(gang, func(r *Request) { r.Slack, r.DeadlineSlack = -time.Second, 10*time.Second })...)
+	}
+	small := newJob("00000000000000ff", 2, &flow.Step{Count: 20, Cpu: 1000, Accelerators: 1, EstimateMs: 5000})
+	in.Requests = append(in.Requests, readyRequests(small, nil)...)
+	if d := Decide(in); d.Shortage == nil || len(d.Starts) != 20 {
+		t.Errorf("shortage %v, %d starts; want 20", d.Shortage, len(d.Starts))
+	}
+}
