duty: one rule for what a guarantee covers

The admission of a job and the placement of its units each counted the accelerators of the customer's urgent jobs; the admission now asks the function that placement uses.

--- a/duty/admit.go
+++ b/duty/admit.go
@@ -345,20 +345,6 @@
 	if spec.GetPriority() != 0 {
 		return false
 	}
-	need := acceleratorsOf(spec)
-	for _, j := range st.openJobs() {
-		if other := j.graph.Spec; other.GetPriority() == 0 && other.GetCustomer() == spec.GetCustomer() && !j.graph.Ended() && !j.graph.Cancelled {
-			need += acceleratorsOf(other)
-		}
-	}
-	return need <= table.Guaranteed(spec.GetCustomer())
-}
-
-// acceleratorsOf returns the accelerators of all tasks of a job.
-func acceleratorsOf(spec *flow.Job) int64 {
-	n := int64(0)
-	for _, step := range spec.GetSteps() {
-		n += int64(step.GetCount()) * step.GetAccelerators()
-	}
-	return n
+	j := &job{graph: graph.New(spec, nil)}
+	return st.guaranteed(table, j)[j]
 }
