--- a/duty/admit_test.go
+++ b/duty/admit_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -9,7 +10,10 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"catkinpoint/clock"
 	"catkinpoint/flow"
+	"catkinpoint/graph"
+	"catkinpoint/plan"
 	"catkinpoint/stand/fakekv"
 	"catkinpoint/store"
 )
@@ -99,6 +103,38 @@
 	})
 }
 
+// Guards against a flood of questions that keeps the scheduler from its decisions: questions
+// whose gate no longer waits are not decided, and of many at once only some are measured by a
+// forecast. A caller with a promise is still answered by it.
+func TestFloodOfQuestions(t *testing.T) {
+	refuseLate(t)
+	synctest.Test(t, func(t *testing.T) {
+		b := newBusyHarness(t, fakekv.New(), 2, 6*time.Second)
+		short := func(n int) *flow.Job {
+			return wholeWorkerJob(fmt.Sprintf("%016x", 0xb00+n), "x", 1, 500*time.Millisecond)
+		}
+		b.scheduler.stateOwner.Post(func(*state) { time.Sleep(200 * time.Millisecond) })
+		ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+		defer cancel()
+		if answer, err := b.scheduler.Admit(ctx, short(0)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("question that was asked 200 ms ago: %v, %v; want no decision", answer, err)
+		}
+		b.keepReporting(2, time.Second)
+		refused := 0
+		for n := range 2 * maxForecasts {
+			if !b.ask(short(1 + n)).GetAdmitted() {
+				refused++
+			}
+		}
+		if refused == 0 || refused > maxForecasts {
+			t.Errorf("%d of %d jobs at once are refused; want %d at most", refused, 2*maxForecasts, maxForecasts)
+		}
+		if answer := b.ask(short(1)); answer.GetAdmitted() {
+			t.Errorf("caller that returns early in a flood: %v; want the promised time", answer)
+		}
+	})
+}
+
 // Guards against promises that end with their holder, and against a holder that cannot start
 // or refuses at once because their record is missing or damaged.
 func TestPromisesSurviveHandover(t *testing.T) {
@@ -173,3 +209,36 @@
 		}
 	})
 }
+
+// Guards against the refusal of a job that the order by cost would start at the next free room,
+// as by deadline much work comes before it, and against the admission of all others then.
+func TestForecastWithOrderByCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := clock.Monotonic()
+		st := newState(now)
+		room := plan.Resources{MilliCPU: 64000, MemoryMB: 65536, Accelerators: 8}
+		running := graph.New(wholeWorkerJob("00000000000000a0", "x", 1, 2*time.Second), nil)
+		worker := plan.Worker{Place: graph.Place{Worker: "w1"}, Service: running.Spec.GetService(), Capacity: room, Usable: true, Slowness: 1, Pace: 1}
+		st.planInput = plan.Input{OrderByCost: true, Workers: []plan.Worker{worker}, Running: []plan.Running{
+			{Job: running, Place: worker.Place, Need: room, Remaining: time.Second, ExpectedDuration: 2 * time.Second},
+		}}
+		for i := range 8 {
+			job := wholeWorkerJob(fmt.Sprintf("%016x", i), "x", 1, 5*time.Second)
+			st.planInput.Requests = append(st.planInput.Requests, st.stepRequests(job, now)...)
+		}
+		for _, test := range []struct {
+			estimate time.Duration
+			want     bool
+		}{{500 * time.Millisecond, true}, {10 * time.Second, false}} {
+			steps := st.stepRequests(wholeWorkerJob("00000000000000b0", "x", 2, test.estimate), now)
+			if got := st.startsNow(steps); got != test.want {
+				t.Errorf("job of %v: starts %v, want %v", test.estimate, got, test.want)
+			}
+			st.planInput.OrderByCost = false
+			if st.startsNow(steps) {
+				t.Errorf("job of %v, by deadline: starts now, but there is no room", test.estimate)
+			}
+			st.planInput.OrderByCost = true
+		}
+	})
+}
--- a/shed/decide.go
+++ b/shed/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"catkinpoint/flow"
@@ -11,7 +12,7 @@
 
 const (
 	// usefulFactor is the multiple of the objective after which a result is of no use.
-	usefulFactor = 3
+	usefulFactor = plan.LateFactor
 	// waitDoubt and timeDoubt are the shares of the forecast wait and of the declared run time
 	// that a job takes at least. Declared times are off by a factor of 2 to 3. The wait depends
 	// on those of many jobs, which are less off together: in four plays of a burst, of the jobs
@@ -59,15 +60,15 @@
 // Decide decides on a job at a time in Unix milliseconds. It adds a promise if it refuses the
 // job and promises when it may return.
 func Decide(l *Load, q Question, promises *Promises, nowUnixMS int64) Decision {
-	switch returning, left := promises.take(q.Job.GetId(), nowUnixMS); returning {
-	case returnsInTime:
-		return Decision{Admitted: true, Promised: true, Reason: "returned at the promised time"}
-	case returnsEarly:
-		return Decision{RetryAfter: left, Wait: left, Reason: fmt.Sprintf("returned before the promised time, room is expected in %v", rounded(left))}
+	if d, ok := promises.Answer(q.Job, nowUnixMS); ok {
+		return d
 	}
 	if q.StartsNow || !l.known() || len(q.Steps) == 0 {
 		return Decision{Admitted: true, Reason: "starts now, or no forecast"}
 	}
+	if slices.ContainsFunc(q.Job.GetSteps(), (*flow.Step).GetLongRunning) {
+		return Decision{Admitted: true, Reason: "lasts, so that it is of use whenever it starts"}
+	}
 	chain := time.Duration(graph.CriticalPathMS(q.Job)) * time.Millisecond
 	useful := usefulFactor * time.Duration(graph.ObjectiveMS(q.Job)) * time.Millisecond
 	// A job that has not started by then ends too late also by the least that it takes.
@@ -104,6 +105,18 @@
 	return d
 }
 
+// Answer returns the decision on a job whose caller returns before or at the time promised to
+// it, which takes no forecast, and false for any other job.
+func (p *Promises) Answer(job *flow.Job, nowUnixMS int64) (Decision, bool) {
+	switch returning, left := p.take(job, nowUnixMS); returning {
+	case returnsInTime:
+		return Decision{Admitted: true, Promised: true, Reason: "returned at the promised time"}, true
+	case returnsEarly:
+		return Decision{RetryAfter: left, Wait: left, Reason: fmt.Sprintf("returned before the promised time, room is expected in %v", rounded(left))}, true
+	}
+	return Decision{}, false
+}
+
 // expectation is when a job starts and ends, at the earliest if not all of it starts in the time
 // that was asked for. Both are unknown if the forecast would take too long.
 type expectation struct {
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -80,6 +80,60 @@
 	}
 }
 
+// Guards against the refusal of a job that lasts, as if it were of no use after three objectives.
+func TestLongRunningJobIsAdmitted(t *testing.T) {
+	job := testJob("a", 0, 1, 500*time.Millisecond)
+	job.Steps[0].LongRunning = true
+	if d := Decide(busyLoad(8, 5*time.Second), questionOf(job), &Promises{}, 1000); !d.Admitted {
+		t.Errorf("%+v; want the job admitted", d)
+	}
+}
+
+// Guards against a forecast that goes far beyond maxChecks, as thousands of small units
+// start at once.
+func TestChecksAreBounded(t *testing.T) {
+	load := &Load{Workers: testWorkers(400)}
+	for range 20 {
+		job := testJob("w", 1, 10000, time.Second)
+		job.Steps[0].Gang, job.Steps[0].Cpu, job.Steps[0].MemoryMb, job.Steps[0].Accelerators = false, 1, 1, 0
+		r := requestOf(job, 0)
+		r.Unit.Tasks = r.Unit.Tasks[:1]
+		for range 1000 {
+			load.Waiting = append(load.Waiting, r)
+		}
+	}
+	groups := groupsOf(load.Waiting)
+	s := newSimulation(load, groups)
+	s.run(0, len(groups), Horizon)
+	if s.checks > maxChecks+10*len(load.Workers) {
+		t.Errorf("%d tests of a worker for room; want about %d at most", s.checks, maxChecks)
+	}
+}
+
+// Guards against a caller that obtains a promise for a small job and returns with a large one, in
+// another queue or as another customer, which then needs no forecast.
+func TestPromiseIsForOneJob(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*flow.Job)
+		want   bool
+	}{
+		{"the same job", func(*flow.Job) {}, true},
+		{"more tasks", func(j *flow.Job) { j.Steps[0].Count = 80 }, false},
+		{"larger tasks", func(j *flow.Job) { j.Steps[0].Accelerators = 8 }, false},
+		{"another queue", func(j *flow.Job) { j.Queue = "r" }, false},
+		{"another customer", func(j *flow.Job) { j.Customer = "c" }, false},
+	} {
+		load, promises := overtakingLoad(), &Promises{}
+		first := Decide(load, questionOf(testJob("a", 0, 8, 500*time.Millisecond)), promises, 0)
+		job := testJob("a", 0, 8, 500*time.Millisecond)
+		c.change(job)
+		if d := Decide(load, questionOf(job), promises, first.RetryAfter.Milliseconds()); !first.Promised || (d.Admitted && d.Promised) != c.want {
+			t.Errorf("%s: promised %+v, at its time %+v", c.name, first, d)
+		}
+	}
+}
+
 // Guards against room that is promised twice, against callers that gain by returning early or
 // more often, and against callers that return in time and are refused.
 func TestPromises(t *testing.T) {
