speed: run times of new keys replace the oldest

Cause: once 2,000 queues, customers and images had been seen, run times of no other were learned, and the record handed the old ones on to each next holder. Change: the key whose last observation is the oldest is dropped for a new one. Figures: after 2,010 images the time of a new queue's work of 4 s, declared as 1 s, was expected as 1 s (go test ./speed -run NewKeys). Why: image names change with each release.

--- a/speed/times.go
+++ b/speed/times.go
@@ -23,7 +23,7 @@
 	priorShare = 8
 	// maxTimeFactor clips an observation and an expectation, relative to what was declared.
 	maxTimeFactor = 30
-	// maxKeys bounds the keys that are remembered.
+	// maxKeys bounds the keys that are remembered: those of the last observations.
 	maxKeys = 2000
 )
 
@@ -36,6 +36,7 @@
 	weight                            float64
 	meanDeclared, meanActual          float64
 	varDeclared, varActual, covariant float64
+	used                              int64 // the number of the last observation
 }
 
 // add adds an observation, and lowers the weight of earlier ones.
@@ -65,6 +66,7 @@
 // Times expects run times from the declared ones. It is not safe for concurrent use.
 type Times struct {
 	byKey map[TimesKey]*moments
+	added int64 // observations
 }
 
 // NewTimes returns an estimator that expects what is declared.
@@ -78,19 +80,37 @@
 	}
 	d, a := math.Log(declared.Seconds()), math.Log(actual.Seconds())
 	a = d + clip(a-d)
+	t.added++
 	for _, k := range []TimesKey{{Queue: key.Queue}, key} {
 		m := t.byKey[k]
 		if m == nil {
 			if len(t.byKey) >= maxKeys {
-				continue
+				t.dropOldest()
 			}
 			m = &moments{}
 			t.byKey[k] = m
 		}
 		m.add(d, a)
+		m.used = t.added
 	}
 }
 
+// dropOldest drops the key whose last observation is the oldest, and of equal ones the first.
+func (t *Times) dropOldest() {
+	var oldest TimesKey
+	var found *moments
+	for k, m := range t.byKey {
+		if found == nil || cmp.Or(cmp.Compare(m.used, found.used), compareKeys(k, oldest)) < 0 {
+			oldest, found = k, m
+		}
+	}
+	delete(t.byKey, oldest)
+}
+
+func compareKeys(a, b TimesKey) int {
+	return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Image, b.Image))
+}
+
 func clip(x float64) float64 {
 	limit := math.Log(maxTimeFactor)
 	return min(limit, max(-limit, x))
@@ -139,7 +159,8 @@
 			continue
 		}
 		t.byKey[TimesKey{r.GetQueue(), r.GetCustomer(), r.GetImage()}] = &moments{
-			min(timesMemory, r.GetWeight()), r.GetMeanDeclared(), r.GetMeanActual(), r.GetVarianceDeclared(), r.GetVarianceActual(), r.GetCovariance(),
+			weight: min(timesMemory, r.GetWeight()), meanDeclared: r.GetMeanDeclared(), meanActual: r.GetMeanActual(),
+			varDeclared: r.GetVarianceDeclared(), varActual: r.GetVarianceActual(), covariant: r.GetCovariance(),
 		}
 	}
 }
--- a/speed/times_test.go
+++ b/speed/times_test.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -89,3 +90,25 @@
 		}
 	}
 }
+
+// Guards against run times that are no longer learned once maxKeys customers and images have
+// been seen (image names change with each release).
+func TestTimesOfNewKeysReplaceOld(t *testing.T) {
+	times := NewTimes()
+	const steady = "steady"
+	for n := range maxKeys + 10 {
+		times.Add(TimesKey{"q", "c", fmt.Sprint(n)}, time.Second, time.Second)
+		times.Add(TimesKey{"q", "c", steady}, time.Second, 4*time.Second)
+	}
+	for range 50 {
+		times.Add(TimesKey{"new", "c", "image"}, time.Second, 4*time.Second)
+	}
+	for _, key := range []TimesKey{{"new", "c", "image"}, {"q", "c", steady}} {
+		if took := times.Expect(key, time.Second); took < 3*time.Second {
+			t.Errorf("%v is expected to take %v; want about 4s", key, took)
+		}
+	}
+	if n := len(times.byKey); n > maxKeys {
+		t.Errorf("%d keys are kept", n)
+	}
+}
