duty: expected times of a job are computed once in a decision

Cause: with learn_run_times the chain of a job's steps was computed twice for each of its running tasks and ready units. Change: within buildInput the chains of a job are computed once.

--- a/duty/place.go
+++ b/duty/place.go
@@ -176,6 +176,8 @@
 		Workers: st.planInput.Workers[:0], Requests: st.planInput.Requests[:0], Running: st.planInput.Running[:0],
 		RemoteFactor: s.settings.RemoteFactor, UrgentWaitedRecently: st.urgentUnitsWaited(now), OrderByCost: s.settings.OrderByCost,
 	}
+	st.chainsOf = map[*job][]time.Duration{}
+	defer func() { st.chainsOf = nil }()
 	guaranteed := st.guaranteed(table, nil)
 	unixMS := time.Now().UnixMilli()
 	testing, testedJobs := st.probation(now)
--- a/duty/state.go
+++ b/duty/state.go
@@ -46,6 +46,8 @@
 	lastSeq      int64 // number of the last change of any job's progress
 	// planInput is the last input of package plan. Its slices are reused.
 	planInput plan.Input
+	// chainsOf has the results of chains within buildInput, and is nil otherwise.
+	chainsOf  map[*job][]time.Duration
 	learned   learned
 	admission admission
 	// openCache is the result of openJobs, or nil if it has to be built again.
--- a/duty/times.go
+++ b/duty/times.go
@@ -68,8 +68,12 @@
 	return st.chains(j)[step]
 }
 
-// chains returns the result of tailOf for each step.
+// chains returns the result of tailOf for each step. Within buildInput it is computed once a
+// job, as it is needed for each of its tasks.
 func (st *state) chains(j *job) []time.Duration {
+	if tails, ok := st.chainsOf[j]; ok {
+		return tails
+	}
 	steps := j.graph.Spec.GetSteps()
 	tails := make([]time.Duration, len(steps))
 	for s := len(steps) - 1; s >= 0; s-- {
@@ -78,6 +82,9 @@
 			tails[earlier] = max(tails[earlier], tails[s])
 		}
 	}
+	if st.chainsOf != nil {
+		st.chainsOf[j] = tails
+	}
 	return tails
 }
 
