speed: paces count only if the slowest worker takes twice as long as a fast one

Change: below a ratio of 2 between the slowest and a fast worker every pace is 1, so that placement and expected times are as before. Not yet measured on any deployment.

--- a/speed/pace.go
+++ b/speed/pace.go
@@ -45,6 +45,11 @@
 	// minSpread is the least standard deviation between workers for which estimates are
 	// not shrunk to nothing.
 	minSpread = 0.03
+	// unevenRatio is the pace of the slowest worker divided by that of a fast one, which is
+	// the lower quartile, from which paces count at all. Workers that differ by half take
+	// little longer than what the slack of most jobs allows for, and setting them aside costs
+	// more than it saves.
+	unevenRatio = 2
 	// maxSamples bounds the samples of a window.
 	maxSamples = 8192
 )
@@ -96,6 +101,7 @@
 	// noise is the standard deviation of samples of gangs and of other steps.
 	gangNoise, stepNoise float64
 	changed              bool // samples were added since the last fit
+	uneven               bool // the workers differ by more than unevenRatio
 }
 
 // NewPaces returns an estimator that knows nothing.
@@ -120,8 +126,17 @@
 }
 
 // Pace returns the run time on a worker relative to that on the median worker, or 1 if
-// it is not known or does not differ from 1 by more than its uncertainty.
+// it is not known or does not differ from 1 by more than its uncertainty. It is 1 for all
+// workers if these do not differ by more than unevenRatio.
 func (p *Paces) Pace(worker graph.Place, now time.Duration) float64 {
+	if !p.uneven {
+		return 1
+	}
+	return p.estimated(worker, now)
+}
+
+// estimated is like Pace, however much the workers differ.
+func (p *Paces) estimated(worker graph.Place, now time.Duration) float64 {
 	e, ok := p.present[worker]
 	if !ok {
 		return 1
@@ -157,6 +172,7 @@
 	}
 	p.changed = false
 	p.fitSamples(now)
+	p.compare(now)
 	if now-p.windowStart >= window {
 		p.prior = make(map[graph.Place]estimate, len(p.present))
 		for w, e := range p.present {
@@ -192,4 +208,15 @@
 		e := estimate{logTime: r.GetLogTime(), weight: weight, error: passingNoise / math.Sqrt(weight), at: now}
 		p.prior[w], p.present[w] = e, e
 	}
+	p.compare(now)
+}
+
+// compare sets whether the workers differ by more than unevenRatio.
+func (p *Paces) compare(now time.Duration) {
+	paces := make([]float64, 0, len(p.present))
+	for w := range p.present {
+		paces = append(paces, p.estimated(w, now))
+	}
+	slices.Sort(paces)
+	p.uneven = len(paces) > 0 && paces[len(paces)-1] >= unevenRatio*paces[len(paces)/4]
 }
