--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 	"overdue": overdueJob,
 	"tiny":    tinyTasks,
 	"cancel":  lateSubmission,
+	"same":    sameID,
 	"stored":  storedJobs,
 }
 
