--- a/review/stand3/large.go
+++ b/review/stand3/large.go
@@ -155,7 +155,7 @@
 // tinyTasks hands in jobs of legal size with many tasks that need little, and checks whether
 // processes exceed the memory of their machines.
 func tinyTasks(record *os.File, trouble bool) (verdict, error) {
-	const jobs, steps, tasks, ends, machines = 16, 10, 1000, 3, 2
+	const jobs, steps, tasks, ends, machines = 8, 10, 1000, 3, 2
 	s, err := newSystem(record, 3, 6, baseConfig)
 	if err != nil {
 		return notRun, err
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,6 +25,7 @@
 	"tiny":    tinyTasks,
 	"cancel":  lateSubmission,
 	"same":    sameID,
+	"lasting": lastingTask,
 	"stored":  storedJobs,
 }
 
--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -372,6 +372,7 @@
 	EstimateMS int64  `json:"estimate_ms"`
 	Gang       bool   `json:"gang,omitempty"`
 	Image      string `json:"image,omitempty"`
+	Lasting    bool   `json:"long_running,omitempty"`
 }
 
 // job is the body of a submission.
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -53,10 +53,14 @@
 	onStart  func(task string, run int64)
 	onEnd    func(task string, run int64, how string)
 	server   *http.Server
+	// leaveUnanswered, if set, says of a start that it gets no answer: it would be carried out
+	// later, by this process.
+	leaveUnanswered func(call workerCall) bool
+	lost            bool // the process has ended for good
 }
 
 // startTime is how long a worker takes to begin a task.
-const startTime = 5 * time.Millisecond
+const startTime = 20 * time.Millisecond
 
 func (w *worker) clock() time.Duration { return time.Second + time.Since(w.born) }
 
@@ -78,11 +82,39 @@
 	return nil
 }
 
+// lose ends the worker's process for good: what runs there ends, and nothing listens any more.
+func (w *worker) lose() {
+	w.mu.Lock()
+	w.lost = true
+	for _, r := range w.running {
+		r.timer.Stop()
+		w.onEnd(r.task, r.run, "lost")
+	}
+	w.running = map[string]*taskRun{}
+	w.mu.Unlock()
+	_ = w.server.Close()
+}
+
+// fail ends the run of a task by its own fault.
+func (w *worker) fail(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.running[task]
+	if r != nil {
+		w.end(r, "failed")
+	}
+	return r != nil
+}
+
 // checkIn sends the worker's check-ins to the control address of its machine.
 func (w *worker) checkIn() {
 	client := &http.Client{Timeout: time.Second}
 	for {
 		w.mu.Lock()
+		if w.lost {
+			w.mu.Unlock()
+			return
+		}
 		w.seq++
 		body, _ := json.Marshal(map[string]any{
 			"service": serviceName, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
@@ -148,6 +180,15 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if r.URL.Path == "/-/run-start" && w.leaveUnanswered != nil && w.leaveUnanswered(call) {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
+	if w.lost {
+		panic(http.ErrAbortHandler)
+	}
 	if call.Fence < w.fence {
 		w.reject(out, "fence")
 		return
