review: case 13, one crash of a worker keeps tasks that last from running

Cause: tasks that were on a worker which crashed shortly after their start are suspects, and the suspects of a job start one at a time, each after the probation of the one before.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -7,4 +7,4 @@
 	echo "build target/catkinpoint and run review/build-3.sh first" >&2
 	exit 2
 fi
-ROOT=$root CATKINPOINT=$root/target/catkinpoint exec "$root/target/stand3" same record.txt
+ROOT=$root CATKINPOINT=$root/target/catkinpoint exec "$root/target/stand3" tiny record.txt
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,7 +25,8 @@
 	"tiny":    tinyTasks,
 	"cancel":  lateSubmission,
 	"same":    sameID,
-	"lasting": lastingTask,
+	"removed": removedMachine,
+	"crashed": crashedWorker,
 	"stored":  storedJobs,
 }
 
--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -42,6 +42,7 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	ended    chan struct{}
+	removed  bool   // with its machine, so that it is not started again
 	front    string // address for consumers, of a gate
 }
 
@@ -261,9 +262,9 @@
 func (s *system) watch(p *process) {
 	for range time.Tick(50 * time.Millisecond) {
 		p.mu.Lock()
-		cmd, ended := p.cmd, p.ended
+		cmd, ended, removed := p.cmd, p.ended, p.removed
 		p.mu.Unlock()
-		if s.stopping.Load() {
+		if s.stopping.Load() || removed {
 			return
 		}
 		select {
@@ -294,6 +295,16 @@
 	}
 }
 
+// remove ends a process for good.
+func (p *process) remove() {
+	p.mu.Lock()
+	p.removed = true
+	cmd, ended := p.cmd, p.ended
+	p.mu.Unlock()
+	_ = cmd.Process.Kill() // fails if it has ended
+	<-ended
+}
+
 func (s *system) noteEnd(name string) {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -53,10 +53,7 @@
 	onStart  func(task string, run int64)
 	onEnd    func(task string, run int64, how string)
 	server   *http.Server
-	// leaveUnanswered, if set, says of a start that it gets no answer: it would be carried out
-	// later, by this process.
-	leaveUnanswered func(call workerCall) bool
-	lost            bool // the process has ended for good
+	lost     bool // the process has ended for good
 }
 
 // startTime is how long a worker takes to begin a task.
@@ -95,15 +92,25 @@
 	_ = w.server.Close()
 }
 
-// fail ends the run of a task by its own fault.
-func (w *worker) fail(task string) bool {
+// runs reports whether a task runs on the worker.
+func (w *worker) runs(task string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := w.running[task]
-	if r != nil {
-		w.end(r, "failed")
-	}
-	return r != nil
+	return w.running[task] != nil
+}
+
+// count returns how many runs are on the worker.
+func (w *worker) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running)
+}
+
+// successor returns the next worker on the machine of a lost one, under another id.
+func (w *worker) successor() *worker {
+	next := &worker{id: w.id + "-next", addr: w.addr, control: w.control, zone: w.zone, rack: w.rack, capacity: w.capacity, log: w.log, needOf: w.needOf}
+	next.onStart, next.onEnd = w.onStart, w.onEnd
+	return next
 }
 
 // checkIn sends the worker's check-ins to the control address of its machine.
@@ -180,12 +187,6 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.URL.Path == "/-/run-start" && w.leaveUnanswered != nil && w.leaveUnanswered(call) {
-		w.mu.Unlock()
-		<-r.Context().Done()
-		w.mu.Lock()
-		panic(http.ErrAbortHandler)
-	}
 	if w.lost {
 		panic(http.ErrAbortHandler)
 	}
