--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -246,15 +246,16 @@
 	return nil
 }
 
-// memoryMB returns the resident memory of a process.
+// memoryMB returns the resident memory of a process, without that of mapped files.
 func memoryMB(pid int) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0
 	}
 	fields := strings.Fields(string(text))
-	pages, _ := strconv.ParseInt(fields[1], 10, 64)
-	return pages * int64(os.Getpagesize()) >> 20
+	resident, _ := strconv.ParseInt(fields[1], 10, 64)
+	shared, _ := strconv.ParseInt(fields[2], 10, 64)
+	return (resident - shared) * int64(os.Getpagesize()) >> 20
 }
 
 // watch does what the platform does with a process: it kills one that exceeds memory_mb, and
