duty: bound what a decision costs for all jobs together

What callers saw: after one scheduled job of 58 kB (1,000 steps of 10 tasks, 100 occurrences due) no task of any job started any more, leases lapsed, and gates with the duty exceeded their memory one after the other. The same came from 100 jobs of 10 x 1,000 tasks, and from many small tasks, of which a worker took up to 32,000 at a time.

Cause: a decision considered each unit that was ready, up to 1,000 of each step of each job. For each of them it walked all steps of the job, and the graph scanned all occurrences and done tasks again. Members of gangs were counted by scanning the gang for each run. As small tasks hardly need room, nothing bounded what runs, and each decision, report and record grew with it. The goroutine of the state took one such decision after another and answered no relay meanwhile.

Why it works: a decision considers 4,096 tasks. Beyond that all jobs get like shares, each step of a job comes in its turn, and if even one unit of each job is too much, half goes by precedence and half in turn. Single gangs of any legal width are still considered, one wide one at a time. The graph keeps counts instead of scanning: the steps of an occurrence that are unblocked, the first idle task of a step, the members of a gang that have begun; counts of done occurrences are dropped. Progress in memory is bounded for each job and for all. On a worker, small runs are bounded so that those of other jobs and customers find room. Searches for room to free stop after a number of visits, and after a long decision the goroutine is free for reports for as long.

--- a/duty/explain.go
+++ b/duty/explain.go
@@ -73,7 +73,7 @@
 	in := st.buildInput(s, table, st.freeRoom(), now)
 	if spec != nil {
 		covered := st.guaranteed(table, j)[j]
-		for _, unit := range j.graph.ReadyUpTo(time.Now().UnixMilli(), maxStepUnits) {
+		for _, unit := range j.graph.ReadyUpTo(time.Now().UnixMilli(), maxRequestTasks, 0) {
 			in.Requests = append(in.Requests, st.planRequest(j, unit, covered, now))
 		}
 	}
--- a/duty/failures.go
+++ b/duty/failures.go
@@ -51,7 +51,7 @@
 }
 
 // unitOf returns the key of a task or, if it is a member of a gang, of the gang.
-func (j *job) unitOf(ref graph.Ref) taskKey { return taskKey{job: j, ref: j.graph.Members(ref)[0]} }
+func (j *job) unitOf(ref graph.Ref) taskKey { return taskKey{job: j, ref: j.graph.FirstMember(ref)} }
 
 // gangFailure has the workers on which members of the last failed run of a gang failed.
 type gangFailure struct {
--- /dev/null
+++ b/duty/pick.go
@@ -0,0 +1,141 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkinpoint/graph"
+)
+
+const (
+	// maxRequestTasks is the number of tasks up to which a decision considers all units that are
+	// ready. Beyond it jobs get like shares.
+	maxRequestTasks = 4096
+	// wideUnit is the number of tasks of a unit from which a decision considers only one such
+	// unit.
+	wideUnit = maxRequestTasks / 4
+	// maxJobTasks bounds the tasks of a job in memory before more of its progress is begun, and
+	// maxTasks those of all jobs, from which each job has minJobTasks.
+	maxJobTasks = 16 << 10
+	maxTasks    = 128 << 10
+	minJobTasks = 1 << 10
+)
+
+// readyJob is a job with units that are ready.
+type readyJob struct {
+	*job
+	tasks int // that are ready, at most maxRequestTasks
+	first int // tasks of its first unit
+}
+
+// cost returns the tasks of the units that the job brings if jobs have a share of tasks each.
+func (j readyJob) cost(share int) int { return min(max(j.tasks, j.first), max(j.first, share)) }
+
+// readyUnits returns the units that the next decision considers: all that are ready or, if
+// these are many, some of each job. What the decision costs is thereby bounded for all jobs
+// together, and a job with many units does not keep those of others from being considered.
+func (st *state) readyUnits(guaranteed map[*job]bool, now time.Duration) []graph.Unit {
+	unixMS := time.Now().UnixMilli()
+	st.limitTasks()
+	var jobs, wide []readyJob
+	for _, j := range st.openJobs() {
+		if st.full(j) {
+			continue
+		}
+		tasks, first := j.graph.ReadyTasks(unixMS, maxRequestTasks)
+		switch {
+		case tasks == 0:
+		case first >= wideUnit:
+			wide = append(wide, readyJob{j, tasks, first})
+		default:
+			jobs = append(jobs, readyJob{j, tasks, first})
+		}
+	}
+	st.round++
+	share := fairShare(jobs, maxRequestTasks)
+	jobs = st.limitJobs(jobs, share, guaranteed, now)
+	if len(wide) > 0 {
+		jobs = append(jobs, wide[st.round%len(wide)])
+	}
+	slices.SortFunc(jobs, func(a, b readyJob) int { return compareJobs(a.job, b.job) })
+	var units []graph.Unit
+	for _, j := range jobs {
+		units = append(units, j.graph.ReadyUpTo(unixMS, j.cost(share), st.round*share)...)
+	}
+	return units
+}
+
+// fairShare returns the largest number of tasks of each job with which all jobs together have
+// at most total: jobs with fewer leave room to the others.
+func fairShare(jobs []readyJob, total int) int {
+	costs := make([]int, 0, len(jobs))
+	for _, j := range jobs {
+		costs = append(costs, j.cost(total))
+	}
+	slices.Sort(costs)
+	for i, c := range costs {
+		if share := total / (len(costs) - i); c > share {
+			return share
+		}
+		total -= c
+	}
+	return maxRequestTasks
+}
+
+// limitJobs returns the jobs whose units are considered if even one unit of each is too much:
+// half of the tasks are of the first jobs by precedence, and half of the others in turn.
+func (st *state) limitJobs(jobs []readyJob, share int, guaranteed map[*job]bool, now time.Duration) []readyJob {
+	total := 0
+	for _, j := range jobs {
+		total += j.cost(share)
+	}
+	if total <= 2*maxRequestTasks {
+		return jobs
+	}
+	slices.SortStableFunc(jobs, func(a, b readyJob) int { return st.comparePrecedence(a.job, b.job, guaranteed, now) })
+	spent, n := 0, 0
+	for ; n < len(jobs) && spent < maxRequestTasks; n++ {
+		spent += jobs[n].cost(share)
+	}
+	taken, rest := slices.Clone(jobs[:n]), jobs[n:]
+	for i := 0; i < len(rest) && spent < 2*maxRequestTasks; i++ {
+		// An odd stride leads through all of them in the end.
+		j := rest[(st.round*(maxRequestTasks/2+1)+i)%len(rest)]
+		taken, spent = append(taken, j), spent+j.cost(share)
+	}
+	return taken
+}
+
+// comparePrecedence orders jobs as package plan orders their units.
+func (st *state) comparePrecedence(a, b *job, guaranteed map[*job]bool, now time.Duration) int {
+	first := func(x, y bool) int {
+		switch {
+		case x && !y:
+			return -1
+		case y && !x:
+			return 1
+		}
+		return 0
+	}
+	slack := func(j *job) time.Duration { return st.objectiveOf(j) - (now - j.submitted) }
+	priority := func(j *job) int32 { return j.graph.Spec.GetPriority() }
+	return cmp.Or(
+		first(guaranteed[a], guaranteed[b]), first(priority(a) == 0, priority(b) == 0), first(slack(a) > 0, slack(b) > 0),
+		cmp.Compare(priority(a), priority(b)), cmp.Compare(slack(a), slack(b)), compareJobs(a, b),
+	)
+}
+
+// limitTasks bounds the progress that is begun, for each job and for all jobs together.
+func (st *state) limitTasks() {
+	total, limit := 0, maxJobTasks
+	for _, j := range st.openJobs() {
+		total += j.graph.StartedTasks()
+	}
+	if total >= maxTasks {
+		limit = minJobTasks
+	}
+	for _, j := range st.openJobs() {
+		j.graph.LimitTasks(limit)
+	}
+}
--- a/duty/place.go
+++ b/duty/place.go
@@ -20,10 +20,6 @@
 // them had to wait for some. Bursts of urgent units last for some seconds.
 const urgentWaitMemory = 4 * time.Second
 
-// maxStepUnits bounds the units of one step of a job in a decision. The others, which need
-// the same, come next.
-const maxStepUnits = 1000
-
 // maxStarting is the number of runs that are starting on a worker from which no more are
 // placed there. All of them are in each order to its relay.
 const maxStarting = 256
@@ -191,23 +187,21 @@
 			}
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
 		}
-		if st.full(j) {
-			continue
-		}
-		for _, unit := range j.graph.ReadyUpTo(unixMS, maxStepUnits) {
-			request := st.planRequest(j, unit, guaranteed[j], now)
-			request.Isolated = j.graph.Doubtful(unit.Tasks[0])
-			if j.graph.Suspect(unit.Tasks[0]) {
-				request.Isolated = true
-				// Suspects of a job start one at a time, and only once it is known
-				// what else crashed when the last of them did.
-				if testedJobs[j] || j.graph.CrashesUnsettled(unixMS) {
-					continue
-				}
-				testedJobs[j] = true
+	}
+	for _, unit := range st.readyUnits(guaranteed, now) {
+		j := st.jobs[unit.Job.Spec.GetId()]
+		request := st.planRequest(j, unit, guaranteed[j], now)
+		request.Isolated = j.graph.Doubtful(unit.Tasks[0])
+		if j.graph.Suspect(unit.Tasks[0]) {
+			request.Isolated = true
+			// Suspects of a job start one at a time, and only once it is known
+			// what else crashed when the last of them did.
+			if testedJobs[j] || j.graph.CrashesUnsettled(unixMS) {
+				continue
 			}
-			in.Requests = append(in.Requests, request)
+			testedJobs[j] = true
 		}
+		in.Requests = append(in.Requests, request)
 	}
 	fewTrusted := st.fewTrusted(now)
 	for p, w := range st.byPlace {
@@ -318,9 +312,7 @@
 		if !urgent(j) {
 			continue
 		}
-		for _, step := range j.graph.Spec.GetSteps() {
-			need[j.graph.Spec.GetCustomer()] += int64(step.GetCount()) * step.GetAccelerators()
-		}
+		need[j.graph.Spec.GetCustomer()] += j.graph.Accelerators()
 	}
 	covered := map[*job]bool{}
 	for _, j := range jobs {
--- a/duty/runs.go
+++ b/duty/runs.go
@@ -74,6 +74,8 @@
 	if r := j.runs[ref]; r != nil && r.run == number && checkpoint == "" {
 		checkpoint = r.checkpoint
 	}
+	// Once a member of a gang is stopped, so are all.
+	stopped := j.runs[ref] != nil && j.runs[ref].run == number && j.runs[ref].stopOrdered
 	lost := 0.0
 	// The success of another member counts for a gang. It orders no stop, unlike that of an
 	// earlier run, after which the work of this one is lost.
@@ -95,7 +97,7 @@
 	delete(j.runs, ref)
 	st.markDirty(j)
 	st.markOrdersChanged(place)
-	if how == graph.EndDone {
+	if how == graph.EndDone || stopped {
 		return true
 	}
 	for _, member := range j.graph.Members(ref) {
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -20,6 +20,10 @@
 	longPollTimeout = 700 * time.Millisecond
 	// planPeriod is the time between two placement decisions if no event causes one.
 	planPeriod = 250 * time.Millisecond
+	// longDecision is the time of a decision from which there is a pause after it, of
+	// maxDecisionPause at most.
+	longDecision     = 50 * time.Millisecond
+	maxDecisionPause = 500 * time.Millisecond
 	// expirePeriod is the time between two checks for expired task leases.
 	expirePeriod = 100 * time.Millisecond
 	// loadTimeout bounds one attempt of a new holder to read all jobs.
@@ -226,6 +230,26 @@
 	return orders, nil
 }
 
+// decide takes a decision on placement. After one that took long it keeps the goroutine free
+// for as long, so that reports are answered and leases extended whatever decisions cost.
+func (s *Scheduler) decide(st *state, now time.Duration) {
+	st.learn(s, now)
+	st.moveSlowRuns(now)
+	if s.settings.SaveLeavingWork {
+		st.saveLeavingWork(now)
+	}
+	st.placeUnits(s, now)
+	took := clock.Monotonic() - now
+	if took < longDecision {
+		return
+	}
+	pause := min(took, maxDecisionPause)
+	st.nextPlan = clock.Monotonic() + pause
+	klog.InfoS("duty: long decision", "took_ms", took.Milliseconds(), "requests", len(st.planInput.Requests), "running", len(st.planInput.Running),
+		"workers", len(st.planInput.Workers), "pause_ms", pause.Milliseconds())
+	time.AfterFunc(pause, func() { s.stateOwner.Post(func(*state) {}) })
+}
+
 // afterBatch runs each time that stateOwner has run a batch of queued functions. It
 // decides on placement, starts writes of what has changed and replies to reports
 // with new orders.
@@ -239,14 +263,9 @@
 	if !st.writing {
 		st.choosePages()
 	}
-	if st.planNeeded && s.claim.Valid() {
+	if st.planNeeded && s.claim.Valid() && now >= st.nextPlan {
 		st.planNeeded = false
-		st.learn(s, now)
-		st.moveSlowRuns(now)
-		if s.settings.SaveLeavingWork {
-			st.saveLeavingWork(now)
-		}
-		st.placeUnits(s, now)
+		s.decide(st, now)
 	}
 	st.advanceJobs()
 	st.updateShortage(s, now)
--- a/duty/state.go
+++ b/duty/state.go
@@ -44,6 +44,7 @@
 	// urgentWaitAt is when an urgent unit last had to wait for resources.
 	urgentWaitAt time.Duration
 	lastSeq      int64 // number of the last change of any job's progress
+	round        int   // number of the decisions that have looked for units that are ready
 	// planInput is the last input of package plan. Its slices are reused.
 	planInput plan.Input
 	// chainsOf has the results of chains within buildInput, and is nil otherwise.
@@ -52,6 +53,8 @@
 	admission admission
 	// openCache is the result of openJobs, or nil if it has to be built again.
 	openCache []*job
+	// nextPlan is the earliest time of the next decision.
+	nextPlan time.Duration
 }
 
 // unitKey identifies a unit by its job and first task.
--- a/duty/times.go
+++ b/duty/times.go
@@ -63,7 +63,7 @@
 // of steps that begins with it, on typical workers.
 func (st *state) tailOf(j *job, step int32) time.Duration {
 	if !st.learned.useTimes {
-		return time.Duration(graph.CriticalPathFromMS(j.graph.Spec, step)) * time.Millisecond
+		return time.Duration(j.graph.TailMS(step)) * time.Millisecond
 	}
 	return st.chains(j)[step]
 }
@@ -92,7 +92,7 @@
 // average worker, of which the declared times are an estimate.
 func (st *state) objectiveOf(j *job) time.Duration {
 	if !st.learned.useTimes {
-		return time.Duration(graph.ObjectiveMS(j.graph.Spec)) * time.Millisecond
+		return time.Duration(j.graph.ObjectiveMS()) * time.Millisecond
 	}
 	longest := time.Duration(0)
 	for _, tail := range st.chains(j) {
--- a/graph/check.go
+++ b/graph/check.go
@@ -96,13 +96,15 @@
 
 // ObjectiveMS returns the time from its acceptance within which callers expect the
 // job to end, in milliseconds.
-func ObjectiveMS(job *flow.Job) int64 {
-	return int64(job.GetSlackFactor()*float64(CriticalPathMS(job))) + job.GetTargetMs()
+func ObjectiveMS(job *flow.Job) int64 { return objectiveMS(job, CriticalPathMS(job)) }
+
+func objectiveMS(job *flow.Job, criticalMS int64) int64 {
+	return int64(job.GetSlackFactor()*float64(criticalMS)) + job.GetTargetMs()
 }
 
-// CriticalPathFromMS returns the declared run time from the start of a step to the
-// end of the longest chain of steps that begins with it, in milliseconds.
-func CriticalPathFromMS(job *flow.Job, step int32) int64 {
+// tailsMS returns, for each step, the declared run time from its start to the end of the
+// longest chain of steps that begins with it, in milliseconds.
+func tailsMS(job *flow.Job) []int64 {
 	steps := job.GetSteps()
 	tails := make([]int64, len(steps))
 	for s := len(steps) - 1; s >= 0; s-- {
@@ -111,5 +113,5 @@
 			tails[earlier] = max(tails[earlier], tails[s])
 		}
 	}
-	return tails[step]
+	return tails
 }
--- a/graph/job.go
+++ b/graph/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"catkinpoint/flow"
@@ -100,10 +99,14 @@
 	donePages pageSet
 	// changed has the pages that have changed since TakeChanged.
 	changed map[int64]bool
-	// steps counts the tasks of each step of an occurrence that has any.
-	steps map[stepKey]stepCount
-	// openFrom is the first occurrence of which a step is not done.
+	// openFrom is the first occurrence of which a step is not done, and open has the progress
+	// of later ones and of itself.
 	openFrom int32
+	open     map[int32]*occurrence
+	// pageTasks is the number of tasks of each page, if the progress is in pages.
+	pageTasks map[int64]int
+	taskLimit int // see LimitTasks
+	facts     facts
 	// failing has the tasks that have failed and are not done.
 	failing map[Ref]*Task
 	// crashes has the crashes of workers under each task.
@@ -112,18 +115,11 @@
 	activeTasks []*Task
 }
 
-// stepKey identifies a step of an occurrence.
-type stepKey struct{ occurrence, step int32 }
-
-// stepCount is the number of tasks of a step that are done, and of those that are done or
-// active.
-type stepCount struct{ done, busy int32 }
-
 // New returns a job with the progress in its stored record, which may be nil.
 func New(spec *flow.Job, work *flow.Work) *Job {
 	j := &Job{
 		Spec: spec, Phase: work.GetPhase(), EndedUnixMS: work.GetEndedUnixMs(), tasks: map[Ref]*Task{}, layout: newLayout(spec),
-		changed: map[int64]bool{}, steps: map[stepKey]stepCount{}, failing: map[Ref]*Task{},
+		changed: map[int64]bool{}, open: map[int32]*occurrence{}, pageTasks: map[int64]int{}, failing: map[Ref]*Task{}, facts: newFacts(spec),
 	}
 	j.addTasks(work.GetTasks())
 	return j
@@ -149,8 +145,7 @@
 		if j.Step(ref) == nil || ref.Occurrence < 0 || ref.Occurrence >= j.Occurrences() || j.donePages.contains(j.layout.page(ref)) {
 			continue
 		}
-		t := &Task{Ref: ref}
-		j.tasks[ref] = t
+		t := j.addTask(ref)
 		j.change(t, func() {
 			t.Run, t.Place = r.GetRun(), Place{r.GetWorker(), r.GetWorkerBornMs(), r.GetRelay()}
 			t.Started, t.Done, t.Failures, t.Checkpoint = r.GetStarted(), r.GetDone(), r.GetFailures(), r.GetCheckpoint()
@@ -162,12 +157,26 @@
 	clear(j.changed)
 }
 
+// addTask adds a task that was never started.
+func (j *Job) addTask(ref Ref) *Task {
+	t := &Task{Ref: ref}
+	j.tasks[ref] = t
+	if j.Paged() {
+		j.pageTasks[j.layout.page(ref)]++
+	}
+	return t
+}
+
 // change changes a task by f, and with it the counts of its step.
 func (j *Job) change(t *Task, f func()) {
 	before := *t
 	f()
 	j.changed[j.layout.page(t.Ref)] = true
-	j.countStep(stepKey{t.Ref.Occurrence, t.Ref.Step}, one(t.Done)-one(before.Done), one(t.busy())-one(before.busy()))
+	j.countGang(before, *t)
+	j.countStep(t.Ref.Occurrence, t.Ref.Step, one(t.Done)-one(before.Done), one(t.busy())-one(before.busy()))
+	if !t.busy() {
+		j.markIdle(t.Ref)
+	}
 	if t.Failures > 0 && !t.Done {
 		j.failing[t.Ref] = t
 	} else {
@@ -175,14 +184,6 @@
 	}
 }
 
-// countStep adds to the numbers of tasks of a step.
-func (j *Job) countStep(key stepKey, done, busy int32) {
-	if done != 0 || busy != 0 {
-		c := j.steps[key]
-		j.steps[key] = stepCount{c.done + done, c.busy + busy}
-	}
-}
-
 func one(x bool) int32 {
 	if x {
 		return 1
@@ -287,123 +288,6 @@
 	return members
 }
 
-// stepDone reports whether all tasks of a step of an occurrence are done.
-func (j *Job) stepDone(occurrence, step int32) bool {
-	return j.steps[stepKey{occurrence, step}].done == j.Spec.GetSteps()[step].GetCount()
-}
-
-// BusyTasks returns the number of tasks of a step of an occurrence that are done or active.
-func (j *Job) BusyTasks(occurrence, step int32) int32 {
-	return j.steps[stepKey{occurrence, step}].busy
-}
-
-// Unit is a gang or a single task, which is placed as a whole.
-type Unit struct {
-	Job   *Job
-	Step  *flow.Step
-	Tasks []Ref
-}
-
-// Checkpoint returns the checkpoint from which the unit resumes, or "".
-func (u Unit) Checkpoint() string {
-	for _, ref := range u.Tasks {
-		if t := u.Job.Task(ref); t != nil && t.Checkpoint != "" {
-			return t.Checkpoint
-		}
-	}
-	return ""
-}
-
-// Ready returns the units that may start at the given time: their occurrence is due,
-// all steps that theirs depends on are done, and none of their tasks is done or
-// active. It returns none if the job has ended or is cancelled.
-func (j *Job) Ready(nowUnixMS int64) []Unit { return j.ReadyUpTo(nowUnixMS, math.MaxInt) }
-
-// ReadyUpTo is like Ready, with the first units of each step only: at most limit, from all
-// occurrences together.
-func (j *Job) ReadyUpTo(nowUnixMS int64, limit int) []Unit {
-	if j.Ended() || j.Cancelled {
-		return nil
-	}
-	var units []Unit
-	left := make([]int, len(j.Spec.GetSteps()))
-	for i := range left {
-		left[i] = limit
-	}
-	for occurrence := j.firstOpen(); occurrence < j.Occurrences() && j.DueUnixMS(occurrence) <= nowUnixMS; occurrence++ {
-		full := true
-		for index, step := range j.Spec.GetSteps() {
-			if left[index] > 0 && !j.blocked(occurrence, step) {
-				found := j.readyUnits(occurrence, int32(index), step, left[index])
-				left[index] -= len(found)
-				units = append(units, found...)
-			}
-			full = full && left[index] == 0
-		}
-		if full {
-			break
-		}
-	}
-	return units
-}
-
-// firstOpen returns the first occurrence of which a step is not done, or the number of
-// occurrences.
-func (j *Job) firstOpen() int32 {
-	for ; j.openFrom < j.Occurrences(); j.openFrom++ {
-		for index := range j.Spec.GetSteps() {
-			if !j.stepDone(j.openFrom, int32(index)) {
-				return j.openFrom
-			}
-		}
-	}
-	return j.openFrom
-}
-
-// blocked reports whether a step of an occurrence waits for a step that it depends
-// on.
-func (j *Job) blocked(occurrence int32, step *flow.Step) bool {
-	for _, earlier := range step.GetAfter() {
-		if !j.stepDone(occurrence, earlier) {
-			return true
-		}
-	}
-	return false
-}
-
-// readyUnits returns the first units, at most limit, of a step of an occurrence that are
-// neither done nor active.
-func (j *Job) readyUnits(occurrence, stepIndex int32, step *flow.Step, limit int) []Unit {
-	var units []Unit
-	idle := func(ref Ref) bool {
-		if t := j.tasks[ref]; t != nil {
-			return !t.busy()
-		}
-		return !j.donePages.contains(j.layout.page(ref))
-	}
-	if j.steps[stepKey{occurrence, stepIndex}].busy == step.GetCount() {
-		return nil
-	}
-	if step.GetGang() {
-		members := j.Members(Ref{occurrence, stepIndex, 0})
-		for _, ref := range members {
-			if !idle(ref) {
-				return nil
-			}
-		}
-		return []Unit{{Job: j, Step: step, Tasks: members}}
-	}
-	for i := range step.GetCount() {
-		if len(units) == limit {
-			break
-		}
-		if ref := (Ref{occurrence, stepIndex, i}); idle(ref) {
-			units = append(units, Unit{Job: j, Step: step, Tasks: []Ref{ref}})
-		}
-	}
-	return units
-}
-
 // Assign starts a new run of the unit's tasks at the given places, one for each task.
 // It returns the number of the run, which all of them share.
 func (j *Job) Assign(unit Unit, places []Place) int64 {
@@ -419,8 +303,7 @@
 	for i, ref := range unit.Tasks {
 		t := j.tasks[ref]
 		if t == nil {
-			t = &Task{Ref: ref}
-			j.tasks[ref] = t
+			t = j.addTask(ref)
 		}
 		j.change(t, func() { t.Run, t.Place, t.Started, t.Checkpoint = run, places[i], false, checkpoint })
 	}
@@ -453,26 +336,6 @@
 	return true
 }
 
-// MembersStarted reports whether all members of the task's gang, or the task itself,
-// have started the given run or are done with it.
-func (j *Job) MembersStarted(ref Ref, run int64) bool {
-	for _, member := range j.Members(ref) {
-		if m := j.tasks[member]; m == nil || m.Run != run || !m.Started && !m.Done {
-			return false
-		}
-	}
-	return true
-}
-
-// GangBroken reports whether a member of the task's gang has ended the given run without
-// being done, after which the other members cannot complete it.
-func (j *Job) GangBroken(ref Ref, run int64) bool {
-	return slices.ContainsFunc(j.Members(ref), func(member Ref) bool {
-		m := j.tasks[member]
-		return m != nil && m.Run == run && !m.Active() && !m.Done
-	})
-}
-
 // End records the end of a run with its last checkpoint, if any. The outcome is one
 // of the End constants or another reason, such as that of a refusal. Only EndDone
 // marks the task as done, and only EndFailed counts as a failure, once for a run of a
@@ -484,6 +347,7 @@
 		return false
 	}
 	j.activeTasks = nil
+	doneBefore := t.Done
 	j.change(t, func() { t.Place, t.Started = Place{}, false })
 	if slices.Contains(workerEnds, outcome) {
 		j.markBegun() // the worker may list the end before the run
@@ -494,15 +358,15 @@
 	if checkpoint != "" {
 		j.SaveCheckpoint(ref, run, checkpoint)
 	}
-	switch outcome {
-	case EndDone:
+	switch {
+	case outcome == EndDone && !doneBefore:
 		// The success of one member counts for the whole gang.
 		for _, member := range j.Members(ref) {
 			if m := j.tasks[member]; m != nil && m.Run == run {
 				j.change(m, func() { m.Done = true })
 			}
 		}
-	case EndFailed:
+	case outcome == EndFailed:
 		j.countFailure(ref, run)
 	}
 	return true
@@ -577,7 +441,7 @@
 // allStepsDone reports whether all steps of all occurrences are done. Long-running
 // steps run until the job is cancelled and are never done.
 func (j *Job) allStepsDone() bool {
-	return j.firstOpen() == j.Occurrences() && !slices.ContainsFunc(j.Spec.GetSteps(), (*flow.Step).GetLongRunning)
+	return j.openFrom == j.Occurrences() && !slices.ContainsFunc(j.Spec.GetSteps(), (*flow.Step).GetLongRunning)
 }
 
 // EverStarted reports whether any task of the job was ever started.
--- a/graph/pages.go
+++ b/graph/pages.go
@@ -57,10 +57,10 @@
 	}
 }
 
-// forEachStep calls f for each step of an occurrence that has tasks in the pages from first
-// to before end, with their number.
-func (l *layout) forEachStep(first, end int64, f func(key stepKey, tasks int32)) {
-	from, to := first*l.pageTasks, min(end*l.pageTasks, l.total)
+// forEachStep calls f for each step of an occurrence, from the occurrence firstOccurrence on,
+// that has tasks in the pages from first to before end, with their number.
+func (l *layout) forEachStep(first, end int64, firstOccurrence int32, f func(occurrence, step, tasks int32)) {
+	from, to := max(first*l.pageTasks, int64(firstOccurrence)*l.perOccurrence), min(end*l.pageTasks, l.total)
 	for occurrence := from / l.perOccurrence; occurrence*l.perOccurrence < to; occurrence++ {
 		for step, offset := range l.offsets {
 			begin, limit := occurrence*l.perOccurrence+offset, (occurrence+1)*l.perOccurrence
@@ -68,7 +68,7 @@
 				limit = occurrence*l.perOccurrence + l.offsets[step+1]
 			}
 			if tasks := min(limit, to) - max(begin, from); tasks > 0 {
-				f(stepKey{int32(occurrence), int32(step)}, int32(tasks))
+				f(int32(occurrence), int32(step), int32(tasks))
 			}
 		}
 	}
@@ -188,12 +188,11 @@
 // pages that have any progress, all of which have changed.
 func (j *Job) SplitPages(pageTasks int64) []int64 {
 	j.layout.pageTasks = pageTasks
-	pages := map[int64]bool{}
 	for ref := range j.tasks {
-		pages[j.layout.page(ref)] = true
+		j.pageTasks[j.layout.page(ref)]++
 	}
-	list := make([]int64, 0, len(pages))
-	for page := range pages {
+	list := make([]int64, 0, len(j.pageTasks))
+	for page := range j.pageTasks {
 		list = append(list, page)
 		j.changed[page] = true
 	}
@@ -267,6 +266,7 @@
 	}
 	j.donePages = j.donePages.add(page)
 	delete(j.changed, page)
+	delete(j.pageTasks, page)
 }
 
 // loadPages adds the progress in pages to a new job.
@@ -279,8 +279,12 @@
 	}
 	j.donePages = set
 	for _, r := range set {
-		j.layout.forEachStep(r.first, r.end, func(key stepKey, tasks int32) {
-			j.countStep(key, tasks, tasks)
+		if r.first == 0 {
+			// All of these occurrences are done.
+			j.openFrom = int32(min(r.end*j.layout.pageTasks, j.layout.total) / j.layout.perOccurrence)
+		}
+		j.layout.forEachStep(r.first, r.end, j.openFrom, func(occurrence, step, tasks int32) {
+			j.countStep(occurrence, step, tasks, tasks)
 		})
 	}
 	for _, page := range pages {
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -35,6 +35,9 @@
 	// maxReservations is the highest number of units for which one decision calls
 	// reserveEarliest. Holds do not count.
 	maxReservations = 4
+	// maxVisits is the number of workers and runs that the searches of a decision look at
+	// before it frees and reserves no more room. It is some tens of milliseconds.
+	maxVisits = 2 << 20
 )
 
 // Decide returns the units to start, the runs to preempt and the units for which
@@ -71,8 +74,8 @@
 			d.Starts = append(d.Starts, Assignment{Unit: r.Unit, Places: s.placesOf(workers)})
 			continue
 		}
-		if r.waitsAlone() {
-			continue
+		if r.waitsAlone() || s.small.noRoom[stepOfJob{r.Unit.Job, r.Unit.Tasks[0].Step}] && len(r.Held) == 0 {
+			continue // stops and reservations would be of no use
 		}
 		stops, held := s.preempt(r)
 		d.Stops = append(d.Stops, stops...)
--- a/plan/fit.go
+++ b/plan/fit.go
@@ -5,18 +5,33 @@
 // fit finds workers with enough free resources for all tasks of the unit, one for
 // each task. With anywhere set, the unit does not wait for its preferred rack.
 func (s *state) fit(r *Request, anywhere bool) ([]int, bool) {
+	key := stepOfJob{r.Unit.Job, r.Unit.Tasks[0].Step}
+	if s.small.noRoom[key] {
+		return nil, false
+	}
 	for _, failed := range s.noFit {
 		if s.atLeastAsHard(r, failed) {
 			return nil, false
 		}
 	}
 	found, ok := s.fitInto(r, s.free, anywhere)
-	if !ok && !anywhere && !s.waitsForRack(r) && len(r.Held) == 0 && !avoidsFailedWorkers(r) && !r.Isolated {
+	if ok {
+		return found, true
+	}
+	if enough, everywhere := s.roomForSmall(r); !everywhere {
+		s.small.noRoom[key] = !enough
+		return nil, false
+	}
+	if len(s.noFit) < maxFailedFits && !anywhere && !s.waitsForRack(r) && len(r.Held) == 0 && !avoidsFailedWorkers(r) && !r.Isolated {
 		s.noFit = append(s.noFit, r)
 	}
-	return found, ok
+	return nil, false
 }
 
+// maxFailedFits bounds the requests of noFit and noVictims: each request is compared with all
+// of them.
+const maxFailedFits = 64
+
 // atLeastAsHard reports whether r fits nowhere given that failed, for which all
 // workers were tried, does not fit. This holds because a decision only takes
 // free resources, and clears noFit and noVictims when it drops a reservation.
@@ -149,19 +164,21 @@
 	limit := s.paceLimit(r)
 	tasks := int64(len(r.Unit.Tasks))
 	s.candidates = s.candidates[:0]
+	s.visits += len(workers)
 	capacity := int64(0)
 	for _, w := range workers {
-		if free[w].Covers(r.Need) && s.eligible(r, w) && band.has(s.pace(w)) && s.pace(w) <= limit {
+		if s.small.left[w] = s.smallRoom(r, w); s.small.left[w] > 0 && free[w].Covers(r.Need) && s.eligible(r, w) && band.has(s.pace(w)) && s.pace(w) <= limit {
 			s.candidates = append(s.candidates, w)
 			s.leftover[w] = free[w]
 			if capacity < tasks {
-				capacity += free[w].maxTasks(r.Need)
+				capacity += min(free[w].maxTasks(r.Need), int64(s.small.left[w]))
 			}
 		}
 	}
 	if capacity < tasks {
 		return nil, false
 	}
+	s.visits += len(s.candidates) * int(tasks)
 	limited := r.Unit.Step.GetMaxPerWorker() > 0
 	if limited || r.Isolated {
 		s.countStepTasks(r)
@@ -170,7 +187,7 @@
 	for range tasks {
 		best, bestCost := -1, 0.0
 		for _, w := range s.candidates {
-			if !s.leftover[w].Covers(r.Need) || limited && s.stepTasks[w] >= r.Unit.Step.GetMaxPerWorker() {
+			if !s.leftover[w].Covers(r.Need) || s.small.left[w] == 0 || limited && s.stepTasks[w] >= r.Unit.Step.GetMaxPerWorker() {
 				continue
 			}
 			cost := s.placementCost(w, s.leftover[w].Sub(r.Need)) + s.paceCost(r, w)
@@ -185,6 +202,7 @@
 			return nil, false
 		}
 		s.leftover[best] = s.leftover[best].Sub(r.Need)
+		s.small.left[best]--
 		s.stepTasks[best]++
 		found = append(found, best)
 	}
--- a/plan/order.go
+++ b/plan/order.go
@@ -76,13 +76,8 @@
 			continue
 		}
 		spec := key.job.Spec
-		o.worth[key] = Worth(spec.GetPriority(), Work(spec))
-		o.waiting[key] = minWaitingWork
-		for n, step := range spec.GetSteps() {
-			need := Resources{MilliCPU: step.GetCpu(), Accelerators: step.GetAccelerators()}
-			tasks := step.GetCount() - key.job.BusyTasks(key.number, int32(n))
-			o.waiting[key] += float64(tasks) * need.CoreEquivalents() * float64(step.GetEstimateMs()) / 1000
-		}
+		o.worth[key] = Worth(spec.GetPriority(), workOf(key.job.Demand()))
+		o.waiting[key] = minWaitingWork + workOf(key.job.WaitingDemand(key.number))
 	}
 	return o
 }
@@ -136,7 +131,7 @@
 func (o *costOrder) stopCost(run *Running) float64 {
 	lost := run.Need.CoreEquivalents() * run.Unsaved.Seconds()
 	share := 0.0
-	useful := run.SlackAfterStop + (LateFactor-1)*time.Duration(graph.ObjectiveMS(run.Job.Spec))*time.Millisecond
+	useful := run.SlackAfterStop + (LateFactor-1)*time.Duration(run.Job.ObjectiveMS())*time.Millisecond
 	if run.SlackAfterStop+run.Unsaved > 0 {
 		share += (1 - LateShare) * o.tooLate(run.SlackAfterStop)
 	}
@@ -218,7 +213,7 @@
 
 // starves reports whether the unit exceeds the starvation bound.
 func starves(r *Request) bool {
-	useful := LateFactor * time.Duration(graph.ObjectiveMS(r.Unit.Job.Spec)) * time.Millisecond
+	useful := LateFactor * time.Duration(r.Unit.Job.ObjectiveMS()) * time.Millisecond
 	return r.ReadyFor > max(starvationWait, starvationFactor*useful)
 }
 
--- a/plan/preempt.go
+++ b/plan/preempt.go
@@ -50,6 +50,10 @@
 	if !mayPreempt && len(r.Held) == 0 {
 		return nil, nil // not urgent, or would miss its objective even with a stop
 	}
+	if s.visits > maxVisits && len(r.Held) == 0 {
+		return nil, nil
+	}
+	s.visits += len(s.workers) + len(s.input.Running)
 	free := s.freeAfterStops(r)
 	if held := s.validHold(r, free); held != nil || !mayPreempt {
 		return nil, held
@@ -65,7 +69,7 @@
 		}
 	}
 	victims, workers, cost := s.cheapestVictims(r, free)
-	if workers == nil && len(r.Held) == 0 {
+	if workers == nil && len(r.Held) == 0 && len(s.noVictims) < maxFailedFits {
 		s.noVictims = append(s.noVictims, r)
 	}
 	if workers == nil || !r.Guaranteed && cost > s.maxStopCost(r) {
--- a/plan/reserve.go
+++ b/plan/reserve.go
@@ -101,6 +101,9 @@
 		if n+1 < len(order) && s.remaining(order[n+1])/reservationStep == s.remaining(i)/reservationStep {
 			continue
 		}
+		if s.visits > maxVisits {
+			break
+		}
 		if found, ok := s.fitInto(r, free, false); ok {
 			return found, s.remaining(i), true
 		}
--- a/plan/state.go
+++ b/plan/state.go
@@ -74,6 +74,10 @@
 	uneven            bool
 	// order is the order by cost, or nil if room is not short.
 	order *costOrder
+	// small has the small runs on the workers.
+	small smallCounts
+	// visits counts the workers and runs that searches have looked at; see maxVisits.
+	visits int
 	// paceLimits caches the results of computePaceLimit.
 	paceLimits map[*Request]float64
 }
@@ -93,6 +97,7 @@
 		rackIndex: map[string]int{}, rackOf: make([]int, n), reserved: make([][]reservation, n),
 		runsOn: make([][]int, n), stopping: make([]bool, len(in.Running)), started: map[stepOnWorker]int32{}, paceLimits: map[*Request]float64{},
 		allWorkers: make([]int, n), gotTask: make([]bool, n), isolated: make([]bool, n), leftover: make([]Resources, n), stepTasks: make([]int32, n), freeAfter: make([]Resources, n),
+		small: smallCounts{total: make([]int, n), byCustomer: map[customerOnWorker]int{}, byJob: map[jobOnWorker]int{}, noRoom: map[stepOfJob]bool{}, left: make([]int, n)},
 	}
 	for i, w := range s.workers {
 		s.allWorkers[i], s.free[i] = i, w.Free
@@ -103,6 +108,7 @@
 		s.stopping[i] = in.Running[i].Stopping
 		if w, ok := s.workerIndex[in.Running[i].Place]; ok {
 			s.runsOn[w] = append(s.runsOn[w], i)
+			s.countSmall(in.Running[i].Job, in.Running[i].Ref, in.Running[i].Need, w)
 		}
 	}
 	s.measurePaces()
@@ -210,6 +216,7 @@
 		s.rackFree[s.rackOf[w]] -= r.Need.CoreEquivalents()
 		s.started[stepOnWorker{r.Unit.Job, first.Occurrence, first.Step, w}]++
 		s.gotTask[w] = true
+		s.countSmall(r.Unit.Job, first, r.Need, w)
 		s.isolated[w] = s.isolated[w] || r.Isolated
 	}
 }
--- a/plan/value.go
+++ b/plan/value.go
@@ -34,6 +34,11 @@
 	return work
 }
 
+// workOf returns a demand in core-equivalent seconds.
+func workOf(d graph.Demand) float64 {
+	return (d.MilliCPUMS/1000 + coresPerAccelerator*d.AcceleratorMS) / 1000
+}
+
 // Worth returns what the result of a job is worth to its caller within the objective, for
 // a priority and the work in core-equivalent seconds. Only ratios of it have a meaning.
 func Worth(priority int32, work float64) float64 {
--- a/plan/victims.go
+++ b/plan/victims.go
@@ -53,12 +53,13 @@
 // placeAll assigns the tasks one after another and reports whether all fit.
 func (v *victimSearch) placeAll(free []Resources) bool {
 	v.searchNumber++
+	v.visits += len(v.candidateWorkers) + len(v.input.Running)
 	v.paceLimit = v.state.paceLimit(v.request)
 	capacity := int64(0)
 	for _, w := range v.candidateWorkers {
 		v.simFree[w] = free[w]
-		if v.eligible(v.request, w) {
-			capacity += v.maxFree(w).maxTasks(v.request.Need)
+		if v.small.left[w] = v.smallRoom(v.request, w); v.eligible(v.request, w) {
+			capacity += min(v.maxFree(w).maxTasks(v.request.Need), int64(v.small.left[w]))
 		}
 	}
 	if capacity < int64(len(v.request.Unit.Tasks)) {
@@ -126,6 +127,7 @@
 	}
 	v.simFree[w] = v.simFree[w].Sub(v.request.Need)
 	v.stepTasks[w]++
+	v.small.left[w]--
 	v.chosenVictims = append(v.chosenVictims, chosen.victims...)
 	v.assigned = append(v.assigned, w)
 	v.totalCost += chosen.stopCost
@@ -142,7 +144,7 @@
 func (v *victimSearch) slotOn(w int) slot {
 	need := v.request.Need
 	limit := v.request.Unit.Step.GetMaxPerWorker()
-	if limit > 0 && v.stepTasks[w] >= limit || !v.eligible(v.request, w) || v.pace(w) > v.paceLimit || !v.maxFree(w).Covers(need) {
+	if limit > 0 && v.stepTasks[w] >= limit || v.small.left[w] <= 0 || !v.eligible(v.request, w) || v.pace(w) > v.paceLimit || !v.maxFree(w).Covers(need) {
 		return slot{}
 	}
 	free := v.simFree[w]
