duty: bound the starts that a relay is ordered by their bytes

What callers saw: with 8 jobs of 10,000 small tasks, each with a spec of 3.9 kB, relays exceeded the memory of their machines and were killed again after each restart; the leases of what ran beside them were not extended. Gates with the duty were killed too.

Cause: each answer to a relay had all stored starts that its worker had not confirmed, each with the whole spec, up to 125 MB. maxStarting bounds them by number and only before a decision, which then placed as many as fit. A relay that had started again got the same answer, and each confirmed start brought the rest once more.

A relay that says it keeps starts gets the spec of each only once; if it lacks one, it reports no version of orders and gets them whole. Builds before and after this one understand each other: known starts are sent only to relays that announce it.

--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -421,6 +421,7 @@
 		return
 	}
 	orders := &flow.Orders{}
+	f.state.orderStarts(f.scheduler, known)
 	f.state.addStartsAndStops(known, orders)
 	for _, start := range orders.GetStarts() {
 		id, ref, err := graph.ParseTask(start.GetTask())
--- a/duty/job.go
+++ b/duty/job.go
@@ -60,6 +60,7 @@
 type run struct {
 	run         int64 // number of the run
 	stored      bool  // the record with the run is committed, so it may be ordered
+	orderedIn   int64 // version of the first orders with the start, or 0
 	stopOrdered bool
 	proved      bool          // it lasts, and has shown that its worker is sound
 	knownSince  time.Duration // when this scheduler assigned or first saw the run
--- a/duty/place.go
+++ b/duty/place.go
@@ -177,6 +177,7 @@
 	guaranteed := st.guaranteed(table, nil)
 	unixMS := time.Now().UnixMilli()
 	testing, testedJobs := st.probation(now)
+	st.orderedBytes = 0
 	runsOn, starting := map[graph.Place]int{}, map[graph.Place]int{}
 	for _, j := range st.openJobs() {
 		for _, t := range j.graph.Active() {
@@ -184,6 +185,9 @@
 			runsOn[t.Place]++
 			if !t.Started {
 				starting[t.Place]++
+				if r := j.runs[t.Ref]; r != nil && r.orderedIn > 0 {
+					st.orderedBytes += startBytesOf(j.graph, t)
+				}
 			}
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
 		}
--- a/duty/report.go
+++ b/duty/report.go
@@ -57,7 +57,7 @@
 	w.sequence = r.GetSequence()
 	w.lastReport = clock.Monotonic()
 	w.forgetOverRuns()
-	w.tellsCrashes = r.GetTellsCrashes()
+	w.tellsCrashes, w.keepsStarts, w.relayVersion = r.GetTellsCrashes(), r.GetKeepsStarts(), r.GetOrdersVersion()
 	if r.GetListed() && r.GetListClockMs() != w.listClockMS {
 		w.listedAt, w.listClockMS = w.lastReport, r.GetListClockMs()
 	}
@@ -349,6 +349,7 @@
 		sendReply(answer, nil)
 		return
 	}
+	st.orderStarts(s, w)
 	if w.ordersChanged {
 		w.ordersVersion++
 		w.ordersChanged = false
@@ -390,7 +391,7 @@
 	}
 }
 
-// addStartsAndStops adds to the orders the stored starts that the worker has not
+// addStartsAndStops adds to the orders the starts of orderStarts that the worker has not
 // confirmed, and the stops: of runs with an ordered stop, of runs that were assigned
 // to an earlier process of the worker, of runs that were taken as over, and of
 // unexpected runs.
@@ -406,7 +407,9 @@
 		case r == nil || !r.stored:
 		case r.stopOrdered:
 			orders.Stops = append(orders.Stops, &flow.Stop{Task: t.name(), Run: t.Run})
-		case !t.Started && !t.Done:
+		case r.orderedIn > 0 && w.keepsStarts && w.relayVersion >= r.orderedIn && !t.Started && !t.Done:
+			orders.Starts = append(orders.Starts, &flow.Start{Task: t.name(), Run: t.Run, Known: true})
+		case r.orderedIn > 0 && !t.Started && !t.Done:
 			orders.Starts = append(orders.Starts, &flow.Start{Task: t.name(), Run: t.Run, Spec: t.job.graph.Spec.GetSpec(), Checkpoint: t.Checkpoint})
 		}
 	}
--- a/duty/scheduler.go
+++ b/duty/scheduler.go
@@ -51,6 +51,8 @@
 	// RemoteFactor is how many times as long as declared a task takes outside the
 	// rack of its data, or in a gang that is to share a rack and does not.
 	RemoteFactor float64
+	// MemoryBytes is the memory that the process may use, or 0 if it is not known.
+	MemoryBytes int64
 	// UnevenWorkers, LearnRunTimes, OrderByCost and RefuseLate switch on the settings of
 	// the same names.
 	UnevenWorkers, LearnRunTimes, OrderByCost, RefuseLate, SaveLeavingWork bool
--- a/duty/state.go
+++ b/duty/state.go
@@ -53,6 +53,9 @@
 	admission admission
 	// openCache is the result of openJobs, or nil if it has to be built again.
 	openCache []*job
+	// orderedBytes is the length of the starts that are ordered and not confirmed, as of the
+	// last decision, with those ordered since.
+	orderedBytes int
 	// nextPlan is the earliest time of the next decision.
 	nextPlan time.Duration
 }
--- a/duty/worker.go
+++ b/duty/worker.go
@@ -30,7 +30,11 @@
 	lastStoredEnd  int64            // ends up to this number are stored
 	// tellsCrashes is whether the relay reports crashes. The other fields are like
 	// those of ends, for the crashes that the relay's process has seen.
-	tellsCrashes     bool
+	tellsCrashes bool
+	// keepsStarts is whether the relay keeps the starts that it was ordered, and relayVersion
+	// the version of the last orders that it had when it reported.
+	keepsStarts      bool
+	relayVersion     int64
 	unstoredCrashes  []unstoredChange
 	lastAppliedCrash int64
 	lastStoredCrash  int64
--- a/relay/orders.go
+++ b/relay/orders.go
@@ -49,6 +49,7 @@
 // ended.
 func (s *state) setStarts(orders []*flow.Start) {
 	ordered := map[runKey]bool{}
+	s.lacksStarts = false
 	for _, order := range orders {
 		key := runKey{order.GetTask(), order.GetRun()}
 		ordered[key] = true
@@ -56,6 +57,9 @@
 		case ok || s.runKnown(key):
 		case s.worker.GetGone():
 			s.refuse(key, graph.RefusedStopped)
+		case order.GetKnown():
+			s.lacksStarts = true
+			s.requestReport()
 		default:
 			s.starts[key] = &start{order: order}
 		}
--- a/relay/state.go
+++ b/relay/state.go
@@ -121,6 +121,7 @@
 	leaveAnnouncedAt    time.Duration // relay's clock
 
 	ordersVersion      int64
+	lacksStarts        bool // the last orders have starts as known that are not
 	reportSeq          int64
 	reportRequests     int64 // counts the changes that are worth a report at once
 	reportRequestsSeen int64 // the value of reportRequests when the reporter was last woken
@@ -213,7 +214,10 @@
 	r := &flow.Report{
 		Relay: relay, RelayBoot: boot, Sequence: s.reportSeq, Worker: s.worker,
 		Epoch: s.epoch, Listed: s.listed, OrdersVersion: s.ordersVersion, ListClockMs: s.listClock.Milliseconds(),
-		Crashes: s.crashReports(now), TellsCrashes: true,
+		Crashes: s.crashReports(now), TellsCrashes: true, KeepsStarts: true,
+	}
+	if s.lacksStarts {
+		r.OrdersVersion = 0 // the next orders have them whole
 	}
 	if s.leaseExpired(now) && !s.worker.GetGone() {
 		r.Worker = cloneWorker(s.worker)
--- a/verbs/gate.go
+++ b/verbs/gate.go
@@ -169,6 +169,7 @@
 		Settings: duty.Settings{
 			TaskLease: conf.Duration(s.GetTaskLease()), ConfigAge: conf.Duration(s.GetConfigAge()),
 			StartAge: conf.Duration(s.GetStartAge()), Retention: conf.Duration(s.GetRetention()),
+			MemoryBytes:  settings.Platform.GetMemoryMb() * bytesPerMB,
 			RemoteFactor: s.GetRemoteFactor(), UnevenWorkers: s.GetUnevenWorkers(), LearnRunTimes: s.GetLearnRunTimes(),
 			OrderByCost: s.GetOrderByCost(), RefuseLate: s.GetRefuseLate(), SaveLeavingWork: s.GetSaveLeavingWork(),
 		},
