plan: look for wide gangs once a decision

isWide scanned all workers for each running task of a gang of more than 256 small tasks, twice for each worker at a fit: 600,000 workers for a gang of 10,000 on 60. The jobs beyond a decision's bound now take turns by a counter of their own.

--- a/duty/pick.go
+++ b/duty/pick.go
@@ -100,10 +100,10 @@
 	}
 	taken, rest := slices.Clone(jobs[:n]), jobs[n:]
 	for i := 0; i < len(rest) && spent < 2*maxRequestTasks; i++ {
-		// An odd stride leads through all of them in the end.
-		j := rest[(st.round*(maxRequestTasks/2+1)+i)%len(rest)]
+		j := rest[(st.turn+i)%len(rest)]
 		taken, spent = append(taken, j), spent+j.cost(share)
 	}
+	st.turn += len(taken) - n
 	return taken
 }
 
--- a/duty/state.go
+++ b/duty/state.go
@@ -45,6 +45,7 @@
 	urgentWaitAt time.Duration
 	lastSeq      int64 // number of the last change of any job's progress
 	round        int   // number of the decisions that have looked for units that are ready
+	turn         int   // see limitJobs
 	// planInput is the last input of package plan. Its slices are reused.
 	planInput plan.Input
 	// chainsOf has the results of chains within buildInput, and is nil otherwise.
--- a/plan/small.go
+++ b/plan/small.go
@@ -26,6 +26,8 @@
 	// noRoom are steps of which no further unit starts in this decision, as the bounds leave
 	// no room for one.
 	noRoom map[stepOfJob]bool
+	// wide caches the results of isWide.
+	wide map[stepOfJob]bool
 	// left is scratch space of fitAmong and of a victimSearch: the tasks of the unit that a
 	// worker can still take.
 	left []int
@@ -101,6 +103,10 @@
 	if !step.GetGang() || step.GetCount() <= smallShare {
 		return false
 	}
+	key := stepOfJob{job, n}
+	if wide, known := s.small.wide[key]; known {
+		return wide
+	}
 	room := 0
 	for i := range s.workers {
 		w, label := &s.workers[i], step.GetRequiredLabel()
@@ -108,5 +114,6 @@
 			room += smallShare
 		}
 	}
-	return int(step.GetCount()) > room
+	s.small.wide[key] = int(step.GetCount()) > room
+	return s.small.wide[key]
 }
--- a/plan/state.go
+++ b/plan/state.go
@@ -97,7 +97,7 @@
 		rackIndex: map[string]int{}, rackOf: make([]int, n), reserved: make([][]reservation, n),
 		runsOn: make([][]int, n), stopping: make([]bool, len(in.Running)), started: map[stepOnWorker]int32{}, paceLimits: map[*Request]float64{},
 		allWorkers: make([]int, n), gotTask: make([]bool, n), isolated: make([]bool, n), leftover: make([]Resources, n), stepTasks: make([]int32, n), freeAfter: make([]Resources, n),
-		small: smallCounts{total: make([]int, n), byCustomer: map[customerOnWorker]int{}, byJob: map[jobOnWorker]int{}, noRoom: map[stepOfJob]bool{}, left: make([]int, n)},
+		small: smallCounts{total: make([]int, n), byCustomer: map[customerOnWorker]int{}, byJob: map[jobOnWorker]int{}, noRoom: map[stepOfJob]bool{}, wide: map[stepOfJob]bool{}, left: make([]int, n)},
 	}
 	for i, w := range s.workers {
 		s.allWorkers[i], s.free[i] = i, w.Free
