plan: wide gangs leave room for small tasks of others

While a gang ran that is wider than the bounds on small runs allow, its runs counted against all other small tasks on its workers, so that none of them started until it ended. They no longer count; there is one such gang at a time. The case "beside a wide gang" of TestSmallRunsOnWorkerAreBounded is for it. The length of an ordered start is computed in one place.

--- a/duty/orders.go
+++ b/duty/orders.go
@@ -25,7 +25,7 @@
 	ordered := 0
 	for _, t := range active {
 		if r := t.job.runs[t.Ref]; w.isToStart(t, r) && r.orderedIn > 0 {
-			ordered += startSize(t)
+			ordered += orderBytes(t.job, t.Task)
 		}
 	}
 	for _, t := range active {
@@ -33,7 +33,7 @@
 		if !w.isToStart(t, r) || r.orderedIn > 0 {
 			continue
 		}
-		size := startSize(t)
+		size := orderBytes(t.job, t.Task)
 		if ordered > 0 && (ordered+size > maxOrderBytes || st.orderedBytes+size > s.maxOrderedBytes()) {
 			return
 		}
@@ -49,11 +49,9 @@
 	return t.Place == w.place && r != nil && r.stored && !r.stopOrdered && !t.Started && !t.Done
 }
 
-// startSize returns about how many bytes an ordered start takes.
-func startSize(t activeTask) int { return startBytesOf(t.job.graph, t.Task) }
-
-func startBytesOf(g *graph.Job, t *graph.Task) int {
-	return startOverhead + len(g.Spec.GetSpec()) + len(t.Checkpoint)
+// orderBytes returns about how many bytes an ordered start of a task takes.
+func orderBytes(j *job, t *graph.Task) int {
+	return startOverhead + len(j.graph.Spec.GetSpec()) + len(t.Checkpoint)
 }
 
 // maxOrderedBytes returns how many bytes the ordered starts of all relays may take.
--- a/duty/pick.go
+++ b/duty/pick.go
@@ -30,7 +30,7 @@
 }
 
 // cost returns the tasks of the units that the job brings if jobs have a share of tasks each.
-func (j readyJob) cost(share int) int { return min(max(j.tasks, j.first), max(j.first, share)) }
+func (j readyJob) cost(share int) int { return max(j.first, min(j.tasks, share)) }
 
 // readyUnits returns the units that the next decision considers: all that are ready or, if
 // these are many, some of each job. What the decision costs is thereby bounded for all jobs
@@ -107,7 +107,7 @@
 	return taken
 }
 
-// comparePrecedence orders jobs as package plan orders their units.
+// comparePrecedence orders jobs much as package plan orders their units.
 func (st *state) comparePrecedence(a, b *job, guaranteed map[*job]bool, now time.Duration) int {
 	first := func(x, y bool) int {
 		switch {
--- a/duty/place.go
+++ b/duty/place.go
@@ -186,7 +186,7 @@
 			if !t.Started {
 				starting[t.Place]++
 				if r := j.runs[t.Ref]; r != nil && r.orderedIn > 0 {
-					st.orderedBytes += startBytesOf(j.graph, t)
+					st.orderedBytes += orderBytes(j, t)
 				}
 			}
 			in.Running = append(in.Running, st.planRunning(j, t, need, guaranteed[j], now))
--- a/plan/small.go
+++ b/plan/small.go
@@ -56,15 +56,19 @@
 		(need.Accelerators == 0 || smallShare*need.Accelerators < capacity.Accelerators)
 }
 
-// countSmall adds a task on a worker to the small runs if it is small there.
+// countSmall adds a task on a worker to the small runs if it is small there. Those of a wide
+// gang do not count, so that they leave room for others.
 func (s *state) countSmall(job *graph.Job, ref graph.Ref, need Resources, w int) {
 	if !s.isSmall(need, w) {
 		return
 	}
+	if s.isWide(job, ref.Step) {
+		s.small.wideGang = true
+		return
+	}
 	s.small.total[w]++
 	s.small.byCustomer[customerOnWorker{job.Spec.GetCustomer(), w}]++
 	s.small.byJob[jobOnWorker{job, w}]++
-	s.small.wideGang = s.small.wideGang || s.isWide(job, ref.Step)
 }
 
 // smallRoom returns how many tasks of a unit a worker takes besides its small runs. It takes
--- a/plan/small_test.go
+++ b/plan/small_test.go
@@ -24,6 +24,7 @@
 		{"not small", []string{"a"}, &flow.Step{Cpu: 250}, []int{256}},
 		{"narrow gangs", []string{"a"}, &flow.Step{Cpu: 1, Gang: true, Count: 100}, []int{200}},
 		{"a wide gang", []string{"a", "b"}, &flow.Step{Cpu: 1, Gang: true, Count: 1000}, []int{1000, 0}},
+		{"beside a wide gang", []string{"a", "wide", "a"}, &flow.Step{Cpu: 1}, []int{256, 1000, 86}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -36,6 +37,9 @@
 					step.Count = test.step.GetCount()
 					j = newJob(fmt.Sprintf("%016x", n), 1, step, step, step, step)
 				}
+				if customer == "wide" {
+					step.Gang = true
+				}
 				j.Spec.Customer, j.Spec.AcceptedUnixMs = customer, int64(n)
 				index[j] = n
 				in.Requests = append(in.Requests, readyRequests(j, nil)...)
