duty: tasks of the first jobs come before shares of others

With more than 4,096 tasks ready, each job had a like share in a decision. The later tasks of an urgent job then came after tasks of others that were placed in the same decision (by reading; no caller has seen it). Half of the tasks now go by precedence. TestQuotas and TestAllJobsGetTheirTurn check the division.

--- a/duty/pick.go
+++ b/duty/pick.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxRequestTasks is the number of tasks up to which a decision considers all units that are
-	// ready. Beyond it jobs get like shares.
+	// ready. Beyond it each job has a quota.
 	maxRequestTasks = 4096
 	// wideUnit is the number of tasks of a unit from which a decision considers only one such
 	// unit.
@@ -27,10 +27,11 @@
 	*job
 	tasks int // that are ready, at most maxRequestTasks
 	first int // tasks of its first unit
+	quota int // tasks that the decision considers, but for a first unit that has more
 }
 
-// cost returns the tasks of the units that the job brings if jobs have a share of tasks each.
-func (j readyJob) cost(share int) int { return max(j.first, min(j.tasks, share)) }
+// cost returns the tasks of the units that the decision considers.
+func (j readyJob) cost() int { return max(j.first, j.quota) }
 
 // readyUnits returns the units that the next decision considers: all that are ready or, if
 // these are many, some of each job. What the decision costs is thereby bounded for all jobs
@@ -39,6 +40,7 @@
 	unixMS := time.Now().UnixMilli()
 	st.limitTasks()
 	var jobs, wide []readyJob
+	total := 0
 	for _, j := range st.openJobs() {
 		if st.full(j) {
 			continue
@@ -47,61 +49,79 @@
 		switch {
 		case tasks == 0:
 		case first >= wideUnit:
-			wide = append(wide, readyJob{j, tasks, first})
+			wide = append(wide, readyJob{job: j, first: first})
 		default:
-			jobs = append(jobs, readyJob{j, tasks, first})
+			jobs = append(jobs, readyJob{j, tasks, first, tasks})
+			total += tasks
 		}
 	}
 	st.round++
-	share := fairShare(jobs, maxRequestTasks)
-	jobs = st.limitJobs(jobs, share, guaranteed, now)
+	if total > maxRequestTasks {
+		slices.SortStableFunc(jobs, func(a, b readyJob) int { return st.comparePrecedence(a.job, b.job, guaranteed, now) })
+		setQuotas(jobs, maxRequestTasks)
+		jobs = st.limitJobs(jobs)
+	}
 	if len(wide) > 0 {
 		jobs = append(jobs, wide[st.round%len(wide)])
 	}
 	slices.SortFunc(jobs, func(a, b readyJob) int { return compareJobs(a.job, b.job) })
 	var units []graph.Unit
 	for _, j := range jobs {
-		units = append(units, j.graph.ReadyUpTo(unixMS, j.cost(share), st.round*share)...)
+		units = append(units, j.graph.ReadyUpTo(unixMS, j.cost(), st.round*j.cost())...)
 	}
 	return units
 }
 
-// fairShare returns the largest number of tasks of each job with which all jobs together have
-// at most total: jobs with fewer leave room to the others.
-func fairShare(jobs []readyJob, total int) int {
-	costs := make([]int, 0, len(jobs))
+// setQuotas divides total among jobs that have more tasks together. Half of it goes to the
+// first jobs, so that their later tasks do not come after others; of the rest all have like
+// shares, where jobs with fewer tasks leave theirs to the others.
+func setQuotas(jobs []readyJob, total int) {
+	byOrder := total / 2
+	for i := range jobs {
+		jobs[i].quota = min(jobs[i].tasks, byOrder)
+		byOrder -= jobs[i].quota
+	}
+	var missing []int
 	for _, j := range jobs {
-		costs = append(costs, j.cost(total))
+		missing = append(missing, j.tasks-j.quota)
 	}
-	slices.Sort(costs)
-	for i, c := range costs {
-		if share := total / (len(costs) - i); c > share {
+	share := fairShare(missing, total-total/2)
+	for i := range jobs {
+		jobs[i].quota += min(missing[i], share)
+	}
+}
+
+// fairShare returns the largest share with which demands, each cut to it, are at most total
+// together.
+func fairShare(demands []int, total int) int {
+	demands = slices.Sorted(slices.Values(demands))
+	for i, d := range demands {
+		if share := total / (len(demands) - i); d > share {
 			return share
 		}
-		total -= c
+		total -= d
 	}
-	return maxRequestTasks
+	return total
 }
 
-// limitJobs returns the jobs whose units are considered if even one unit of each is too much:
-// half of the tasks are of the first jobs by precedence, and half of the others in turn.
-func (st *state) limitJobs(jobs []readyJob, share int, guaranteed map[*job]bool, now time.Duration) []readyJob {
+// limitJobs returns the jobs whose units are considered if one unit of each is too much already:
+// half of the tasks are of the first jobs, and half of the others in turn.
+func (st *state) limitJobs(jobs []readyJob) []readyJob {
 	total := 0
 	for _, j := range jobs {
-		total += j.cost(share)
+		total += j.cost()
 	}
 	if total <= 2*maxRequestTasks {
 		return jobs
 	}
-	slices.SortStableFunc(jobs, func(a, b readyJob) int { return st.comparePrecedence(a.job, b.job, guaranteed, now) })
 	spent, n := 0, 0
 	for ; n < len(jobs) && spent < maxRequestTasks; n++ {
-		spent += jobs[n].cost(share)
+		spent += jobs[n].cost()
 	}
 	taken, rest := slices.Clone(jobs[:n]), jobs[n:]
 	for i := 0; i < len(rest) && spent < 2*maxRequestTasks; i++ {
 		j := rest[(st.turn+i)%len(rest)]
-		taken, spent = append(taken, j), spent+j.cost(share)
+		taken, spent = append(taken, j), spent+j.cost()
 	}
 	st.turn += len(taken) - n
 	return taken
