duty: every step of a job gets its turn

If a decision has no room for a unit of each step of a job, it begins with another step each time. The step was the number of the decision times the job's quota, which skips steps if both have a common divisor with the number of steps: of two steps, one was never considered (by reading). TestAllStepsGetTheirTurn checks it.

--- a/duty/pick.go
+++ b/duty/pick.go
@@ -67,11 +67,15 @@
 	slices.SortFunc(jobs, func(a, b readyJob) int { return compareJobs(a.job, b.job) })
 	var units []graph.Unit
 	for _, j := range jobs {
-		units = append(units, j.graph.ReadyUpTo(unixMS, j.cost(), st.round*j.cost())...)
+		units = append(units, j.graph.ReadyUpTo(unixMS, j.cost(), scatter(st.round))...)
 	}
 	return units
 }
 
+// scatter returns a number that is spread evenly, for consecutive n, over the remainders of
+// division by any number of steps.
+func scatter(n int) int { return int(uint32(n) * 2654435769 >> 8) }
+
 // setQuotas divides total among jobs that have more tasks together. Half of it goes to the
 // first jobs, so that their later tasks do not come after others; of the rest all have like
 // shares, where jobs with fewer tasks leave theirs to the others.
--- a/duty/pick_test.go
+++ b/duty/pick_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+
+	"catkinpoint/flow"
+	"catkinpoint/graph"
 )
 
 // Guards against jobs whose units a decision never considers, and against a decision that
@@ -63,3 +67,35 @@
 		t.Errorf("%d of %d jobs are reached, the first %d times in %d rounds", len(reached), n, reached[jobs[0].job], rounds)
 	}
 }
+
+// Guards against steps of a job that no decision ever considers, as those before them leave no
+// room and the turns skip them.
+func TestAllStepsGetTheirTurn(t *testing.T) {
+	wide := &flow.Step{Count: 2000, Gang: true}
+	narrow := &flow.Step{Count: 1}
+	tests := []struct {
+		name  string
+		steps []*flow.Step
+		limit int
+	}{
+		{"two", []*flow.Step{narrow, narrow}, 1},
+		{"wide second", []*flow.Step{narrow, wide}, maxRequestTasks / 4},
+		{"wide between", []*flow.Step{narrow, wide, narrow, wide}, 40},
+		{"many", slices.Repeat([]*flow.Step{narrow}, 1000), 40},
+		{"many of four", slices.Repeat([]*flow.Step{narrow}, 1000), 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := graph.New(&flow.Job{Id: jobID, Steps: test.steps}, nil)
+			reached := map[int32]bool{}
+			for round := range 4 * len(test.steps) {
+				for _, u := range j.ReadyUpTo(0, test.limit, scatter(round)) {
+					reached[u.Tasks[0].Step] = true
+				}
+			}
+			if len(reached) != len(test.steps) {
+				t.Errorf("%d of %d steps are reached", len(reached), len(test.steps))
+			}
+		})
+	}
+}
